--- /dev/null
+++ b/include/oleandergrade/connection/http_message.hpp
@@ -0,0 +1,31 @@
+/// HTTP/1.1 messages as the rest of the program sees them.
+#pragma once
+
+#include <string>
+
+namespace oleandergrade
+{
+
+/// One request. The body is JSON text, or empty.
+struct http_request
+{
+    std::string method = "POST";
+    std::string path;
+    std::string body;
+    /// Value of the Oleander-Key header; empty if absent.
+    std::string key;
+    /// Number of the connection the request came on, unique per server.
+    std::uint64_t connection = 0;
+};
+
+/// One answer.
+struct http_response
+{
+    unsigned status = 200;
+    std::string body;
+    std::string content_type = "application/json";
+    /// Closes the connection after this answer.
+    bool close = false;
+};
+
+} // namespace oleandergrade
--- /dev/null
+++ b/include/oleandergrade/process/configuration_freshness.hpp
@@ -0,0 +1,61 @@
+/// Decides whether the configuration in force may still be acted upon. Pure
+/// decision logic.
+#pragma once
+
+#include <oleandergrade/clock.hpp>
+#include <oleandergrade/process/fleet_view.hpp>
+#include <oleandergrade/process/heartbeat.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace oleandergrade
+{
+
+/// Follows how old the newest proof is that no later configuration exists.
+///
+/// A VM serves callers with keys if its version was confirmed within
+/// `confirmation_limit`, or if the platform is out of reach for all: it hears
+/// from a majority of the failure domains, and none of them has heard from
+/// the platform for that time. Changes are accepted only through a VM that
+/// hears from a majority, so an accepted change is never hidden from the
+/// latter.
+class configuration_freshness
+{
+public:
+    static constexpr milliseconds confirmation_limit{4000};
+    static constexpr milliseconds contact_limit{2000};
+
+    explicit configuration_freshness(std::string own_domain);
+
+    void use_domains(const std::vector<std::string>& domains);
+    void use_version(std::uint64_t version) { version_ = version; }
+
+    /// The platform answered a read sent at `sent_at`; `latest` is the
+    /// version it holds.
+    void on_platform_read(std::uint64_t latest, time_point sent_at);
+    /// A peer's state, as of a message that was sent or received at `at`.
+    void on_heartbeat(const heartbeat& state, time_point at);
+
+    freshness_state state(time_point now) const;
+    bool hears_majority(time_point now) const;
+    /// What is known of all domains, for heartbeats.
+    std::vector<domain_contact> contacts(time_point now) const;
+    milliseconds confirmation_age(time_point now) const;
+
+private:
+    struct domain_state
+    {
+        time_point platform_at;
+        time_point heard_at;
+    };
+
+    std::string own_domain_;
+    std::uint64_t version_ = 0;
+    time_point confirmed_at_;
+    std::map<std::string, domain_state> domains_;
+};
+
+} // namespace oleandergrade
--- /dev/null
+++ b/include/oleandergrade/process/token_messages.hpp
@@ -0,0 +1,52 @@
+/// Messages by which rate-limit tokens are lent and accounted for.
+#pragma once
+
+#include <oleandergrade/clock.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace oleandergrade
+{
+
+/// What became of a batch of lent tokens. The counts are totals, so that a
+/// repeated report changes nothing.
+struct token_report
+{
+    std::uint64_t batch = 0;
+    std::uint32_t spent = 0;
+    std::uint32_t returned = 0;
+
+    bool operator==(const token_report&) const = default;
+};
+
+/// A borrower's wish for tokens of one client account.
+struct token_request
+{
+    std::string borrower;
+    std::string account;
+    std::uint32_t wanted = 0;
+    std::vector<token_report> reports;
+    /// The lender may pass the wish on to other failure domains.
+    bool may_forward = false;
+
+    bool operator==(const token_request&) const = default;
+};
+
+/// A lender's answer. Tokens are void `validity` after the request was sent.
+struct token_grant
+{
+    std::string account;
+    std::uint64_t batch = 0;
+    std::uint32_t tokens = 0;
+    milliseconds validity{0};
+    /// When more tokens can be expected, if there were too few.
+    milliseconds retry_after{0};
+    /// False if the lender does not hold the bank.
+    bool accepted = false;
+
+    bool operator==(const token_grant&) const = default;
+};
+
+} // namespace oleandergrade
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds everything and passes the checks and tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t sources < <(git ls-files '*.cpp' '*.hpp')
+clang-format --dry-run --Werror "${sources[@]}"
+cmake --preset release
+cmake --build --preset release
+scripts/tidy.sh
+ctest --test-dir build/release --output-on-failure
--- /dev/null
+++ b/scripts/tidy.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Runs the linter over all sources, several at a time.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+git ls-files 'src/*.cpp' 'programs/*.cpp' 'standins/*.cpp' |
+    xargs -P "$(nproc)" -n 1 clang-tidy -p build/release --quiet 2>/dev/null
--- /dev/null
+++ b/src/connection/http_client.cpp
@@ -0,0 +1,165 @@
+#include <oleandergrade/connection/http_client.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <cerrno>
+#include <charconv>
+#include <sys/socket.h>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+constexpr std::size_t answer_body_bytes = 64 * 1024 * 1024;
+
+error invalid_address(const std::string& address)
+{
+    return {error_kind::invalid, "parse address", address,
+            "expected IP-NUMBER:PORT, such as 127.0.0.1:7000"};
+}
+
+error_kind kind_of(const error_code& failure)
+{
+    return failure == beast::error::timeout ? error_kind::timeout
+                                            : error_kind::broken;
+}
+
+} // namespace
+
+result<tcp::endpoint> parse_endpoint(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos || colon == 0)
+        return invalid_address(address);
+    std::string host = address.substr(0, colon);
+    if (host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    error_code failure;
+    const auto number = asio::ip::make_address(host, failure);
+    if (failure)
+        return invalid_address(address);
+    std::uint16_t port = 0;
+    const char* end = address.data() + address.size();
+    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+    if (parsed.ec != std::errc() || parsed.ptr != end || port == 0)
+        return invalid_address(address);
+    return tcp::endpoint(number, port);
+}
+
+struct http_client::state
+{
+    explicit state(const asio::any_io_executor& executor) : stream(executor) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    bool open = false;
+};
+
+http_client::http_client(asio::any_io_executor executor, std::string address)
+    : address_(std::move(address)), state_(std::make_unique<state>(executor))
+{
+}
+
+http_client::~http_client() = default;
+
+bool http_client::is_open() const
+{
+    return state_->open;
+}
+
+bool http_client::is_reusable()
+{
+    if (!state_->open)
+        return false;
+    char byte = 0;
+    const auto read = ::recv(state_->stream.socket().native_handle(), &byte, 1,
+                             MSG_PEEK | MSG_DONTWAIT);
+    const bool is_quiet = read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (!is_quiet)
+        close();
+    return is_quiet;
+}
+
+void http_client::close()
+{
+    state_->open = false;
+    state_->buffer.clear();
+    state_->stream.close();
+}
+
+asio::awaitable<result<bool>> http_client::connect(duration timeout)
+{
+    const auto endpoint = parse_endpoint(address_);
+    if (!succeeded(endpoint))
+        co_return error_of(endpoint);
+    close();
+    auto& stream = state_->stream;
+    stream.expires_after(timeout);
+    error_code failure;
+    co_await stream.async_connect(
+        value_of(endpoint), asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+        co_return error{error_kind::unreachable, "connect", address_,
+                        failure.message()};
+    stream.socket().set_option(tcp::no_delay(true), failure);
+    state_->open = true;
+    co_return true;
+}
+
+asio::awaitable<result<http_response>>
+http_client::exchange(http_request request, duration timeout)
+{
+    const auto deadline = clock::now() + timeout;
+    if (!state_->open)
+    {
+        auto connected = co_await connect(timeout);
+        if (!succeeded(connected))
+            co_return error_of(connected);
+    }
+    http::request<http::string_body> message(
+        http::string_to_verb(request.method), request.path, 11);
+    message.set(http::field::host, address_);
+    message.set(http::field::content_type, "application/json");
+    if (!request.key.empty())
+        message.set("Oleander-Key", request.key);
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+
+    auto& stream = state_->stream;
+    stream.expires_at(deadline);
+    error_code failure;
+    co_await http::async_write(
+        stream, message, asio::redirect_error(asio::use_awaitable, failure));
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(answer_body_bytes);
+    if (!failure)
+        co_await http::async_read(
+            stream, state_->buffer, parser,
+            asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+    {
+        close();
+        co_return error{kind_of(failure), "exchange", address_,
+                        failure.message()};
+    }
+    auto& answer = parser.get();
+    if (!answer.keep_alive())
+        close();
+    http_response response;
+    response.status = answer.result_int();
+    response.body = std::move(answer.body());
+    response.content_type = std::string(answer[http::field::content_type]);
+    co_return response;
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/connection/peer_link.cpp
@@ -0,0 +1,302 @@
+#include <oleandergrade/connection/peer_link.hpp>
+
+#include <oleandergrade/connection/http_client.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include <map>
+#include <optional>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+constexpr auto connect_timeout = milliseconds(500);
+constexpr std::size_t prefix_bytes = 4;
+
+/// A call that waits for its answer; the timer ends the wait.
+struct pending_call
+{
+    explicit pending_call(const asio::any_io_executor& executor)
+        : timer(executor)
+    {
+    }
+
+    asio::steady_timer timer;
+    std::optional<peer_body> reply;
+    bool broken = false;
+};
+
+bool is_reply(const peer_body& body)
+{
+    return std::holds_alternative<answer>(body) ||
+           std::holds_alternative<token_grant>(body) ||
+           std::holds_alternative<heartbeat_reply>(body) ||
+           std::holds_alternative<configuration_reply>(body) ||
+           std::holds_alternative<trace_reply>(body);
+}
+
+} // namespace
+
+struct peer_link::state : std::enable_shared_from_this<peer_link::state>
+{
+    state(const asio::any_io_executor& executor, std::string peer_address)
+        : socket(executor), address(std::move(peer_address))
+    {
+    }
+
+    explicit state(tcp::socket accepted) : socket(std::move(accepted)) {}
+
+    asio::awaitable<result<bool>> open();
+    asio::awaitable<void> read_loop(std::uint64_t generation);
+    asio::awaitable<bool> read_frame(std::string& frame);
+    asio::awaitable<void> answer_question(peer_message message);
+    asio::awaitable<void> write_loop(std::uint64_t generation);
+    void send(const peer_message& message);
+    void deliver(peer_message message);
+    void fail();
+
+    tcp::socket socket;
+    std::string address;
+    peer_handler handler;
+    bool is_open = false;
+    bool connecting = false;
+    bool writing = false;
+    /// Counts connections, so that loops of an earlier one stop.
+    std::uint64_t generation = 0;
+    std::uint64_t next_id = 1;
+    std::string outbox;
+    std::map<std::uint64_t, std::shared_ptr<pending_call>> calls;
+    std::vector<std::shared_ptr<asio::steady_timer>> connect_waiters;
+};
+
+asio::awaitable<result<bool>> peer_link::state::open()
+{
+    const auto self = shared_from_this();
+    if (is_open)
+        co_return true;
+    const auto endpoint = parse_endpoint(address);
+    if (!succeeded(endpoint))
+        co_return error_of(endpoint);
+    error_code failure;
+    if (connecting)
+    {
+        auto waiter = std::make_shared<asio::steady_timer>(
+            socket.get_executor(), connect_timeout);
+        connect_waiters.push_back(waiter);
+        co_await waiter->async_wait(
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (is_open)
+            co_return true;
+        co_return error{error_kind::unreachable, "connect", address,
+                        "the connection is not open"};
+    }
+    connecting = true;
+    socket = tcp::socket(socket.get_executor());
+    asio::steady_timer timer(socket.get_executor(), connect_timeout);
+    timer.async_wait(
+        [self](error_code expired)
+        {
+            if (!expired && self->connecting)
+            {
+                error_code ignored;
+                self->socket.close(ignored);
+            }
+        });
+    co_await socket.async_connect(
+        value_of(endpoint), asio::redirect_error(asio::use_awaitable, failure));
+    connecting = false;
+    if (!failure)
+    {
+        is_open = true;
+        ++generation;
+        socket.set_option(tcp::no_delay(true), failure);
+        asio::co_spawn(socket.get_executor(), read_loop(generation),
+                       asio::detached);
+    }
+    for (const auto& waiter : std::exchange(connect_waiters, {}))
+        waiter->cancel();
+    if (!is_open)
+        co_return error{error_kind::unreachable, "connect", address,
+                        failure.message()};
+    co_return true;
+}
+
+asio::awaitable<bool> peer_link::state::read_frame(std::string& frame)
+{
+    std::array<unsigned char, prefix_bytes> prefix{};
+    error_code failure;
+    co_await asio::async_read(
+        socket, asio::buffer(prefix),
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+        co_return false;
+    const auto size = boost::endian::load_little_u32(prefix.data());
+    if (size > max_peer_frame_bytes)
+        co_return false;
+    frame.resize(size);
+    co_await asio::async_read(
+        socket, asio::buffer(frame),
+        asio::redirect_error(asio::use_awaitable, failure));
+    co_return !failure;
+}
+
+asio::awaitable<void> peer_link::state::read_loop(std::uint64_t own_generation)
+{
+    const auto self = shared_from_this();
+    std::string frame;
+    while (co_await read_frame(frame))
+    {
+        if (generation != own_generation)
+            co_return;
+        auto message = decode_peer_message(frame);
+        if (!succeeded(message))
+            break;
+        if (is_reply(value_of(message).body))
+            deliver(std::move(value_of(message)));
+        else if (handler)
+            asio::co_spawn(socket.get_executor(),
+                           answer_question(std::move(value_of(message))),
+                           asio::detached);
+    }
+    if (generation == own_generation)
+        fail();
+}
+
+asio::awaitable<void> peer_link::state::answer_question(peer_message message)
+{
+    const auto self = shared_from_this();
+    const auto own_generation = generation;
+    peer_message reply;
+    reply.id = message.id;
+    reply.body = co_await handler(std::move(message.body));
+    if (is_open && generation == own_generation)
+        send(reply);
+}
+
+void peer_link::state::send(const peer_message& message)
+{
+    const auto frame = encode_peer_message(message);
+    std::array<unsigned char, prefix_bytes> prefix{};
+    boost::endian::store_little_u32(prefix.data(),
+                                    static_cast<std::uint32_t>(frame.size()));
+    outbox.append(reinterpret_cast<const char*>(prefix.data()), prefix_bytes);
+    outbox.append(frame);
+    if (writing)
+        return;
+    writing = true;
+    asio::co_spawn(socket.get_executor(), write_loop(generation),
+                   asio::detached);
+}
+
+// Sends all that has gathered in the outbox with one system call each time.
+asio::awaitable<void> peer_link::state::write_loop(std::uint64_t own_generation)
+{
+    const auto self = shared_from_this();
+    while (!outbox.empty() && generation == own_generation)
+    {
+        const auto batch = std::exchange(outbox, {});
+        error_code failure;
+        co_await asio::async_write(
+            socket, asio::buffer(batch),
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+        {
+            if (generation == own_generation)
+                fail();
+            co_return;
+        }
+    }
+    if (generation == own_generation)
+        writing = false;
+}
+
+void peer_link::state::deliver(peer_message message)
+{
+    const auto found = calls.find(message.id);
+    if (found == calls.end())
+        return;
+    found->second->reply = std::move(message.body);
+    found->second->timer.cancel();
+    calls.erase(found);
+}
+
+void peer_link::state::fail()
+{
+    is_open = false;
+    writing = false;
+    ++generation;
+    outbox.clear();
+    error_code ignored;
+    socket.close(ignored);
+    for (const auto& [id, call] : std::exchange(calls, {}))
+    {
+        call->broken = true;
+        call->timer.cancel();
+    }
+}
+
+peer_link::peer_link(tcp::socket socket, peer_handler handler)
+    : state_(std::make_shared<state>(std::move(socket)))
+{
+    state_->handler = std::move(handler);
+    state_->is_open = true;
+}
+
+peer_link::peer_link(asio::any_io_executor executor, std::string address)
+    : state_(std::make_shared<state>(executor, std::move(address)))
+{
+}
+
+peer_link::~peer_link() = default;
+
+void peer_link::start()
+{
+    asio::co_spawn(state_->socket.get_executor(),
+                   state_->read_loop(state_->generation), asio::detached);
+}
+
+asio::awaitable<result<peer_body>> peer_link::call(peer_body body,
+                                                   duration timeout)
+{
+    const auto state = state_;
+    const auto deadline = clock::now() + timeout;
+    const auto opened = co_await state->open();
+    if (!succeeded(opened))
+        co_return error_of(opened);
+    const auto id = state->next_id++;
+    auto pending = std::make_shared<pending_call>(state->socket.get_executor());
+    state->calls[id] = pending;
+    state->send({id, std::move(body)});
+    pending->timer.expires_at(deadline);
+    error_code ignored;
+    co_await pending->timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    if (pending->reply)
+        co_return std::move(*pending->reply);
+    state->calls.erase(id);
+    if (pending->broken)
+        co_return error{error_kind::broken, "call", state->address,
+                        "the connection broke before the answer"};
+    co_return error{error_kind::timeout, "call", state->address,
+                    "no answer before the deadline"};
+}
+
+void peer_link::close()
+{
+    state_->fail();
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/connection/peer_message.capnp
@@ -0,0 +1,122 @@
+@0xd4a1c9f07be3a865;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("oleandergrade::wire");
+
+# One frame between two daemons. `id` pairs an answer with its question; a
+# message that expects no answer has id 0.
+struct PeerMessage {
+  id @0 :UInt64;
+  union {
+    statement @1 :Statement;
+    answer @2 :Answer;
+    tokenRequest @3 :TokenRequest;
+    tokenGrant @4 :TokenGrant;
+    heartbeat @5 :Heartbeat;
+    heartbeatReply @6 :Heartbeat;
+    groupAnnouncement @7 :GroupRecord;
+    configurationRequest @8 :UInt64;
+    configuration @9 :ConfigurationRecord;
+    traceRequest @10 :Text;
+    traceReply @11 :Text;
+  }
+}
+
+# Times are in milliseconds, positions count log entries from 1.
+struct Statement {
+  requestNumber @0 :Text;
+  account @1 :Text;
+  database @2 :Text;
+  target @3 :Text;
+  kind @4 :UInt8;
+  text @5 :Text;
+  requestId @6 :Text;
+  term @7 :UInt64;
+  minPosition @8 :UInt64;
+  maxAge @9 :UInt64;
+  budget @10 :UInt64;
+  transaction @11 :Text;
+  keyId @12 :Text;
+}
+
+struct Answer {
+  run @0 :UInt8;
+  code @1 :UInt8;
+  value @2 :Text;
+  term @3 :UInt64;
+  position @4 :UInt64;
+  step @5 :Text;
+  peer @6 :Text;
+  message @7 :Text;
+  retryAfter @8 :UInt64;
+  transaction @9 :Text;
+  repeated @10 :Bool;
+  servedBy @11 :Text;
+  queued @12 :UInt64;
+}
+
+# Totals since the batch was lent, so that a repeat changes nothing.
+struct TokenReport {
+  batch @0 :UInt64;
+  spent @1 :UInt32;
+  returned @2 :UInt32;
+}
+
+struct TokenRequest {
+  borrower @0 :Text;
+  account @1 :Text;
+  wanted @2 :UInt32;
+  reports @3 :List(TokenReport);
+  # Whether the lender may pass the wish on to other failure domains.
+  mayForward @4 :Bool;
+}
+
+struct TokenGrant {
+  account @0 :Text;
+  batch @1 :UInt64;
+  tokens @2 :UInt32;
+  # How long the tokens may be spent, from the sending of the request.
+  validity @3 :UInt64;
+  retryAfter @4 :UInt64;
+  accepted @5 :Bool;
+}
+
+struct GroupRecord {
+  database @0 :Text;
+  term @1 :UInt64;
+  primary @2 :Text;
+  steady @3 :Bool;
+}
+
+struct DomainContact {
+  failureDomain @0 :Text;
+  # Age of the newest proof that this domain heard from the platform.
+  platformAge @1 :UInt64;
+  # Age of the sender's newest direct contact with this domain.
+  heardAge @2 :UInt64;
+}
+
+struct Heartbeat {
+  node @0 :Text;
+  failureDomain @1 :Text;
+  incarnation @2 :UInt64;
+  configurationVersion @3 :UInt64;
+  # Age of the newest proof that this version is the latest.
+  confirmationAge @4 :UInt64;
+  contacts @5 :List(DomainContact);
+  lead @6 :Text;
+  groups @7 :List(GroupRecord);
+  leaving @8 :Bool;
+  # The list of VMs as JSON; in a reply, the digest of the list held.
+  vms @9 :Text;
+  # Revision of the lead's lease.
+  epoch @10 :UInt64;
+  # The sender's own clock, and the receiver's clock as of its last reply.
+  clock @11 :UInt64;
+  echo @12 :UInt64;
+}
+
+struct ConfigurationRecord {
+  version @0 :UInt64;
+  value @1 :Text;
+}
--- /dev/null
+++ b/src/connection/peer_message.cpp
@@ -0,0 +1,327 @@
+#include <oleandergrade/connection/peer_message.hpp>
+
+#include "peer_message.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <cstring>
+
+namespace oleandergrade
+{
+
+namespace
+{
+
+constexpr std::size_t first_segment_words = 256;
+
+std::string text(capnp::Text::Reader reader)
+{
+    return {reader.cStr(), reader.size()};
+}
+
+milliseconds ms(std::uint64_t value)
+{
+    constexpr std::uint64_t highest = 1'000'000'000'000;
+    return milliseconds(std::min(value, highest));
+}
+
+std::uint64_t count(milliseconds value)
+{
+    return value.count() < 0 ? 0 : static_cast<std::uint64_t>(value.count());
+}
+
+void write(wire::Statement::Builder out, const statement& in)
+{
+    out.setRequestNumber(in.request_number);
+    out.setAccount(in.account);
+    out.setKeyId(in.key_id);
+    out.setDatabase(in.database);
+    out.setTarget(in.target);
+    out.setKind(static_cast<std::uint8_t>(in.kind));
+    out.setText(in.text);
+    out.setRequestId(in.request_id);
+    out.setTerm(in.term);
+    out.setMinPosition(in.min_position);
+    out.setMaxAge(count(in.max_age));
+    out.setBudget(count(in.budget));
+    out.setTransaction(in.transaction);
+}
+
+statement read(wire::Statement::Reader in)
+{
+    statement out;
+    out.request_number = text(in.getRequestNumber());
+    out.account = text(in.getAccount());
+    out.key_id = text(in.getKeyId());
+    out.database = text(in.getDatabase());
+    out.target = text(in.getTarget());
+    out.kind = static_cast<statement_kind>(std::min(
+        in.getKind(), static_cast<std::uint8_t>(statement_kind::rollback)));
+    out.text = text(in.getText());
+    out.request_id = text(in.getRequestId());
+    out.term = in.getTerm();
+    out.min_position = in.getMinPosition();
+    out.max_age = ms(in.getMaxAge());
+    out.budget = ms(in.getBudget());
+    out.transaction = text(in.getTransaction());
+    return out;
+}
+
+void write(wire::Answer::Builder out, const answer& in)
+{
+    out.setRun(static_cast<std::uint8_t>(in.run));
+    out.setCode(static_cast<std::uint8_t>(in.code));
+    out.setValue(in.value);
+    out.setTerm(in.position.term);
+    out.setPosition(in.position.position);
+    out.setStep(in.step);
+    out.setPeer(in.peer);
+    out.setMessage(in.message);
+    out.setRetryAfter(count(in.retry_after));
+    out.setTransaction(in.transaction);
+    out.setRepeated(in.repeated);
+    out.setServedBy(in.served_by);
+    out.setQueued(count(in.queued));
+}
+
+answer read(wire::Answer::Reader in)
+{
+    answer out;
+    out.run = static_cast<run_status>(std::min(
+        in.getRun(), static_cast<std::uint8_t>(run_status::outcome_unknown)));
+    out.code = static_cast<refusal_code>(std::min(
+        in.getCode(), static_cast<std::uint8_t>(refusal_code::stopping)));
+    out.value = text(in.getValue());
+    out.position = {in.getTerm(), in.getPosition()};
+    out.step = text(in.getStep());
+    out.peer = text(in.getPeer());
+    out.message = text(in.getMessage());
+    out.retry_after = ms(in.getRetryAfter());
+    out.transaction = text(in.getTransaction());
+    out.repeated = in.getRepeated();
+    out.served_by = text(in.getServedBy());
+    out.queued = ms(in.getQueued());
+    return out;
+}
+
+void write(wire::TokenRequest::Builder out, const token_request& in)
+{
+    out.setBorrower(in.borrower);
+    out.setAccount(in.account);
+    out.setWanted(in.wanted);
+    out.setMayForward(in.may_forward);
+    auto reports = out.initReports(static_cast<unsigned>(in.reports.size()));
+    for (unsigned i = 0; i < reports.size(); ++i)
+    {
+        reports[i].setBatch(in.reports[i].batch);
+        reports[i].setSpent(in.reports[i].spent);
+        reports[i].setReturned(in.reports[i].returned);
+    }
+}
+
+token_request read(wire::TokenRequest::Reader in)
+{
+    token_request out;
+    out.borrower = text(in.getBorrower());
+    out.account = text(in.getAccount());
+    out.wanted = in.getWanted();
+    out.may_forward = in.getMayForward();
+    for (const auto report : in.getReports())
+        out.reports.push_back(
+            {report.getBatch(), report.getSpent(), report.getReturned()});
+    return out;
+}
+
+void write(wire::TokenGrant::Builder out, const token_grant& in)
+{
+    out.setAccount(in.account);
+    out.setBatch(in.batch);
+    out.setTokens(in.tokens);
+    out.setValidity(count(in.validity));
+    out.setRetryAfter(count(in.retry_after));
+    out.setAccepted(in.accepted);
+}
+
+token_grant read(wire::TokenGrant::Reader in)
+{
+    return {text(in.getAccount()), in.getBatch(),          in.getTokens(),
+            ms(in.getValidity()),  ms(in.getRetryAfter()), in.getAccepted()};
+}
+
+void write(wire::GroupRecord::Builder out, const group_record& in)
+{
+    out.setDatabase(in.database);
+    out.setTerm(in.term);
+    out.setPrimary(in.primary);
+    out.setSteady(in.steady);
+}
+
+group_record read(wire::GroupRecord::Reader in)
+{
+    return {text(in.getDatabase()), in.getTerm(), text(in.getPrimary()),
+            in.getSteady(), ""};
+}
+
+void write(wire::Heartbeat::Builder out, const heartbeat& in)
+{
+    out.setNode(in.node);
+    out.setFailureDomain(in.failure_domain);
+    out.setIncarnation(in.incarnation);
+    out.setConfigurationVersion(in.configuration_version);
+    out.setConfirmationAge(count(in.confirmation_age));
+    auto contacts = out.initContacts(static_cast<unsigned>(in.contacts.size()));
+    for (unsigned i = 0; i < contacts.size(); ++i)
+    {
+        contacts[i].setFailureDomain(in.contacts[i].failure_domain);
+        contacts[i].setPlatformAge(count(in.contacts[i].platform_age));
+        contacts[i].setHeardAge(count(in.contacts[i].heard_age));
+    }
+    out.setLead(in.lead);
+    auto groups = out.initGroups(static_cast<unsigned>(in.groups.size()));
+    for (unsigned i = 0; i < groups.size(); ++i)
+        write(groups[i], in.groups[i]);
+    out.setLeaving(in.leaving);
+    out.setVms(in.vms);
+    out.setEpoch(in.epoch);
+    out.setClock(in.clock);
+    out.setEcho(in.echo);
+}
+
+heartbeat read(wire::Heartbeat::Reader in)
+{
+    heartbeat out;
+    out.node = text(in.getNode());
+    out.failure_domain = text(in.getFailureDomain());
+    out.incarnation = in.getIncarnation();
+    out.configuration_version = in.getConfigurationVersion();
+    out.confirmation_age = ms(in.getConfirmationAge());
+    for (const auto contact : in.getContacts())
+        out.contacts.push_back({text(contact.getFailureDomain()),
+                                ms(contact.getPlatformAge()),
+                                ms(contact.getHeardAge())});
+    out.lead = text(in.getLead());
+    for (const auto group : in.getGroups())
+        out.groups.push_back(read(group));
+    out.leaving = in.getLeaving();
+    out.vms = text(in.getVms());
+    out.epoch = in.getEpoch();
+    out.clock = in.getClock();
+    out.echo = in.getEcho();
+    return out;
+}
+
+/// Writes each kind of body into its member of the union.
+struct body_writer
+{
+    wire::PeerMessage::Builder out;
+
+    void operator()(const statement& body) { write(out.initStatement(), body); }
+    void operator()(const answer& body) { write(out.initAnswer(), body); }
+    void operator()(const token_request& body)
+    {
+        write(out.initTokenRequest(), body);
+    }
+    void operator()(const token_grant& body)
+    {
+        write(out.initTokenGrant(), body);
+    }
+    void operator()(const heartbeat& body) { write(out.initHeartbeat(), body); }
+    void operator()(const heartbeat_reply& body)
+    {
+        write(out.initHeartbeatReply(), body.state);
+    }
+    void operator()(const group_announcement& body)
+    {
+        write(out.initGroupAnnouncement(), body.record);
+    }
+    void operator()(const configuration_request& body)
+    {
+        out.setConfigurationRequest(body.known_version);
+    }
+    void operator()(const configuration_reply& body)
+    {
+        auto record = out.initConfiguration();
+        record.setVersion(body.version);
+        record.setValue(body.value);
+    }
+    void operator()(const trace_request& body)
+    {
+        out.setTraceRequest(body.request_number);
+    }
+    void operator()(const trace_reply& body) { out.setTraceReply(body.events); }
+};
+
+peer_body read_body(wire::PeerMessage::Reader in)
+{
+    switch (in.which())
+    {
+    case wire::PeerMessage::STATEMENT:
+        return read(in.getStatement());
+    case wire::PeerMessage::ANSWER:
+        return read(in.getAnswer());
+    case wire::PeerMessage::TOKEN_REQUEST:
+        return read(in.getTokenRequest());
+    case wire::PeerMessage::TOKEN_GRANT:
+        return read(in.getTokenGrant());
+    case wire::PeerMessage::HEARTBEAT:
+        return read(in.getHeartbeat());
+    case wire::PeerMessage::HEARTBEAT_REPLY:
+        return heartbeat_reply{read(in.getHeartbeatReply())};
+    case wire::PeerMessage::GROUP_ANNOUNCEMENT:
+        return group_announcement{read(in.getGroupAnnouncement())};
+    case wire::PeerMessage::CONFIGURATION_REQUEST:
+        return configuration_request{in.getConfigurationRequest()};
+    case wire::PeerMessage::CONFIGURATION:
+        return configuration_reply{in.getConfiguration().getVersion(),
+                                   text(in.getConfiguration().getValue())};
+    case wire::PeerMessage::TRACE_REQUEST:
+        return trace_request{text(in.getTraceRequest())};
+    case wire::PeerMessage::TRACE_REPLY:
+        return trace_reply{text(in.getTraceReply())};
+    }
+    throw std::runtime_error("unknown kind of message");
+}
+
+error decode_failure(const std::string& message)
+{
+    return {error_kind::invalid, "decode peer message", "", message};
+}
+
+} // namespace
+
+std::string encode_peer_message(const peer_message& message)
+{
+    capnp::MallocMessageBuilder builder(first_segment_words);
+    auto root = builder.initRoot<wire::PeerMessage>();
+    root.setId(message.id);
+    std::visit(body_writer{root}, message.body);
+    const auto words = capnp::messageToFlatArray(builder);
+    const auto bytes = words.asBytes();
+    return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+result<peer_message> decode_peer_message(const std::string& frame)
+{
+    if (frame.empty() || frame.size() % sizeof(capnp::word) != 0)
+        return decode_failure("the frame is not a whole number of words");
+    auto words = kj::heapArray<capnp::word>(frame.size() / sizeof(capnp::word));
+    std::memcpy(words.begin(), frame.data(), frame.size());
+    try
+    {
+        capnp::FlatArrayMessageReader reader(words);
+        const auto root = reader.getRoot<wire::PeerMessage>();
+        return peer_message{root.getId(), read_body(root)};
+    }
+    catch (const kj::Exception& failure)
+    {
+        return decode_failure(failure.getDescription().cStr());
+    }
+    catch (const std::runtime_error& failure)
+    {
+        return decode_failure(failure.what());
+    }
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/control_plane.cpp
@@ -0,0 +1,255 @@
+#include <oleandergrade/process/control_plane.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace oleandergrade
+{
+
+namespace
+{
+
+constexpr auto heartbeat_interval = milliseconds(200);
+constexpr auto platform_read_interval = milliseconds(1000);
+/// Without heartbeats for this long, a VM reads the platform itself.
+constexpr auto lead_silence = milliseconds(1000);
+/// Group records that changed within this time go into every heartbeat.
+constexpr auto group_news_period = milliseconds(3000);
+/// Unchanged group records that go into each heartbeat, in rotation.
+constexpr std::size_t groups_per_heartbeat = 20;
+
+std::uint64_t clock_value(time_point at)
+{
+    return static_cast<std::uint64_t>(to_milliseconds(at.time_since_epoch()));
+}
+
+} // namespace
+
+std::string control_identity::lease_value() const
+{
+    return node + "#" + std::to_string(incarnation);
+}
+
+control_plane::control_plane(control_identity identity, time_point now)
+    : identity_(std::move(identity)), started_at_(now),
+      election_(identity_.lease_value(), now),
+      freshness_(identity_.failure_domain), vms_(std::make_shared<vm_list>())
+{
+}
+
+void control_plane::use_configuration(std::uint64_t version,
+                                      const std::vector<std::string>& domains)
+{
+    version_ = std::max(version_, version);
+    domains_ = domains;
+    freshness_.use_domains(domains);
+    freshness_.use_version(version_);
+}
+
+void control_plane::use_vms(std::shared_ptr<const vm_list> list)
+{
+    vms_ = std::move(list);
+    vms_digest_ = vms_->digest();
+    std::vector<std::string> neighbours;
+    for (const auto& entry : vms_->in_domain(identity_.failure_domain))
+        if (entry.id != identity_.node)
+            neighbours.push_back(entry.id);
+    election_.use_neighbours(neighbours);
+}
+
+void control_plane::use_groups(const std::vector<group_record>& groups,
+                               time_point now)
+{
+    for (const auto& record : groups)
+    {
+        const auto known = std::find(groups_.begin(), groups_.end(), record);
+        if (known == groups_.end())
+            group_changes_[record.database] = now;
+    }
+    groups_ = groups;
+}
+
+std::vector<control_action> control_plane::tick(time_point now, double random)
+{
+    std::vector<control_action> actions;
+    const auto call = election_.due(now, random);
+    if (call.what != election_call::kind::none)
+        actions.push_back(election_action{call});
+    const bool lead = election_.leads(now);
+    const bool is_silent = now - election_.last_heartbeat() > lead_silence;
+    if (now >= next_platform_read_ && (lead || is_silent))
+    {
+        next_platform_read_ = now + platform_read_interval;
+        actions.push_back(read_platform_action{});
+    }
+    if (!lead)
+        return actions;
+    for (const auto& vm : heartbeat_receivers(now))
+        actions.push_back(send_heartbeat_action{vm, make_heartbeat(vm, now)});
+    return actions;
+}
+
+heartbeat control_plane::on_heartbeat(const heartbeat& state, time_point now)
+{
+    const bool is_own_domain = state.failure_domain == identity_.failure_domain;
+    const bool claims_lead = state.lead == state.node;
+    bool accepted = claims_lead;
+    if (is_own_domain)
+        accepted = claims_lead &&
+                   election_.on_lead_heartbeat(state.node, state.epoch, now);
+    if (accepted)
+    {
+        take_in_common(state.node, state);
+        if (is_own_domain)
+            freshness_.on_heartbeat(state, echoed_instant(state, now));
+    }
+    auto reply = make_state(now);
+    reply.vms = vms_digest_;
+    return reply;
+}
+
+void control_plane::on_heartbeat_reply(const std::string& vm,
+                                       const heartbeat& reply,
+                                       time_point sent_at, time_point now)
+{
+    auto& peer = peers_[vm];
+    peer.incarnation = reply.incarnation;
+    peer.clock = reply.clock;
+    peer.vms_digest = reply.vms;
+    freshness_.on_heartbeat(reply, sent_at);
+    const bool is_own_domain = reply.failure_domain == identity_.failure_domain;
+    if (is_own_domain)
+    {
+        if (reply.lead == identity_.node && reply.epoch == election_.epoch())
+            election_.on_vouched(vm, sent_at);
+        if (reply.configuration_version > version_)
+            news_.push_back(
+                newer_configuration{vm, reply.configuration_version});
+        return;
+    }
+    (void)now;
+    auto& known = domain_versions_[reply.failure_domain];
+    known = std::max(known, reply.configuration_version);
+    take_in_common(vm, reply);
+}
+
+void control_plane::on_platform_read(std::uint64_t latest_version,
+                                     time_point sent_at)
+{
+    freshness_.on_platform_read(latest_version, sent_at);
+}
+
+std::vector<control_news> control_plane::take_news()
+{
+    return std::exchange(news_, {});
+}
+
+heartbeat control_plane::make_state(time_point now)
+{
+    heartbeat state;
+    state.node = identity_.node;
+    state.failure_domain = identity_.failure_domain;
+    state.incarnation = identity_.incarnation;
+    state.configuration_version = version_;
+    state.confirmation_age = freshness_.confirmation_age(now);
+    state.contacts = freshness_.contacts(now);
+    state.lead =
+        election_.leads(now) ? identity_.node : election_.known_lead(now);
+    state.epoch = election_.epoch();
+    state.leaving = leaving_;
+    state.clock = clock_value(now);
+    return state;
+}
+
+heartbeat control_plane::make_heartbeat(const std::string& vm, time_point now)
+{
+    auto state = make_state(now);
+    auto& peer = peers_[vm];
+    state.echo = peer.clock;
+    if (peer.vms_digest != vms_digest_)
+        state.vms = vms_->text;
+    add_groups(state, peer, now);
+    return state;
+}
+
+// The VMs of the own domain and one VM of each other domain, its lead if
+// that is known.
+std::vector<std::string> control_plane::heartbeat_receivers(time_point now)
+{
+    std::vector<std::string> receivers;
+    for (const auto& entry : vms_->in_domain(identity_.failure_domain))
+        if (entry.id != identity_.node)
+            receivers.push_back(entry.id);
+    for (const auto& domain : domains_)
+    {
+        if (domain == identity_.failure_domain)
+            continue;
+        auto receiver = receiver_in(domain);
+        if (!receiver.empty())
+            receivers.push_back(std::move(receiver));
+    }
+    std::erase_if(receivers, [&](const std::string& vm)
+                  { return peers_[vm].next_heartbeat > now; });
+    for (const auto& vm : receivers)
+        peers_[vm].next_heartbeat = now + heartbeat_interval;
+    return receivers;
+}
+
+std::string control_plane::receiver_in(const std::string& failure_domain)
+{
+    const auto lead = leads_.find(failure_domain);
+    if (lead != leads_.end() && vms_->find(lead->second) != nullptr)
+        return lead->second;
+    const auto members = vms_->in_domain(failure_domain);
+    if (members.empty())
+        return "";
+    return members[rotation_[failure_domain]++ % members.size()].id;
+}
+
+void control_plane::add_groups(heartbeat& state, peer_state& peer,
+                               time_point now) const
+{
+    for (const auto& record : groups_)
+    {
+        const auto changed = group_changes_.find(record.database);
+        if (changed != group_changes_.end() &&
+            now - changed->second < group_news_period)
+            state.groups.push_back(record);
+    }
+    const auto count = std::min(groups_per_heartbeat, groups_.size());
+    for (std::size_t i = 0; i < count; ++i)
+        state.groups.push_back(groups_[peer.next_group++ % groups_.size()]);
+}
+
+void control_plane::take_in_common(const std::string& vm,
+                                   const heartbeat& state)
+{
+    if (state.configuration_version > version_)
+        news_.push_back(newer_configuration{vm, state.configuration_version});
+    for (const auto& record : state.groups)
+        news_.push_back(record);
+    auto& known = leads_[state.failure_domain];
+    if (!state.lead.empty() && state.lead != known)
+    {
+        known = state.lead;
+        news_.push_back(lead_change{state.failure_domain, known});
+    }
+    const bool has_list = state.failure_domain == identity_.failure_domain &&
+                          state.lead == state.node && !state.vms.empty() &&
+                          state.vms != vms_->text;
+    if (!has_list)
+        return;
+    auto parsed = parse_vm_list(state.vms);
+    if (succeeded(parsed))
+        news_.push_back(vm_list_change{
+            std::make_shared<const vm_list>(std::move(value_of(parsed)))});
+}
+
+time_point control_plane::echoed_instant(const heartbeat& state,
+                                         time_point now) const
+{
+    const time_point echoed{milliseconds(state.echo)};
+    return echoed < started_at_ || echoed > now ? time_point{} : echoed;
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/version/ini_document.cpp
@@ -0,0 +1,246 @@
+#include <oleandergrade/version/ini_document.hpp>
+
+#include <oleandergrade/connection/http_client.hpp>
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+#include <boost/property_tree/ini_parser.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <sstream>
+
+namespace oleandergrade
+{
+
+namespace
+{
+
+/// Sections and line numbers. The INI parser of Boost.PropertyTree keeps no
+/// line numbers and drops empty sections.
+class line_index
+{
+public:
+    explicit line_index(const std::string& text)
+    {
+        std::istringstream lines(text);
+        std::string section;
+        std::string line;
+        for (unsigned number = 1; std::getline(lines, line); ++number)
+        {
+            boost::algorithm::trim(line);
+            if (line.empty() || line.front() == ';' || line.front() == '#')
+                continue;
+            if (line.front() == '[')
+            {
+                section = line.substr(1, line.find(']') - 1);
+                lines_[section + "]"] = number;
+                titles_.push_back(section);
+                continue;
+            }
+            auto key = line.substr(0, line.find('='));
+            boost::algorithm::trim(key);
+            lines_[section + "]" + key] = number;
+        }
+    }
+
+    const std::vector<std::string>& titles() const { return titles_; }
+
+    unsigned of_section(const std::string& section) const
+    {
+        return find(section + "]");
+    }
+
+    unsigned of_entry(const std::string& section, const std::string& key) const
+    {
+        return find(section + "]" + key);
+    }
+
+private:
+    unsigned find(const std::string& name) const
+    {
+        const auto found = lines_.find(name);
+        return found == lines_.end() ? 0 : found->second;
+    }
+
+    std::map<std::string, unsigned> lines_;
+    std::vector<std::string> titles_;
+};
+
+ini_section make_section(const std::string& title, unsigned line)
+{
+    ini_section section;
+    section.line = line;
+    const auto space = title.find(' ');
+    section.kind = title.substr(0, space);
+    if (space != std::string::npos)
+        section.name = title.substr(space + 1);
+    boost::algorithm::trim(section.name);
+    return section;
+}
+
+} // namespace
+
+std::string to_string(const ini_problem& problem)
+{
+    std::string line = problem.file + ":" + std::to_string(problem.line);
+    if (!problem.key.empty())
+        line += ": " + problem.key;
+    return line + ": " + problem.message;
+}
+
+const ini_entry* ini_section::find(const std::string& key) const
+{
+    const auto found =
+        std::find_if(entries.begin(), entries.end(),
+                     [&](const ini_entry& entry) { return entry.key == key; });
+    return found == entries.end() ? nullptr : &*found;
+}
+
+ini_document parse_ini(const std::string& file, const std::string& text,
+                       std::vector<ini_problem>& problems)
+{
+    ini_document document;
+    document.file = file;
+    boost::property_tree::ptree tree;
+    try
+    {
+        std::istringstream input(text);
+        boost::property_tree::ini_parser::read_ini(input, tree);
+    }
+    catch (const boost::property_tree::ini_parser_error& failure)
+    {
+        problems.push_back({file, static_cast<unsigned>(failure.line()), "",
+                            failure.message()});
+        return document;
+    }
+    const line_index lines(text);
+    for (const auto& [title, content] : tree)
+        if (content.empty() && !content.data().empty())
+            problems.push_back({file, lines.of_entry("", title), title,
+                                "stands outside of any section"});
+    for (const auto& title : lines.titles())
+    {
+        auto section = make_section(title, lines.of_section(title));
+        const auto content = tree.find(title);
+        if (content != tree.not_found())
+            for (const auto& [key, value] : content->second)
+                section.entries.push_back(
+                    {key, value.data(), lines.of_entry(title, key)});
+        document.sections.push_back(std::move(section));
+    }
+    return document;
+}
+
+ini_reader::ini_reader(const ini_document& document, const ini_section& section,
+                       std::vector<ini_problem>& problems)
+    : document_(document), section_(section), problems_(problems)
+{
+}
+
+std::string ini_reader::text(const std::string& key,
+                             const std::string& fallback)
+{
+    const auto* entry = use(key);
+    return entry == nullptr ? fallback : entry->value;
+}
+
+std::string ini_reader::required_text(const std::string& key)
+{
+    const auto* entry = use(key);
+    if (entry != nullptr && !entry->value.empty())
+        return entry->value;
+    report(key, "is missing");
+    return "";
+}
+
+std::string ini_reader::address(const std::string& key)
+{
+    const auto value = required_text(key);
+    if (!value.empty() && !succeeded(parse_endpoint(value)))
+        report(key, "'" + value + "' is not IP-NUMBER:PORT");
+    return value;
+}
+
+std::uint64_t ini_reader::number(const std::string& key, std::uint64_t fallback,
+                                 std::uint64_t lowest, std::uint64_t highest)
+{
+    const auto* entry = use(key);
+    if (entry == nullptr)
+        return fallback;
+    std::uint64_t value = 0;
+    const auto* begin = entry->value.data();
+    const auto* end = begin + entry->value.size();
+    const auto parsed = std::from_chars(begin, end, value);
+    if (parsed.ec == std::errc() && parsed.ptr == end && value >= lowest &&
+        value <= highest)
+        return value;
+    report(key, "'" + entry->value + "' is not a whole number from " +
+                    std::to_string(lowest) + " to " + std::to_string(highest));
+    return fallback;
+}
+
+bool ini_reader::flag(const std::string& key, bool fallback)
+{
+    const auto* entry = use(key);
+    if (entry == nullptr)
+        return fallback;
+    if (entry->value == "yes" || entry->value == "no")
+        return entry->value == "yes";
+    report(key, "'" + entry->value + "' is neither 'yes' nor 'no'");
+    return fallback;
+}
+
+std::vector<std::string> ini_reader::list(const std::string& key)
+{
+    const auto* entry = use(key);
+    return entry == nullptr ? std::vector<std::string>{}
+                            : split_list(entry->value);
+}
+
+void ini_reader::reject_unknown_keys()
+{
+    for (const auto& entry : section_.entries)
+    {
+        if (std::find(used_.begin(), used_.end(), entry.key) != used_.end())
+            continue;
+        std::string allowed;
+        for (const auto& key : used_)
+            allowed += (allowed.empty() ? "" : ", ") + key;
+        report(entry.key, "is not known here; allowed are: " + allowed);
+    }
+}
+
+void ini_reader::report(const std::string& key, const std::string& message)
+{
+    const auto* entry = section_.find(key);
+    const auto line = entry == nullptr ? section_.line : entry->line;
+    auto place = "[" + section_.kind;
+    if (!section_.name.empty())
+        place += " " + section_.name;
+    problems_.push_back({document_.file, line, place + "] " + key, message});
+}
+
+const ini_entry* ini_reader::use(const std::string& key)
+{
+    used_.push_back(key);
+    return section_.find(key);
+}
+
+std::vector<std::string> split_list(const std::string& text)
+{
+    std::vector<std::string> parts;
+    boost::algorithm::split(parts, text, boost::algorithm::is_any_of(","));
+    std::vector<std::string> items;
+    for (auto& part : parts)
+    {
+        boost::algorithm::trim(part);
+        if (!part.empty())
+            items.push_back(part);
+    }
+    return items;
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/standins/target_standin.cpp
@@ -0,0 +1,622 @@
+/// Stand-in for a database target: one server of a group behind HTTP/1.1.
+#include "database_server.hpp"
+
+#include <oleandergrade/connection/http_client.hpp>
+#include <oleandergrade/connection/http_server.hpp>
+#include <oleandergrade/connection/json_fields.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <gflags/gflags.h>
+
+#include <deque>
+#include <iostream>
+#include <set>
+
+DEFINE_string(listen, "127.0.0.1:7101", "address to listen on, IP:PORT");
+DEFINE_string(primary, "", "address of the first primary; empty for itself");
+DEFINE_uint32(group_size, 3, "servers in the database group");
+DEFINE_uint32(slots, 3, "statements that run at the same time");
+DEFINE_uint32(connections, 20, "connections accepted at the same time");
+DEFINE_uint32(connect_ms, 10, "time that opening a connection takes");
+DEFINE_uint32(service_us, 300, "time that one statement holds its slot");
+DEFINE_uint32(apply_delay_ms, 0, "replication lag as seen by reads");
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace oleandergrade;
+using standins::statement_status;
+
+constexpr auto pull_wait = milliseconds(50);
+constexpr auto pull_timeout = milliseconds(500);
+constexpr auto pull_retry_delay = milliseconds(20);
+constexpr std::uint64_t max_progress_wait_ms = 1000;
+
+/// Faults that a test can switch on; shown in the dump.
+struct fault_switches
+{
+    std::uint64_t apply_delay_ms = 0;
+    std::uint64_t slow_ms = 0;
+    std::uint64_t lose_answers = 0;
+    bool replication_paused = false;
+    bool cut_off = false;
+};
+
+/// An open transaction, bound to its connection.
+struct open_transaction
+{
+    std::vector<standins::cell_change> changes;
+};
+
+http_response json_response(unsigned status, const json::object& body)
+{
+    http_response response;
+    response.status = status;
+    response.body = json::serialize(body);
+    return response;
+}
+
+http_response refuse(unsigned status, const char* code, std::uint64_t term)
+{
+    return json_response(status, {{"error", code}, {"term", term}});
+}
+
+std::vector<standins::cell_change> parse_changes(const json::object& statement)
+{
+    standins::cell_change change;
+    change.key = text_field(statement, "key");
+    change.append = statement.contains("append");
+    change.value = text_field(statement, change.append ? "append" : "value");
+    return {change};
+}
+
+json::object to_json(const standins::log_entry& entry)
+{
+    json::array changes;
+    for (const auto& change : entry.changes)
+        changes.push_back(json::object{{"key", change.key},
+                                       {"value", change.value},
+                                       {"append", change.append}});
+    return {{"term", entry.term},
+            {"request_id", entry.request_id},
+            {"changes", std::move(changes)}};
+}
+
+standins::log_entry parse_log_entry(const json::object& object)
+{
+    standins::log_entry entry;
+    entry.term = number_field(object, "term");
+    entry.request_id = text_field(object, "request_id");
+    for (const auto& item : object.at("changes").as_array())
+    {
+        const auto& change = item.as_object();
+        entry.changes.push_back({text_field(change, "key"),
+                                 text_field(change, "value"),
+                                 flag_field(change, "append")});
+    }
+    return entry;
+}
+
+/// Serves one database server. Everything runs on one thread.
+class target_process
+{
+public:
+    explicit target_process(asio::io_context& context)
+        : context_(context), database_(FLAGS_listen, FLAGS_group_size)
+    {
+        faults_.apply_delay_ms = FLAGS_apply_delay_ms;
+        database_.bootstrap(FLAGS_primary.empty(), FLAGS_primary);
+        asio::co_spawn(context_, replicate(), asio::detached);
+    }
+
+    asio::awaitable<http_response> serve(http_request request);
+    asio::awaitable<void> open_delay() { return sleep(connect_delay()); }
+    void connection_closed(std::uint64_t connection);
+
+private:
+    using handler = asio::awaitable<http_response> (target_process::*)(
+        const http_request&, const json::object&);
+    struct route
+    {
+        const char* path;
+        handler serve;
+        /// Counted against the connection cap and slowed by faults.
+        bool is_session;
+    };
+    static const route routes[];
+
+    asio::awaitable<http_response> serve_read(const http_request& request,
+                                              const json::object& body);
+    asio::awaitable<http_response> serve_write(const http_request& request,
+                                               const json::object& body);
+    asio::awaitable<http_response> serve_begin(const http_request& request,
+                                               const json::object& body);
+    asio::awaitable<http_response> serve_commit(const http_request& request,
+                                                const json::object& body);
+    asio::awaitable<http_response> serve_rollback(const http_request& request,
+                                                  const json::object& body);
+    asio::awaitable<http_response> serve_status(const http_request& request,
+                                                const json::object& body);
+    asio::awaitable<http_response> serve_progress(const http_request& request,
+                                                  const json::object& body);
+    asio::awaitable<http_response> serve_fence(const http_request& request,
+                                               const json::object& body);
+    asio::awaitable<http_response> serve_promote(const http_request& request,
+                                                 const json::object& body);
+    asio::awaitable<http_response> serve_follow(const http_request& request,
+                                                const json::object& body);
+    asio::awaitable<http_response> serve_log(const http_request& request,
+                                             const json::object& body);
+    asio::awaitable<http_response> serve_fault(const http_request& request,
+                                               const json::object& body);
+    asio::awaitable<http_response> serve_dump(const http_request& request,
+                                              const json::object& body);
+
+    static duration connect_delay() { return milliseconds(FLAGS_connect_ms); }
+    asio::awaitable<void> sleep(duration delay);
+    asio::awaitable<void> take_slot();
+    void release_slot();
+    asio::awaitable<void> replicate();
+    asio::awaitable<bool> pull_once();
+    void apply_later();
+    asio::awaitable<void> wait_for_change(duration limit);
+    void notify_change();
+    json::object status_object() const;
+    http_response reply(const standins::statement_reply& outcome) const;
+
+    asio::io_context& context_;
+    standins::database_server database_;
+    fault_switches faults_;
+    std::set<std::uint64_t> sessions_;
+    std::map<std::uint64_t, open_transaction> transactions_;
+    std::size_t slots_taken_ = 0;
+    std::deque<std::shared_ptr<asio::steady_timer>> slot_waiters_;
+    std::vector<std::shared_ptr<asio::steady_timer>> change_waiters_;
+    std::unique_ptr<http_client> upstream_;
+    std::uint64_t statements_ = 0;
+};
+
+const target_process::route target_process::routes[] = {
+    {"/read", &target_process::serve_read, true},
+    {"/write", &target_process::serve_write, true},
+    {"/begin", &target_process::serve_begin, true},
+    {"/commit", &target_process::serve_commit, true},
+    {"/rollback", &target_process::serve_rollback, true},
+    {"/status", &target_process::serve_status, false},
+    {"/progress", &target_process::serve_progress, false},
+    {"/fence", &target_process::serve_fence, false},
+    {"/promote", &target_process::serve_promote, false},
+    {"/follow", &target_process::serve_follow, false},
+    {"/log", &target_process::serve_log, false},
+    {"/fault", &target_process::serve_fault, false},
+    {"/dump", &target_process::serve_dump, false},
+};
+
+asio::awaitable<http_response> target_process::serve(http_request request)
+{
+    const auto parsed = parse_json_object(request.body);
+    if (!succeeded(parsed))
+        co_return refuse(400, "bad_request", 0);
+    for (const auto& route : routes)
+    {
+        if (request.path != route.path)
+            continue;
+        const bool is_fault = route.serve == &target_process::serve_fault;
+        if (faults_.cut_off && !is_fault)
+            co_await sleep(seconds(3600));
+        if (route.is_session)
+        {
+            if (!sessions_.contains(request.connection) &&
+                sessions_.size() >= FLAGS_connections)
+                co_return refuse(503, "too_many_connections", 0);
+            sessions_.insert(request.connection);
+        }
+        if (faults_.slow_ms > 0 && !is_fault)
+            co_await sleep(milliseconds(faults_.slow_ms));
+        auto response =
+            co_await (this->*route.serve)(request, value_of(parsed));
+        if (route.is_session && faults_.lose_answers > 0)
+        {
+            --faults_.lose_answers;
+            throw boost::system::system_error(asio::error::connection_aborted);
+        }
+        co_return response;
+    }
+    co_return refuse(404, "not_found", 0);
+}
+
+void target_process::connection_closed(std::uint64_t connection)
+{
+    sessions_.erase(connection);
+    transactions_.erase(connection);
+}
+
+asio::awaitable<void> target_process::sleep(duration delay)
+{
+    if (delay <= duration::zero())
+        co_return;
+    asio::steady_timer timer(context_, delay);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<void> target_process::take_slot()
+{
+    if (slots_taken_ < FLAGS_slots)
+    {
+        ++slots_taken_;
+        co_return;
+    }
+    auto waiter = std::make_shared<asio::steady_timer>(
+        context_, asio::steady_timer::time_point::max());
+    slot_waiters_.push_back(waiter);
+    boost::system::error_code ignored;
+    co_await waiter->async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void target_process::release_slot()
+{
+    if (slot_waiters_.empty())
+    {
+        --slots_taken_;
+        return;
+    }
+    slot_waiters_.front()->cancel();
+    slot_waiters_.pop_front();
+}
+
+http_response
+target_process::reply(const standins::statement_reply& outcome) const
+{
+    switch (outcome.status)
+    {
+    case statement_status::wrong_term:
+        return refuse(409, "wrong_term", outcome.term);
+    case statement_status::not_primary:
+        return refuse(409, "not_primary", outcome.term);
+    case statement_status::behind:
+        return refuse(409, "behind", outcome.term);
+    case statement_status::done:
+        break;
+    }
+    return json_response(200, {{"term", outcome.term},
+                               {"position", outcome.position},
+                               {"value", outcome.value},
+                               {"repeated", outcome.repeated}});
+}
+
+asio::awaitable<http_response>
+target_process::serve_read(const http_request& request,
+                           const json::object& body)
+{
+    co_await take_slot();
+    co_await sleep(microseconds(FLAGS_service_us));
+    const auto statement = parse_json_object(text_field(body, "statement"));
+    std::string key;
+    if (succeeded(statement))
+        key = text_field(value_of(statement), "key");
+    auto outcome = database_.read(number_field(body, "term"), key,
+                                  number_field(body, "min_position"));
+    const auto open = transactions_.find(request.connection);
+    if (open != transactions_.end())
+        for (const auto& change : open->second.changes)
+            if (change.key == key)
+                outcome.value =
+                    change.append ? outcome.value + change.value : change.value;
+    ++statements_;
+    release_slot();
+    co_return reply(outcome);
+}
+
+asio::awaitable<http_response>
+target_process::serve_write(const http_request& request,
+                            const json::object& body)
+{
+    const auto statement = parse_json_object(text_field(body, "statement"));
+    if (!succeeded(statement))
+        co_return refuse(400, "bad_statement", 0);
+    auto changes = parse_changes(value_of(statement));
+    const auto open = transactions_.find(request.connection);
+    co_await take_slot();
+    co_await sleep(microseconds(FLAGS_service_us));
+    ++statements_;
+    release_slot();
+    if (open != transactions_.end())
+    {
+        const auto term = number_field(body, "term");
+        if (term != database_.status(clock::now()).term)
+            co_return refuse(409, "wrong_term",
+                             database_.status(clock::now()).term);
+        open->second.changes.push_back(changes.front());
+        co_return json_response(200, {{"term", term}, {"value", ""}});
+    }
+    const auto outcome =
+        database_.write(number_field(body, "term"), std::move(changes),
+                        text_field(body, "request_id"));
+    notify_change();
+    co_return reply(outcome);
+}
+
+asio::awaitable<http_response>
+target_process::serve_begin(const http_request& request,
+                            const json::object& body)
+{
+    const auto status = database_.status(clock::now());
+    if (status.term != number_field(body, "term"))
+        co_return refuse(409, "wrong_term", status.term);
+    if (!status.primary)
+        co_return refuse(409, "not_primary", status.term);
+    if (transactions_.contains(request.connection))
+        co_return refuse(409, "transaction_open", status.term);
+    transactions_[request.connection] = {};
+    co_return json_response(200, {{"term", status.term}});
+}
+
+asio::awaitable<http_response>
+target_process::serve_commit(const http_request& request,
+                             const json::object& body)
+{
+    const auto open = transactions_.find(request.connection);
+    if (open == transactions_.end())
+        co_return refuse(409, "no_transaction", 0);
+    auto changes = std::move(open->second.changes);
+    transactions_.erase(open);
+    const auto outcome =
+        database_.write(number_field(body, "term"), std::move(changes),
+                        text_field(body, "request_id"));
+    notify_change();
+    co_return reply(outcome);
+}
+
+asio::awaitable<http_response>
+target_process::serve_rollback(const http_request& request, const json::object&)
+{
+    transactions_.erase(request.connection);
+    co_return json_response(200, {});
+}
+
+json::object target_process::status_object() const
+{
+    const auto status = database_.status(clock::now());
+    json::object object{{"term", status.term},
+                        {"primary", status.primary},
+                        {"following", status.following},
+                        {"position", status.position},
+                        {"last_log_term", status.last_log_term},
+                        {"applied", status.applied},
+                        {"confirmed", status.confirmed}};
+    if (status.primary_contact_age)
+        object["primary_contact_age_ms"] =
+            to_milliseconds(*status.primary_contact_age);
+    return object;
+}
+
+asio::awaitable<http_response> target_process::serve_status(const http_request&,
+                                                            const json::object&)
+{
+    co_return json_response(200, status_object());
+}
+
+// Answers once the confirmed position, the term or the role has changed, or
+// after the wait that the client asked for.
+asio::awaitable<http_response>
+target_process::serve_progress(const http_request&, const json::object& body)
+{
+    const auto wait =
+        std::min(number_field(body, "wait_ms"), max_progress_wait_ms);
+    const auto deadline = clock::now() + milliseconds(wait);
+    const auto known = number_field(body, "confirmed");
+    const auto term = number_field(body, "term");
+    while (clock::now() < deadline)
+    {
+        const auto status = database_.status(clock::now());
+        if (status.term != term || !status.primary || status.confirmed > known)
+            break;
+        co_await wait_for_change(deadline - clock::now());
+    }
+    co_return json_response(200, status_object());
+}
+
+asio::awaitable<http_response>
+target_process::serve_fence(const http_request&, const json::object& body)
+{
+    const bool held = database_.fence(number_field(body, "term"),
+                                      text_field(body, "coordinator"));
+    notify_change();
+    auto answer = status_object();
+    answer["granted"] = held;
+    co_return json_response(200, answer);
+}
+
+asio::awaitable<http_response>
+target_process::serve_promote(const http_request&, const json::object& body)
+{
+    const bool done = database_.promote(number_field(body, "term"),
+                                        text_field(body, "coordinator"));
+    notify_change();
+    auto answer = status_object();
+    answer["granted"] = done;
+    co_return json_response(200, answer);
+}
+
+asio::awaitable<http_response>
+target_process::serve_follow(const http_request&, const json::object& body)
+{
+    const bool done = database_.follow(number_field(body, "term"),
+                                       text_field(body, "primary"));
+    notify_change();
+    auto answer = status_object();
+    answer["granted"] = done;
+    co_return json_response(200, answer);
+}
+
+asio::awaitable<http_response>
+target_process::serve_log(const http_request&, const json::object& body)
+{
+    const standins::pull_request request{
+        text_field(body, "replica"), number_field(body, "term"),
+        number_field(body, "after"), number_field(body, "after_term")};
+    const auto before = database_.status(clock::now()).confirmed;
+    auto reply = database_.serve_pull(request);
+    if (database_.status(clock::now()).confirmed != before)
+        notify_change();
+    if (reply.accepted && !reply.mismatch && reply.entries.empty())
+    {
+        const auto deadline = clock::now() + pull_wait;
+        while (database_.position() == request.after && clock::now() < deadline)
+            co_await wait_for_change(deadline - clock::now());
+        reply = database_.serve_pull(request);
+    }
+    json::array entries;
+    for (const auto& entry : reply.entries)
+        entries.push_back(to_json(entry));
+    co_return json_response(200, {{"accepted", reply.accepted},
+                                  {"term", reply.term},
+                                  {"mismatch", reply.mismatch},
+                                  {"first_position", reply.first_position},
+                                  {"entries", std::move(entries)}});
+}
+
+asio::awaitable<http_response>
+target_process::serve_fault(const http_request&, const json::object& body)
+{
+    faults_.apply_delay_ms =
+        number_field(body, "apply_delay_ms", faults_.apply_delay_ms);
+    faults_.slow_ms = number_field(body, "slow_ms", faults_.slow_ms);
+    faults_.lose_answers =
+        number_field(body, "lose_answers", faults_.lose_answers);
+    faults_.replication_paused =
+        flag_field(body, "replication_paused", faults_.replication_paused);
+    faults_.cut_off = flag_field(body, "cut_off", faults_.cut_off);
+    co_return json_response(200, {});
+}
+
+asio::awaitable<http_response> target_process::serve_dump(const http_request&,
+                                                          const json::object&)
+{
+    json::object faults{{"apply_delay_ms", faults_.apply_delay_ms},
+                        {"slow_ms", faults_.slow_ms},
+                        {"lose_answers", faults_.lose_answers},
+                        {"replication_paused", faults_.replication_paused},
+                        {"cut_off", faults_.cut_off}};
+    co_return json_response(200, {{"status", status_object()},
+                                  {"faults", std::move(faults)},
+                                  {"sessions", sessions_.size()},
+                                  {"transactions", transactions_.size()},
+                                  {"slots_taken", slots_taken_},
+                                  {"statements", statements_}});
+}
+
+asio::awaitable<void> target_process::replicate()
+{
+    for (;;)
+    {
+        bool pulled = false;
+        if (!faults_.replication_paused && !faults_.cut_off)
+            pulled = co_await pull_once();
+        if (!pulled)
+            co_await sleep(pull_retry_delay);
+    }
+}
+
+asio::awaitable<bool> target_process::pull_once()
+{
+    const auto pull = database_.make_pull();
+    if (!pull)
+        co_return false;
+    const auto primary = database_.status(clock::now()).following;
+    if (!upstream_ || upstream_->address() != primary)
+        upstream_ =
+            std::make_unique<http_client>(context_.get_executor(), primary);
+    http_request request;
+    request.path = "/log";
+    request.body =
+        json::serialize(json::object{{"replica", pull->replica},
+                                     {"term", pull->term},
+                                     {"after", pull->after},
+                                     {"after_term", pull->after_term}});
+    auto answer =
+        co_await upstream_->exchange(std::move(request), pull_timeout);
+    if (!succeeded(answer) || value_of(answer).status != 200)
+        co_return false;
+    const auto parsed = parse_json_object(value_of(answer).body);
+    if (!succeeded(parsed) || faults_.replication_paused)
+        co_return false;
+    const auto& body = value_of(parsed);
+    standins::pull_reply reply;
+    reply.accepted = flag_field(body, "accepted");
+    reply.term = number_field(body, "term");
+    reply.mismatch = flag_field(body, "mismatch");
+    reply.first_position = number_field(body, "first_position");
+    for (const auto& entry : body.at("entries").as_array())
+        reply.entries.push_back(parse_log_entry(entry.as_object()));
+    database_.accept_pull(reply, clock::now());
+    apply_later();
+    co_return reply.accepted;
+}
+
+void target_process::apply_later()
+{
+    const auto position = database_.position();
+    if (faults_.apply_delay_ms == 0)
+    {
+        database_.apply_up_to(position);
+        return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(
+        context_, milliseconds(faults_.apply_delay_ms));
+    timer->async_wait([this, timer, position](boost::system::error_code)
+                      { database_.apply_up_to(position); });
+}
+
+asio::awaitable<void> target_process::wait_for_change(duration limit)
+{
+    auto waiter = std::make_shared<asio::steady_timer>(context_, limit);
+    change_waiters_.push_back(waiter);
+    boost::system::error_code ignored;
+    co_await waiter->async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    std::erase(change_waiters_, waiter);
+}
+
+void target_process::notify_change()
+{
+    for (const auto& waiter : change_waiters_)
+        waiter->cancel();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("stand-in for one database server");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto endpoint = parse_endpoint(FLAGS_listen);
+    if (!succeeded(endpoint))
+    {
+        std::cerr << to_string(error_of(endpoint)) << "\n";
+        return 2;
+    }
+    asio::io_context context(1);
+    target_process process(context);
+    http_handlers handlers;
+    handlers.serve = [&](http_request request)
+    { return process.serve(std::move(request)); };
+    handlers.on_open = [&] { return process.open_delay(); };
+    handlers.on_close = [&](std::uint64_t connection)
+    { process.connection_closed(connection); };
+    http_server server(context, value_of(endpoint), {}, handlers);
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](auto, auto) { context.stop(); });
+    context.run();
+    return 0;
+}
