Prove promotion, sessions and retries by seeded runs against fakes

Cause: nothing showed that the decision logic holds under faults. Found: a claim that reaches the platform late leaves the record undecided; the lead's watch over the records brings it to the coordinators, which take over.

--- a/tests/fakes/database_world.cpp
+++ b/tests/fakes/database_world.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr auto tick_interval = milliseconds(20);
+constexpr auto record_watch_interval = milliseconds(1000);
 constexpr auto pull_interval = milliseconds(5);
 constexpr auto command_timeout = milliseconds(400);
 constexpr auto platform_timeout = milliseconds(1000);
@@ -141,6 +142,7 @@
         nodes_.push_back(vm);
         start_node(vm);
         tick_node(vm);
+        watch_records(vm);
     }
     for (std::size_t i = 0; i < session_count; ++i)
     {
@@ -174,6 +176,28 @@
                 [this, vm] { tick_node(vm); });
 }
 
+// Stands for the lead's watch over the group records and its heartbeats.
+void database_world::watch_records(const std::shared_ptr<node>& vm)
+{
+    network_.after(record_watch_interval, [this, vm] { watch_records(vm); });
+    if (!vm->machine->up || vm->machine->paused_until > network_.now())
+        return;
+    network_.call<std::string>(
+        vm->machine, platform_, platform_timeout,
+        [this]
+        {
+            const auto stored = store_.get("groups/d", network_.now());
+            return stored ? stored->value : std::string();
+        },
+        [this, vm](const result<std::string>& outcome)
+        {
+            if (!succeeded(outcome) || value_of(outcome).empty())
+                return;
+            const auto record = parse_group_record("d", value_of(outcome));
+            vm->coordinator->use_announcement(value_of(record), network_.now());
+        });
+}
+
 void database_world::perform(const std::shared_ptr<node>& vm,
                              const std::vector<failover_action>& actions)
 {
--- a/tests/fakes/database_world.hpp
+++ b/tests/fakes/database_world.hpp
@@ -74,6 +74,7 @@
 
     void set_up();
     void tick_node(const std::shared_ptr<node>& vm);
+    void watch_records(const std::shared_ptr<node>& vm);
     void start_node(const std::shared_ptr<node>& vm);
     void perform(const std::shared_ptr<node>& vm,
                  const std::vector<failover_action>& actions);
--- a/tests/test_failover_seeds.cpp
+++ b/tests/test_failover_seeds.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr std::uint64_t default_seeds = 150;
+constexpr std::uint64_t planted_bug_seeds = 100;
 constexpr auto faulty_time = seconds(8);
 
 std::uint64_t number_from_environment(const char* name, std::uint64_t fallback)
@@ -78,7 +79,7 @@
 void expect_violation(const char* name, planted_bug bug)
 {
     const world_faults all{true, true, true, true, true, true};
-    const auto summary = run_seeds(name, all, bug, 20);
+    const auto summary = run_seeds(name, all, bug, planted_bug_seeds);
     cr_assert(summary.violations > 0);
 }
 
