--- a/include/oleandergrade/process/failover_coordinator.hpp
+++ b/include/oleandergrade/process/failover_coordinator.hpp
@@ -179,6 +179,7 @@
     void fence_members(time_point now);
     void promote_if_fenced(time_point now);
     void record_outcome(time_point now);
+    void finish_record(time_point now);
     std::size_t majority() const { return members_.size() / 2 + 1; }
     std::uint64_t highest_term() const;
     const target* find_declared(const std::string& name) const;
--- a/include/oleandergrade/process/token_bank.hpp
+++ b/include/oleandergrade/process/token_bank.hpp
@@ -58,7 +58,7 @@
 private:
     struct lent_batch
     {
-        std::uint32_t tokens = 0;
+        std::uint32_t units = 0;
         std::uint32_t spent = 0;
         std::uint32_t returned = 0;
         time_point lapses_at;
--- a/include/oleandergrade/process/token_borrower.hpp
+++ b/include/oleandergrade/process/token_borrower.hpp
@@ -69,14 +69,14 @@
     {
         std::string lender;
         std::uint64_t batch = 0;
-        std::uint32_t tokens = 0;
+        std::uint32_t units = 0;
         std::uint32_t spent = 0;
         std::uint32_t returned = 0;
         bool unreported = false;
         time_point received_at;
         time_point valid_until;
 
-        std::uint32_t left() const { return tokens - spent - returned; }
+        std::uint32_t left() const { return units - spent - returned; }
     };
     struct waiting_request
     {
--- a/include/oleandergrade/process/token_messages.hpp
+++ b/include/oleandergrade/process/token_messages.hpp
@@ -10,11 +10,16 @@
 namespace oleandergrade
 {
 
+/// Tokens are counted in thousandths, so that banks which each hold a part of
+/// a token can serve a request together.
+inline constexpr std::uint32_t units_per_request = 1000;
+
 /// What became of a batch of lent tokens. The counts are totals, so that a
 /// repeated report changes nothing.
 struct token_report
 {
     std::uint64_t batch = 0;
+    /// Units.
     std::uint32_t spent = 0;
     std::uint32_t returned = 0;
 
@@ -26,6 +31,7 @@
 {
     std::string borrower;
     std::string account;
+    /// Units.
     std::uint32_t wanted = 0;
     std::vector<token_report> reports;
     /// The lender may pass the wish on to other failure domains.
@@ -34,14 +40,14 @@
     bool operator==(const token_request&) const = default;
 };
 
-/// A lender's answer. Tokens are void `validity` after the request was sent.
+/// A lender's answer. Units are void `validity` after the request was sent.
 struct token_grant
 {
     std::string account;
     std::uint64_t batch = 0;
-    std::uint32_t tokens = 0;
+    std::uint32_t units = 0;
     milliseconds validity{0};
-    /// When more tokens can be expected, if there were too few.
+    /// When more units can be expected, if there were too few.
     milliseconds retry_after{0};
     /// False if the lender does not hold the bank.
     bool accepted = false;
--- a/src/connection/peer_message.capnp
+++ b/src/connection/peer_message.capnp
@@ -55,7 +55,7 @@
   queued @12 :UInt64;
 }
 
-# Totals since the batch was lent, so that a repeat changes nothing.
+# Units are thousandths of a token. Totals since the batch was lent, so that a repeat changes nothing.
 struct TokenReport {
   batch @0 :UInt64;
   spent @1 :UInt32;
@@ -74,8 +74,8 @@
 struct TokenGrant {
   account @0 :Text;
   batch @1 :UInt64;
-  tokens @2 :UInt32;
-  # How long the tokens may be spent, from the sending of the request.
+  units @2 :UInt32;
+  # How long the units may be spent, from the sending of the request.
   validity @3 :UInt64;
   retryAfter @4 :UInt64;
   accepted @5 :Bool;
--- a/src/connection/peer_message.capnp.h
+++ b/src/connection/peer_message.capnp.h
@@ -964,7 +964,7 @@
 
   inline  ::uint64_t getBatch() const;
 
-  inline  ::uint32_t getTokens() const;
+  inline  ::uint32_t getUnits() const;
 
   inline  ::uint64_t getValidity() const;
 
@@ -1010,8 +1010,8 @@
   inline  ::uint64_t getBatch();
   inline void setBatch( ::uint64_t value);
 
-  inline  ::uint32_t getTokens();
-  inline void setTokens( ::uint32_t value);
+  inline  ::uint32_t getUnits();
+  inline void setUnits( ::uint32_t value);
 
   inline  ::uint64_t getValidity();
   inline void setValidity( ::uint64_t value);
@@ -2947,16 +2947,16 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t TokenGrant::Reader::getTokens() const {
+inline  ::uint32_t TokenGrant::Reader::getUnits() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t TokenGrant::Builder::getTokens() {
+inline  ::uint32_t TokenGrant::Builder::getUnits() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void TokenGrant::Builder::setTokens( ::uint32_t value) {
+inline void TokenGrant::Builder::setUnits( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
--- a/src/connection/peer_message.cpp
+++ b/src/connection/peer_message.cpp
@@ -138,7 +138,7 @@
 {
     out.setAccount(in.account);
     out.setBatch(in.batch);
-    out.setTokens(in.tokens);
+    out.setUnits(in.units);
     out.setValidity(count(in.validity));
     out.setRetryAfter(count(in.retry_after));
     out.setAccepted(in.accepted);
@@ -146,7 +146,7 @@
 
 token_grant read(wire::TokenGrant::Reader in)
 {
-    return {text(in.getAccount()), in.getBatch(),          in.getTokens(),
+    return {text(in.getAccount()), in.getBatch(),          in.getUnits(),
             ms(in.getValidity()),  ms(in.getRetryAfter()), in.getAccepted()};
 }
 
--- a/src/process/admission_service.cpp
+++ b/src/process/admission_service.cpp
@@ -16,7 +16,7 @@
 {
 
 /// How long a request waits for a token before it is refused.
-constexpr auto admission_wait = milliseconds(300);
+constexpr auto admission_wait = milliseconds(500);
 constexpr auto bank_timeout = milliseconds(200);
 
 std::vector<std::string> own_domain_first(const configuration& value,
--- a/src/process/failover_coordinator.cpp
+++ b/src/process/failover_coordinator.cpp
@@ -30,6 +30,8 @@
 constexpr auto fence_limit = milliseconds(1500);
 constexpr auto promote_limit = milliseconds(1000);
 constexpr auto call_limit = milliseconds(3000);
+/// An outcome that is not recorded after this time is recorded by others.
+constexpr auto record_limit = milliseconds(1500);
 constexpr auto read_interval = milliseconds(300);
 constexpr auto follow_interval = milliseconds(200);
 /// A gap between ticks that shows that this process was paused.
@@ -219,6 +221,11 @@
         return take_actions();
     }
     enter(phase::watching, now);
+    if (record_.steady && stored.term == record_.term && !stored.steady)
+    {
+        finish_record(now);
+        return take_actions();
+    }
     if (stored.supersedes(record_))
     {
         learn(stored, now);
@@ -610,6 +617,20 @@
     enter(phase::recording, now);
 }
 
+// Records an outcome that was announced but that its coordinator could not
+// record. Leaves that coordinator some time to do so itself.
+void failover_coordinator::finish_record(time_point now)
+{
+    if (now - record_seen_at_ < record_limit)
+    {
+        revision_.reset();
+        return;
+    }
+    claimed_term_ = record_.term;
+    candidate_ = record_.primary;
+    record_outcome(now);
+}
+
 std::uint64_t failover_coordinator::highest_term() const
 {
     std::uint64_t highest = 0;
--- a/src/process/target_gateway.cpp
+++ b/src/process/target_gateway.cpp
@@ -272,9 +272,8 @@
                                                 time_point deadline)
 {
     const auto started_at = clock::now();
-    const auto is_confirmed = [this, position = done.position] {
-        return status_ && confirms(*status_, position);
-    };
+    const auto is_confirmed = [this, position = done.position]
+    { return status_ && confirms(*status_, position); };
     if (!is_confirmed())
     {
         auto event = std::make_shared<async_event>(executor_);
--- a/src/process/token_bank.cpp
+++ b/src/process/token_bank.cpp
@@ -13,13 +13,38 @@
 
 constexpr auto shortest_retry = milliseconds(5);
 constexpr auto longest_retry = milliseconds(200);
-constexpr double rounding = 1e-6;
+constexpr double rounding = 1e-5;
+/// Less than this is not worth a message, unless no more is wanted.
+constexpr std::uint32_t smallest_grant = 100;
 
-milliseconds time_until_token(double available, double rate)
+void check_bucket(const account_limits& limits, double available,
+                  double outstanding, const std::string& account)
+{
+    check_invariant(outstanding > -rounding, "lent tokens are not negative",
+                    account);
+    check_invariant(available > -rounding, "tokens are not negative", account);
+    // A lowered burst may be smaller than what is lent already.
+    check_invariant(available <= rounding ||
+                        available + outstanding <= limits.burst + rounding,
+                    "a bank holds no more than the burst", account);
+}
+
+double to_tokens(std::uint32_t units)
+{
+    return static_cast<double>(units) / units_per_request;
+}
+
+std::uint32_t to_units(double tokens)
+{
+    const auto units = std::max(0.0, tokens) * units_per_request;
+    return static_cast<std::uint32_t>(std::floor(units + rounding));
+}
+
+milliseconds time_until(std::uint32_t missing_units, double rate)
 {
     if (rate <= 0)
         return longest_retry;
-    const auto missing = std::max(0.0, 1 - available);
+    const auto missing = to_tokens(missing_units);
     const auto wait =
         milliseconds(static_cast<std::int64_t>(1000 * missing / rate) + 1);
     return std::clamp(wait, shortest_retry, longest_retry);
@@ -83,24 +108,24 @@
         apply_report(account, report);
 
     grant.accepted = true;
-    const auto whole =
-        static_cast<std::uint32_t>(std::floor(account.available + rounding));
-    grant.tokens = std::min(whole, request.wanted);
-    if (grant.tokens < request.wanted)
-        grant.retry_after = time_until_token(account.available - grant.tokens,
-                                             account.limits.rate);
-    if (grant.tokens == 0)
+    grant.units = std::min(to_units(account.available), request.wanted);
+    if (grant.units < std::min(request.wanted, smallest_grant))
+        grant.units = 0;
+    if (grant.units < request.wanted)
+        grant.retry_after = time_until(
+            std::min(request.wanted - grant.units, units_per_request),
+            account.limits.rate);
+    if (grant.units == 0)
         return grant;
     grant.batch = next_batch_++;
     grant.validity = batch_validity;
-    account.available = std::max(0.0, account.available - grant.tokens);
-    account.outstanding += grant.tokens;
-    account.batches[grant.batch] = {grant.tokens, 0, 0,
+    account.available =
+        std::max(0.0, account.available - to_tokens(grant.units));
+    account.outstanding += to_tokens(grant.units);
+    account.batches[grant.batch] = {grant.units, 0, 0,
                                     now + batch_validity + lapse_margin};
-    check_invariant(account.available + account.outstanding <=
-                        std::max(account.limits.burst, account.outstanding) +
-                            rounding,
-                    "bank holds no more than the burst", request.account);
+    check_bucket(account.limits, account.available, account.outstanding,
+                 request.account);
     return grant;
 }
 
@@ -145,7 +170,7 @@
                       if (batch.lapses_at > now)
                           return false;
                       account.outstanding -=
-                          batch.tokens - batch.spent - batch.returned;
+                          to_tokens(batch.units - batch.spent - batch.returned);
                       return true;
                   });
 }
@@ -157,15 +182,15 @@
         return;
     auto& batch = found->second;
     const auto spent =
-        std::clamp(report.spent, batch.spent, batch.tokens - batch.returned);
-    account.outstanding -= spent - batch.spent;
+        std::clamp(report.spent, batch.spent, batch.units - batch.returned);
+    account.outstanding -= to_tokens(spent - batch.spent);
     batch.spent = spent;
     const auto returned =
-        std::clamp(report.returned, batch.returned, batch.tokens - batch.spent);
-    account.outstanding -= returned - batch.returned;
-    account.available += returned - batch.returned;
+        std::clamp(report.returned, batch.returned, batch.units - batch.spent);
+    account.outstanding -= to_tokens(returned - batch.returned);
+    account.available += to_tokens(returned - batch.returned);
     batch.returned = returned;
-    if (batch.spent + batch.returned == batch.tokens)
+    if (batch.spent + batch.returned == batch.units)
         account.batches.erase(found);
 }
 
--- a/src/process/token_borrower.cpp
+++ b/src/process/token_borrower.cpp
@@ -20,7 +20,7 @@
 constexpr auto failure_pause = milliseconds(100);
 constexpr auto shortest_pause = milliseconds(10);
 constexpr auto refused_retry_after = milliseconds(200);
-constexpr std::uint32_t most_wanted = 4096;
+constexpr std::uint32_t most_wanted = 4096 * units_per_request;
 
 } // namespace
 
@@ -74,16 +74,16 @@
         lender.not_before = now + failure_pause;
         return;
     }
-    if (grant.tokens < call.request.wanted)
+    if (grant.units < call.request.wanted)
         lender.not_before =
             now + std::max<milliseconds>(grant.retry_after, shortest_pause);
     const auto valid_until = sent_at + grant.validity;
-    if (grant.tokens == 0 || valid_until <= now)
+    if (grant.units == 0 || valid_until <= now)
         return;
     held_batch batch;
     batch.lender = lender_domain;
     batch.batch = grant.batch;
-    batch.tokens = grant.tokens;
+    batch.units = grant.units;
     batch.received_at = now;
     batch.valid_until = valid_until;
     account.batches.push_back(batch);
@@ -123,19 +123,27 @@
     return found == accounts_.end() ? 0 : found->second.waiting.size();
 }
 
+// Spends the units of one request, from several batches if need be.
 bool token_borrower::spend(account_state& account, time_point now)
 {
+    if (stock(account, now) < units_per_request)
+        return false;
+    auto missing = units_per_request;
     for (auto& batch : account.batches)
     {
-        if (batch.left() == 0 || batch.valid_until <= now)
+        if (batch.valid_until <= now)
             continue;
-        ++batch.spent;
+        const auto part = std::min(batch.left(), missing);
+        if (part == 0)
+            continue;
+        batch.spent += part;
         batch.unreported = true;
-        check_invariant(batch.spent + batch.returned <= batch.tokens,
+        missing -= part;
+        check_invariant(batch.spent + batch.returned <= batch.units,
                         "a batch is spent once", batch.lender);
-        return true;
     }
-    return false;
+    check_invariant(missing == 0, "a request costs one token");
+    return true;
 }
 
 void token_borrower::admit_waiting(account_state& account, time_point now)
@@ -190,11 +198,14 @@
     std::uint32_t asked = 0;
     for (const auto& [domain, lender] : account.lenders)
         asked += lender.asked;
-    const auto waiting = static_cast<std::uint32_t>(account.waiting.size());
+    const auto waiting =
+        static_cast<std::uint32_t>(account.waiting.size()) * units_per_request;
     const bool is_active = now - account.last_arrival < idle_period;
-    const auto ready = is_active ? static_cast<std::uint32_t>(
-                                       account.arrival_rate * prefetch_seconds)
-                                 : 0;
+    const auto ready = is_active
+                           ? static_cast<std::uint32_t>(account.arrival_rate *
+                                                        prefetch_seconds) *
+                                 units_per_request
+                           : 0;
     const auto held = stock(account, now) + asked;
     for (std::size_t i = 0; i < lenders_.size(); ++i)
     {
