End waits for confirmation when their term is over; check the age of data

Cause (gap): a write that had reached the primary when it was killed waited for confirmation until the primary was started again, although a later term had begun. 'oleanderctl explain' of the slowest write showed it: sent, 1.77 s, refused as unconfirmed, acknowledged at once by the new primary. Retries also slept up to 100 ms into the new term. Ruled out: detection and promotion, which the logs show done within 0.5 s. Cause (age): reads of a stated age were not checked against the replica's lag.

--- a/programs/oleander_load.cpp
+++ b/programs/oleander_load.cpp
@@ -53,6 +53,9 @@
     std::map<std::string, std::uint64_t> refusals;
     std::uint64_t ran = 0;
     std::uint64_t unknown = 0;
+    /// The slowest answered write, for `oleanderctl explain`.
+    double slowest_write_ms = 0;
+    std::string slowest_write;
     /// Longest time between two acknowledged writes of one session.
     double longest_write_gap_ms = 0;
 };
@@ -219,7 +222,13 @@
     if (run != "ran")
         co_return;
     acknowledged_.insert(number);
-    mine().write_ms.push_back(milliseconds_since(started_at));
+    const auto elapsed_ms = milliseconds_since(started_at);
+    mine().write_ms.push_back(elapsed_ms);
+    if (elapsed_ms > mine().slowest_write_ms)
+    {
+        mine().slowest_write_ms = elapsed_ms;
+        mine().slowest_write = text_field(answer, "request");
+    }
     if (last_acknowledged_ != time_point{})
         mine().longest_write_gap_ms =
             std::max(mine().longest_write_gap_ms,
@@ -335,6 +344,8 @@
             {"read_p99_ms", percentile(account.read_ms, 0.99)},
             {"write_p50_ms", percentile(account.write_ms, 0.5)},
             {"write_p99_ms", percentile(account.write_ms, 0.99)},
+            {"slowest_write_ms", account.slowest_write_ms},
+            {"slowest_write", account.slowest_write},
             {"longest_write_gap_ms", account.longest_write_gap_ms}};
     }
     json::array violations;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -2,6 +2,8 @@
 # Starts a demo fleet on loopback as plain processes, and stops it again.
 #
 #   scripts/fleet.sh start head-office|plant [VMS_PER_DOMAIN]
+#   scripts/fleet.sh kill NAME      ends one process by its id
+#   scripts/fleet.sh restart NAME   starts a target again, with its log
 #   scripts/fleet.sh stop
 #
 # State is kept in build/fleet: settings, logs, keys, and a process id per
@@ -26,14 +28,23 @@
          in_section && $1 == key {print $2}' "$1"
 }
 
+start_target() { # FLEET_FILE NAME FIRST_PRIMARY
+    local address slots connections
+    address=$(value "$1" "target $2" address)
+    slots=$(value "$1" "target $2" slots)
+    connections=$(value "$1" "target $2" connections)
+    # shellcheck disable=SC2086
+    launch "$2" "$programs/target-standin" --listen="$address" \
+        --primary="$3" --slots="$slots" --connections="$connections" \
+        --state="$state/targets/$2" ${OLEANDER_TARGET_FLAGS:-}
+}
+
 start_targets() { # FLEET_FILE
-    local primary="" database="" previous=""
+    local primary="" database="" previous="" first_primary=""
     while read -r name; do
         database=$(value "$1" "target $name" database)
-        local address slots connections
+        local address
         address=$(value "$1" "target $name" address)
-        slots=$(value "$1" "target $name" slots)
-        connections=$(value "$1" "target $name" connections)
         if [ "$database" = "$previous" ]; then
             first_primary=$primary
         else
@@ -41,10 +52,7 @@
             primary=$address
             previous=$database
         fi
-        # shellcheck disable=SC2086
-        launch "$name" "$programs/target-standin" --listen="$address" \
-            --primary="$first_primary" --slots="$slots" \
-            --connections="$connections" ${OLEANDER_TARGET_FLAGS:-}
+        start_target "$1" "$name" "$first_primary"
     done < <(sed -n 's/^\[target \(.*\)\]$/\1/p' "$1")
 }
 
@@ -123,7 +131,8 @@
 start() {
     local fleet=$root/examples/$1/fleet.ini
     rm -rf "$state"
-    mkdir -p "$state/logs" "$state/pids" "$state/settings"
+    mkdir -p "$state/targets" "$state/logs" "$state/pids" "$state/settings"
+    echo "$fleet" >"$state/fleet_file"
     launch platform "$programs/platform-standin" --listen="$platform"
     wait_until 5 curl -sf -X POST "http://$platform/stats"
     start_targets "$fleet"
@@ -147,9 +156,11 @@
 
 case ${1:-} in
 start) start "${2:-head-office}" "${3:-2}" ;;
+kill) kill -KILL "$(cat "$state/pids/$2")" ;;
+restart) start_target "$(cat "$state/fleet_file")" "$2" "none" ;;
 stop) stop ;;
 *)
-    sed -n '2,9p' "$0"
+    sed -n '2,11p' "$0"
     exit 2
     ;;
 esac
--- a/src/process/control_service.cpp
+++ b/src/process/control_service.cpp
@@ -458,6 +458,12 @@
         vms.push_back(json::object{{"id", entry.id},
                                    {"failure_domain", entry.failure_domain},
                                    {"leaving", entry.leaving}});
+    json::array groups;
+    for (const auto& record : context_.view.groups())
+        groups.push_back(json::object{{"database", record.database},
+                                      {"term", record.term},
+                                      {"primary", record.primary},
+                                      {"steady", record.steady}});
     const auto configuration = context_.view.current_configuration();
     return {{"node", context_.own.node},
             {"failure_domain", context_.own.failure_domain},
@@ -471,7 +477,8 @@
             {"lead", context_.view.lead_of(context_.own.failure_domain)},
             {"contacts", std::move(contacts)},
             {"vms", std::move(vms)},
-            {"groups", failover_.dump()}};
+            {"groups", std::move(groups)},
+            {"coordinated", failover_.dump()}};
 }
 
 } // namespace oleandergrade
--- a/src/process/entry_service.cpp
+++ b/src/process/entry_service.cpp
@@ -387,7 +387,7 @@
         const auto delay = back_off_delay(state.attempts, share(random_));
         if (clock::now() + delay >= state.deadline)
             co_return false;
-        co_await sleep_for(delay);
+        co_await sleep_unless_led_anew(state.sent, delay);
     }
     if (!budget_.spend())
     {
@@ -398,6 +398,22 @@
     co_return true;
 }
 
+// Ends early when a new primary is known, so that no caller sleeps into the
+// new term.
+asio::awaitable<void>
+entry_service::sleep_unless_led_anew(const statement& sent, duration delay)
+{
+    const auto end = clock::now() + delay;
+    while (clock::now() < end)
+    {
+        const auto group = context_.view.group(sent.database);
+        if (group.steady && group.term > sent.term)
+            co_return;
+        co_await sleep_for(
+            std::min<duration>(leadership_poll_interval, end - clock::now()));
+    }
+}
+
 std::string entry_service::session_after(const request_state& state,
                                          const answer& outcome) const
 {
--- a/src/process/target_gateway.cpp
+++ b/src/process/target_gateway.cpp
@@ -25,7 +25,7 @@
 constexpr auto replica_poll_interval = milliseconds(50);
 constexpr auto watch_wait = milliseconds(1000);
 constexpr auto watch_timeout = milliseconds(1500);
-constexpr auto watch_retry_delay = milliseconds(50);
+constexpr auto watch_retry_delay = milliseconds(20);
 /// Writes are refused early once nothing was confirmed for this long.
 constexpr auto unconfirmed_limit = milliseconds(1000);
 constexpr auto unconfirmed_retry_after = milliseconds(500);
@@ -407,6 +407,7 @@
             outcome = co_await control->status(watch_timeout);
         if (!succeeded(outcome))
         {
+            resolve_confirmations();
             co_await sleep_for(watch_retry_delay);
             continue;
         }
@@ -430,13 +431,17 @@
     resolve_confirmations();
 }
 
+// Ends the waits for positions that are confirmed, and for those of a term
+// that is over: no later status can confirm them.
 void target_gateway::resolve_confirmations()
 {
+    const auto group = context_.view.group(declared_.database);
     for (const auto& wait : confirmations_)
     {
-        const bool is_settled = status_->term != wait.position.term ||
-                                confirms(*status_, wait.position);
-        if (is_settled)
+        const auto written_term = wait.position.term;
+        const bool is_over = group.term > written_term ||
+                             (status_ && status_->term > written_term);
+        if (is_over || (status_ && confirms(*status_, wait.position)))
             wait.event->signal();
     }
 }
--- a/standins/database_server.cpp
+++ b/standins/database_server.cpp
@@ -28,16 +28,39 @@
     apply_up_to(log_.size());
 }
 
+saved_role database_server::role() const
+{
+    return {term_, primary_, following_, coordinator_, first_of_term_};
+}
+
+void database_server::restore(const saved_role& role,
+                              std::vector<log_entry> log)
+{
+    term_ = role.term;
+    primary_ = role.primary;
+    following_ = role.following;
+    coordinator_ = role.coordinator;
+    first_of_term_ = role.first_of_term;
+    in_step_ = primary_;
+    for (auto& entry : log)
+        append(std::move(entry));
+    apply_up_to(log_.size());
+}
+
 statement_reply database_server::read(std::uint64_t term,
                                       const std::string& key,
-                                      std::uint64_t min_position) const
+                                      std::uint64_t min_position,
+                                      duration max_age, time_point now) const
 {
+    const auto age = data_age(now);
+    const bool is_too_old =
+        max_age > duration::zero() && (!age || *age > max_age);
     statement_reply reply;
     reply.term = term_;
     reply.position = applied_;
     if (term != term_)
         reply.status = statement_status::wrong_term;
-    else if (applied_ < min_position || (!primary_ && !in_step_))
+    else if (is_too_old || applied_ < min_position || (!primary_ && !in_step_))
         reply.status = statement_status::behind;
     else if (const auto cell = table_.find(key); cell != table_.end())
         reply.value = cell->second;
@@ -147,6 +170,7 @@
     known = std::max(known, request.after);
     update_confirmed();
     reply.first_position = request.after + 1;
+    reply.primary_position = log_.size();
     const auto begin =
         log_.begin() + static_cast<std::ptrdiff_t>(request.after);
     const auto count =
@@ -155,7 +179,8 @@
     return reply;
 }
 
-void database_server::accept_pull(const pull_reply& reply, time_point now)
+void database_server::accept_pull(const pull_reply& reply, time_point sent_at,
+                                  time_point now)
 {
     if (primary_ || !reply.accepted || reply.term != term_)
         return;
@@ -170,6 +195,9 @@
     in_step_ = true;
     for (const auto& entry : reply.entries)
         append(entry);
+    if (log_.size() >= reply.primary_position)
+        complete_points_.push_back({log_.size(), sent_at});
+    drop_old_points();
 }
 
 void database_server::apply_up_to(std::uint64_t position)
@@ -183,6 +211,25 @@
             cell = change.append ? cell + change.value : change.value;
         }
     }
+    drop_old_points();
+}
+
+std::optional<duration> database_server::data_age(time_point now) const
+{
+    if (primary_)
+        return duration::zero();
+    if (complete_points_.empty() ||
+        complete_points_.front().position > applied_)
+        return std::nullopt;
+    return now - complete_points_.front().at;
+}
+
+// Keeps the newest point that reads see completely, and the later ones.
+void database_server::drop_old_points()
+{
+    while (complete_points_.size() > 1 &&
+           complete_points_[1].position <= applied_)
+        complete_points_.pop_front();
 }
 
 server_status database_server::status(time_point now) const
@@ -216,6 +263,9 @@
     if (!id.empty())
         requests_.erase(id);
     log_.pop_back();
+    while (!complete_points_.empty() &&
+           complete_points_.back().position > log_.size())
+        complete_points_.pop_back();
     if (applied_ > log_.size())
         rebuild_table();
 }
--- a/standins/database_server.hpp
+++ b/standins/database_server.hpp
@@ -4,6 +4,7 @@
 #include <oleandergrade/clock.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -31,6 +32,18 @@
     std::string request_id;
 };
 
+/// What a server keeps beside its log when its process ends.
+struct saved_role
+{
+    std::uint64_t term = 0;
+    bool primary = false;
+    std::string following;
+    std::string coordinator;
+    std::uint64_t first_of_term = 0;
+
+    bool operator==(const saved_role&) const = default;
+};
+
 enum class statement_status
 {
     done,
@@ -80,6 +93,8 @@
     /// The replica's log differs from the primary's at `after`.
     bool mismatch = false;
     std::uint64_t first_position = 0;
+    /// Last position of the primary's log.
+    std::uint64_t primary_position = 0;
     std::vector<log_entry> entries;
 };
 
@@ -94,8 +109,18 @@
     /// Makes the server the first primary or a replica of it, in term 1.
     void bootstrap(bool primary, const std::string& primary_address);
 
+    saved_role role() const;
+    /// Continues with what an earlier process has kept.
+    void restore(const saved_role& role, std::vector<log_entry> log);
+
+    /// Refuses as behind if the data is older than `max_age`; zero accepts
+    /// any age.
     statement_reply read(std::uint64_t term, const std::string& key,
-                         std::uint64_t min_position) const;
+                         std::uint64_t min_position, duration max_age,
+                         time_point now) const;
+    /// How old the data is that reads see; zero on a primary, none if the
+    /// server never heard from a primary.
+    std::optional<duration> data_age(time_point now) const;
     statement_reply write(std::uint64_t term, std::vector<cell_change> changes,
                           const std::string& request_id);
 
@@ -109,7 +134,9 @@
 
     std::optional<pull_request> make_pull() const;
     pull_reply serve_pull(const pull_request& request);
-    void accept_pull(const pull_reply& reply, time_point now);
+    /// Takes in the reply to a pull that was sent at `sent_at`.
+    void accept_pull(const pull_reply& reply, time_point sent_at,
+                     time_point now);
 
     /// Makes received entries visible to reads up to a position.
     void apply_up_to(std::uint64_t position);
@@ -120,8 +147,16 @@
     std::uint64_t position() const { return log_.size(); }
 
 private:
+    /// The log up to a position was all there was at that time.
+    struct complete_point
+    {
+        std::uint64_t position = 0;
+        time_point at;
+    };
+
     void append(log_entry entry);
     void truncate_last();
+    void drop_old_points();
     void rebuild_table();
     std::uint64_t term_at(std::uint64_t position) const;
     void update_confirmed();
@@ -134,6 +169,7 @@
     std::string coordinator_;
     std::vector<log_entry> log_;
     std::uint64_t applied_ = 0;
+    std::deque<complete_point> complete_points_;
     std::uint64_t confirmed_ = 0;
     std::uint64_t first_of_term_ = 0;
     std::map<std::string, std::string> table_;
--- a/standins/target_standin.cpp
+++ b/standins/target_standin.cpp
@@ -14,6 +14,7 @@
 #include <gflags/gflags.h>
 
 #include <deque>
+#include <fstream>
 #include <iostream>
 #include <set>
 
@@ -24,6 +25,7 @@
 DEFINE_uint32(connections, 20, "connections accepted at the same time");
 DEFINE_uint32(connect_ms, 10, "time that opening a connection takes");
 DEFINE_uint32(service_us, 300, "time that one statement holds its slot");
+DEFINE_string(state, "", "file that keeps the log over restarts, if any");
 DEFINE_uint32(apply_delay_ms, 0, "replication lag as seen by reads");
 
 namespace
@@ -112,7 +114,8 @@
         : context_(context), database_(FLAGS_listen, FLAGS_group_size)
     {
         faults_.apply_delay_ms = FLAGS_apply_delay_ms;
-        database_.bootstrap(FLAGS_primary.empty(), FLAGS_primary);
+        if (!restore())
+            database_.bootstrap(FLAGS_primary.empty(), FLAGS_primary);
         asio::co_spawn(context_, replicate(), asio::detached);
     }
 
@@ -166,6 +169,10 @@
     asio::awaitable<void> replicate();
     asio::awaitable<bool> pull_once();
     void apply_later();
+    bool restore();
+    /// Appends what is new to the state file; rewrites it after a truncation.
+    void persist();
+    void write_state_line(const json::object& line);
     asio::awaitable<void> wait_for_change(duration limit);
     void notify_change();
     json::object status_object() const;
@@ -181,6 +188,10 @@
     std::vector<std::shared_ptr<asio::steady_timer>> change_waiters_;
     std::unique_ptr<http_client> upstream_;
     std::uint64_t statements_ = 0;
+    std::ofstream state_file_;
+    std::uint64_t persisted_ = 0;
+    std::uint64_t persisted_last_term_ = 0;
+    std::optional<standins::saved_role> persisted_role_;
 };
 
 const target_process::route target_process::routes[] = {
@@ -304,8 +315,9 @@
     std::string key;
     if (succeeded(statement))
         key = text_field(value_of(statement), "key");
-    auto outcome = database_.read(number_field(body, "term"), key,
-                                  number_field(body, "min_position"));
+    auto outcome = database_.read(
+        number_field(body, "term"), key, number_field(body, "min_position"),
+        milliseconds(number_field(body, "max_age_ms")), clock::now());
     const auto open = transactions_.find(request.connection);
     if (open != transactions_.end())
         for (const auto& change : open->second.changes)
@@ -483,6 +495,7 @@
                                   {"term", reply.term},
                                   {"mismatch", reply.mismatch},
                                   {"first_position", reply.first_position},
+                                  {"primary_position", reply.primary_position},
                                   {"entries", std::move(entries)}});
 }
 
@@ -533,7 +546,8 @@
     const auto pull = database_.make_pull();
     if (!pull)
         co_return false;
-    const auto primary = database_.status(clock::now()).following;
+    const auto sent_at = clock::now();
+    const auto primary = database_.status(sent_at).following;
     if (!upstream_ || upstream_->address() != primary)
         upstream_ =
             std::make_unique<http_client>(context_.get_executor(), primary);
@@ -557,9 +571,11 @@
     reply.term = number_field(body, "term");
     reply.mismatch = flag_field(body, "mismatch");
     reply.first_position = number_field(body, "first_position");
+    reply.primary_position = number_field(body, "primary_position");
     for (const auto& entry : body.at("entries").as_array())
         reply.entries.push_back(parse_log_entry(entry.as_object()));
-    database_.accept_pull(reply, clock::now());
+    database_.accept_pull(reply, sent_at, clock::now());
+    persist();
     apply_later();
     co_return reply.accepted;
 }
@@ -588,8 +604,70 @@
     std::erase(change_waiters_, waiter);
 }
 
+bool target_process::restore()
+{
+    std::ifstream file(FLAGS_state);
+    std::string text;
+    standins::saved_role role;
+    std::vector<standins::log_entry> log;
+    while (std::getline(file, text))
+    {
+        const auto parsed = parse_json_object(text);
+        if (!succeeded(parsed))
+            break;
+        const auto& line = value_of(parsed);
+        if (line.contains("changes"))
+        {
+            log.push_back(parse_log_entry(line));
+            continue;
+        }
+        role = {number_field(line, "term"), flag_field(line, "primary"),
+                text_field(line, "following"), text_field(line, "coordinator"),
+                number_field(line, "first_of_term")};
+    }
+    if (role.term == 0)
+        return false;
+    database_.restore(role, std::move(log));
+    return true;
+}
+
+void target_process::persist()
+{
+    if (FLAGS_state.empty())
+        return;
+    const auto& log = database_.log();
+    const bool is_truncated =
+        log.size() < persisted_ ||
+        (persisted_ > 0 && log[persisted_ - 1].term != persisted_last_term_);
+    if (is_truncated || !state_file_.is_open())
+    {
+        state_file_ = std::ofstream(FLAGS_state, std::ios::trunc);
+        persisted_ = 0;
+        persisted_role_.reset();
+    }
+    const auto role = database_.role();
+    if (persisted_role_ != role)
+        write_state_line({{"term", role.term},
+                          {"primary", role.primary},
+                          {"following", role.following},
+                          {"coordinator", role.coordinator},
+                          {"first_of_term", role.first_of_term}});
+    persisted_role_ = role;
+    for (; persisted_ < log.size(); ++persisted_)
+        write_state_line(to_json(log[persisted_]));
+    if (persisted_ > 0)
+        persisted_last_term_ = log[persisted_ - 1].term;
+    state_file_.flush();
+}
+
+void target_process::write_state_line(const json::object& line)
+{
+    state_file_ << json::serialize(line) << "\n";
+}
+
 void target_process::notify_change()
 {
+    persist();
     for (const auto& waiter : change_waiters_)
         waiter->cancel();
 }
--- a/tests/fakes/database_world.cpp
+++ b/tests/fakes/database_world.cpp
@@ -14,6 +14,7 @@
 constexpr auto pull_interval = milliseconds(5);
 constexpr auto command_timeout = milliseconds(400);
 constexpr auto platform_timeout = milliseconds(1000);
+constexpr auto stated_age = milliseconds(200);
 constexpr auto confirm_interval = milliseconds(10);
 constexpr auto request_deadline = milliseconds(2000);
 /// A caller gives up on an entry VM that does not answer at all.
@@ -97,7 +98,11 @@
     unsigned attempts = 0;
     unsigned number = 0;
     std::set<unsigned> acknowledged;
+    std::map<unsigned, time_point> acknowledged_at;
     std::set<unsigned> unknown;
+    time_point started_at;
+    /// The read states an age and brings no session.
+    bool browses = false;
     /// Number of the operation under way; what belongs to an earlier one is
     /// ignored.
     std::uint64_t operation = 0;
@@ -339,14 +344,15 @@
         replica->machine, primary->machine, command_timeout,
         [primary, pulled = *request]
         { return primary->state.serve_pull(pulled); },
-        [this, replica](const result<standins::pull_reply>& outcome)
+        [this, replica,
+         sent_at = network_.now()](const result<standins::pull_reply>& outcome)
         {
             if (!succeeded(outcome))
                 return;
             auto reply = value_of(outcome);
             if (!replica->receives && !reply.mismatch)
                 reply.entries.clear();
-            replica->state.accept_pull(reply, network_.now());
+            replica->state.accept_pull(reply, sent_at, network_.now());
             const auto position = replica->state.position();
             network_.after(replica->apply_delay, [replica, position]
                            { replica->state.apply_up_to(position); });
@@ -493,8 +499,15 @@
     user->sent = {};
     user->sent.database = "d";
     user->sent.account = "a";
+    user->started_at = network_.now();
+    user->browses = false;
     const bool writes = network_.share() < 0.5;
     user->sent.kind = writes ? statement_kind::write : statement_kind::read;
+    if (!writes && network_.share() < 0.3)
+    {
+        user->browses = true;
+        user->sent.max_age = stated_age;
+    }
     if (writes)
     {
         ++user->number;
@@ -523,7 +536,8 @@
         return;
     }
     const auto decision = user->entry->routes->decide(
-        {user->sent.kind, "d", user->token, milliseconds(0), user->excluded},
+        {user->sent.kind, "d", user->browses ? std::nullopt : user->token,
+         user->sent.max_age, user->excluded},
         network_.now());
     if (std::holds_alternative<no_route>(decision))
     {
@@ -554,14 +568,17 @@
     const auto sent = user->sent;
     const auto min_position =
         bug_ == planted_bug::forgotten_position ? 0 : chosen.min_position;
+    const auto max_age =
+        bug_ == planted_bug::forgotten_age ? milliseconds(0) : sent.max_age;
     const auto left =
         std::max<duration>(user->deadline - network_.now(), milliseconds(1));
     network_.call<standins::statement_reply>(
         user->entry->machine, where->machine, left,
-        [where, sent, min_position, key = user->name]
+        [this, where, sent, min_position, max_age, key = user->name]
         {
             return sent.kind == statement_kind::read
-                       ? where->state.read(sent.term, key, min_position)
+                       ? where->state.read(sent.term, key, min_position,
+                                           max_age, network_.now())
                        : where->state.write(sent.term, {{key, sent.text, true}},
                                             sent.request_id);
         },
@@ -656,7 +673,7 @@
     if (user->may_have_run && outcome.run == run_status::not_run)
         outcome.run = run_status::outcome_unknown;
     auto token = user->token.value_or(session_token{"a", "d", {}, false});
-    if (outcome.run == run_status::ran)
+    if (outcome.run == run_status::ran && !user->browses)
     {
         user->entry->routes->learn_position(sent.target, outcome.position,
                                             network_.now());
@@ -666,6 +683,7 @@
     {
         ++outcome_.acknowledged;
         user->acknowledged.insert(user->number);
+        user->acknowledged_at[user->number] = network_.now();
     }
     else if (writes && outcome.run == run_status::outcome_unknown)
     {
@@ -679,7 +697,10 @@
         const auto* record = user->entry->routes->find_group("d");
         if (record != nullptr && record->primary != sent.target)
             ++outcome_.replica_reads;
-        check_read(user, outcome.value);
+        if (user->browses)
+            check_age(user, outcome.value);
+        else
+            check_read(user, outcome.value);
     }
     else
     {
@@ -714,6 +735,18 @@
     }
 }
 
+// A read that states an age sees all that was acknowledged before.
+void database_world::check_age(const std::shared_ptr<session>& user,
+                               const std::string& value)
+{
+    const auto text = ";" + value;
+    for (const auto& [number, at] : user->acknowledged_at)
+        if (at + stated_age < user->started_at &&
+            text.find(";" + std::to_string(number) + ";") == std::string::npos)
+            violation(user->name + " reads data older than it accepts: " +
+                      std::to_string(number) + " is missing");
+}
+
 void database_world::check_at_end()
 {
     const auto stored = store_.get("groups/d", network_.now());
@@ -729,7 +762,9 @@
     for (const auto& user : sessions_)
     {
         const auto term = primary->state.status(network_.now()).term;
-        check_read(user, primary->state.read(term, user->name, 0).value);
+        check_read(
+            user,
+            primary->state.read(term, user->name, 0, {}, network_.now()).value);
     }
     outcome_.recovered = record.steady;
     const auto& log = primary->state.log();
--- a/tests/fakes/database_world.hpp
+++ b/tests/fakes/database_world.hpp
@@ -26,6 +26,8 @@
     blind_retry,
     /// Reads without regard to the session's position.
     forgotten_position,
+    /// Reads replicas without regard to the age of their data.
+    forgotten_age,
     /// Says "not run" of a write whose answer was lost.
     false_denial
 };
@@ -94,6 +96,8 @@
     void finish(const std::shared_ptr<session>& user, answer outcome);
     void check_read(const std::shared_ptr<session>& user,
                     const std::string& value);
+    void check_age(const std::shared_ptr<session>& user,
+                   const std::string& value);
     void check_at_end();
     void note(const std::string& line);
     void violation(const std::string& line);
--- a/tests/test_failover_seeds.cpp
+++ b/tests/test_failover_seeds.cpp
@@ -141,6 +141,11 @@
     expect_violation("forgotten position", planted_bug::forgotten_position);
 }
 
+Test(failover_seeds, notices_forgotten_ages)
+{
+    expect_violation("forgotten age", planted_bug::forgotten_age);
+}
+
 Test(failover_seeds, notices_false_denials)
 {
     expect_violation("false denial", planted_bug::false_denial);
