--- a/include/oleandergrade/process/configuration_freshness.hpp
+++ b/include/oleandergrade/process/configuration_freshness.hpp
@@ -36,26 +36,30 @@
     /// The platform answered a read sent at `sent_at`; `latest` is the
     /// version it holds.
     void on_platform_read(std::uint64_t latest, time_point sent_at);
-    /// A peer's state, as of a message that was sent or received at `at`.
+    /// A peer's state, as of `at`.
     void on_heartbeat(const heartbeat& state, time_point at);
 
     freshness_state state(time_point now) const;
     bool hears_majority(time_point now) const;
-    /// What is known of all domains, for heartbeats.
-    std::vector<domain_contact> contacts(time_point now) const;
     milliseconds confirmation_age(time_point now) const;
+    /// Age of the newest proof that any domain heard from the platform.
+    milliseconds platform_age(time_point now) const;
+    /// How long ago this domain heard from a majority of the domains.
+    milliseconds majority_age(time_point now) const;
+    /// Age of the newest direct contact with a domain.
+    milliseconds heard_age(const std::string& domain, time_point now) const;
 
 private:
-    struct domain_state
-    {
-        time_point platform_at;
-        time_point heard_at;
-    };
+    time_point majority_at(time_point now) const;
 
     std::string own_domain_;
     std::uint64_t version_ = 0;
     time_point confirmed_at_;
-    std::map<std::string, domain_state> domains_;
+    time_point platform_at_;
+    /// What the lead of the own domain told of its own contacts.
+    time_point relayed_majority_at_;
+    /// Newest direct contact with each other domain.
+    std::map<std::string, time_point> heard_at_;
 };
 
 } // namespace oleandergrade
--- a/include/oleandergrade/process/control_plane.hpp
+++ b/include/oleandergrade/process/control_plane.hpp
@@ -82,7 +82,8 @@
     void use_configuration(std::uint64_t version,
                            const std::vector<std::string>& domains);
     void use_vms(std::shared_ptr<const vm_list> list);
-    void use_groups(const std::vector<group_record>& groups, time_point now);
+    /// Takes in a group record that is new to this VM.
+    void use_group(const group_record& record, time_point now);
     void set_leaving(bool leaving) { leaving_ = leaving; }
 
     std::vector<control_action> tick(time_point now, double random);
@@ -114,20 +115,22 @@
     {
         std::uint64_t incarnation = 0;
         std::uint64_t clock = 0;
-        std::string vms_digest;
+        directory_digests held;
         time_point next_heartbeat;
-        /// Position in the rotation through the group records.
-        std::size_t next_group = 0;
+        /// The last record sent in rotation.
+        std::string last_group;
     };
 
     heartbeat make_state(time_point now);
     heartbeat make_heartbeat(const std::string& vm, time_point now);
     std::vector<std::string> heartbeat_receivers(time_point now);
-    std::string receiver_in(const std::string& failure_domain);
-    void add_groups(heartbeat& state, peer_state& peer, time_point now) const;
+    duration heartbeat_interval() const;
+    void update_leads_digest();
+    std::string receiver_in(const std::string& failure_domain,
+                            const std::vector<std::string>& members);
+    void add_groups(heartbeat& state, peer_state& peer, time_point now);
     void take_in_common(const std::string& vm, const heartbeat& state);
-    void learn_lead(const std::string& failure_domain,
-                    const std::string& lead);
+    void learn_lead(const std::string& failure_domain, const std::string& lead);
     time_point echoed_instant(const heartbeat& state, time_point now) const;
 
     control_identity identity_;
@@ -135,10 +138,13 @@
     lead_election election_;
     configuration_freshness freshness_;
     std::uint64_t version_ = 0;
-    std::vector<std::string> domains_;
     std::shared_ptr<const vm_list> vms_;
-    std::string vms_digest_;
-    std::vector<group_record> groups_;
+    directory_digests held_;
+    /// The other VMs of the own domain, and those of each other domain.
+    std::vector<std::string> neighbours_;
+    std::map<std::string, std::vector<std::string>> others_;
+    std::map<std::string, group_record> groups_;
+    /// Databases whose records changed a short time ago.
     std::map<std::string, time_point> group_changes_;
     std::map<std::string, std::string> leads_;
     std::map<std::string, std::size_t> rotation_;
--- a/include/oleandergrade/process/entry_service.hpp
+++ b/include/oleandergrade/process/entry_service.hpp
@@ -63,8 +63,8 @@
                const answer& outcome);
     boost::asio::awaitable<bool> prepare_retry(request_state& state,
                                                const answer& refusal);
-    boost::asio::awaitable<void>
-    sleep_unless_led_anew(const statement& sent, duration delay);
+    boost::asio::awaitable<void> sleep_unless_led_anew(const statement& sent,
+                                                       duration delay);
     std::string session_after(const request_state& state,
                               const answer& outcome) const;
     void trace(const request_state& state, std::string text);
--- a/include/oleandergrade/process/heartbeat.hpp
+++ b/include/oleandergrade/process/heartbeat.hpp
@@ -11,22 +11,27 @@
 namespace oleandergrade
 {
 
-/// What is known of one failure domain's contacts.
-struct domain_contact
+/// The VM that leads a failure domain.
+struct domain_lead
 {
     std::string failure_domain;
-    /// Age of the newest proof that the domain heard from the platform.
-    milliseconds platform_age{0};
-    /// Age of the sender's newest direct contact with the domain.
-    milliseconds heard_age{0};
-    /// The VM that leads the domain, as far as the sender knows.
-    std::string lead;
+    std::string vm;
 
-    bool operator==(const domain_contact&) const = default;
+    bool operator==(const domain_lead&) const = default;
+};
+
+/// Digests of what a VM holds, to find out what it lacks.
+struct directory_digests
+{
+    std::uint64_t vms = 0;
+    std::uint64_t leads = 0;
+    std::uint64_t groups = 0;
+
+    bool operator==(const directory_digests&) const = default;
 };
 
 /// Sent by the lead of a failure domain to the domain's other VMs and to the
-/// leads of other domains.
+/// leads of other domains, and returned as the reply.
 struct heartbeat
 {
     std::string node;
@@ -35,21 +40,27 @@
     std::uint64_t configuration_version = 0;
     /// Age of the newest proof that this version is the latest accepted.
     milliseconds confirmation_age{0};
-    std::vector<domain_contact> contacts;
+    /// Age of the newest proof that any domain heard from the platform.
+    milliseconds platform_age{0};
+    /// How long ago the sender's domain heard from a majority of domains.
+    milliseconds majority_age{0};
     /// The lead of the sender's domain, as far as the sender knows.
     std::string lead;
-    std::vector<group_record> groups;
-    bool leaving = false;
-    /// The list of VMs as JSON, or empty if the receiver holds it already.
-    /// In a reply, the digest of the list held.
-    std::string vms;
     /// Revision of the lease under which `lead` leads.
     std::uint64_t epoch = 0;
+    bool leaving = false;
     /// The sender's own clock, opaque to others.
     std::uint64_t clock = 0;
     /// The receiver's clock as of its last reply. A heartbeat proves nothing
     /// younger than that, since it may have been under way for long.
     std::uint64_t echo = 0;
+    /// The list of VMs as JSON, if the receiver lacks it.
+    std::string vms;
+    /// The leads of all domains, if the receiver lacks one.
+    std::vector<domain_lead> leads;
+    /// New group records, and others in rotation if the receiver lacks some.
+    std::vector<group_record> groups;
+    directory_digests held;
 
     bool operator==(const heartbeat&) const = default;
 };
--- a/include/oleandergrade/version/vm_list.hpp
+++ b/include/oleandergrade/version/vm_list.hpp
@@ -30,8 +30,6 @@
 
     const vm* find(const std::string& id) const;
     std::vector<vm> in_domain(const std::string& failure_domain) const;
-    /// Short digest of the text, to tell versions apart.
-    std::string digest() const;
 };
 
 /// Parses the platform's answer. Errors: step "parse VM list".
--- a/programs/oleander_capacity.cpp
+++ b/programs/oleander_capacity.cpp
@@ -37,6 +37,9 @@
 constexpr double target_statements = 1.1e6;
 constexpr double targets_per_database = 3;
 constexpr double vms_replaced_daily = 180 + 14;
+constexpr double changes_daily = 1800;
+/// One entry of the VM list as the platform writes it.
+constexpr double vm_entry_bytes = 120;
 constexpr double seconds_per_day = 86400;
 
 /// What one node may spend on control.
@@ -44,6 +47,7 @@
 constexpr double budget_memory_mb = 128;
 constexpr double budget_bytes = 28 * 1000;
 
+constexpr auto between_reads = milliseconds(510);
 constexpr double probe_rate = 10;
 constexpr double coordinators_per_group = 3;
 
@@ -193,7 +197,8 @@
         by_name_[each.name] = &each;
         each.plane->use_vms(shared);
         each.plane->use_configuration(1, domains_);
-        each.plane->use_groups(groups, now_ - seconds(60));
+        for (const auto& record : groups)
+            each.plane->use_group(record, now_ - seconds(60));
         versions_[each.name] = 1;
     }
 }
@@ -310,16 +315,19 @@
     }
     const auto counts = store_.counts();
     const auto reads = platform_reads_;
-    const auto changed_at = now_;
-    ++version_;
     control_cost cost;
+    // All leads began at the same time; the change comes between their reads.
+    const auto changed_at = now_ + between_reads;
     const auto end = now_ + std::chrono::duration_cast<duration>(
                                 std::chrono::duration<double>(run_seconds));
     for (; now_ < end; now_ += step)
     {
         for (auto& each : members_)
             tick(each);
+        if (version_ == 1 && now_ >= changed_at)
+            ++version_;
         const bool everywhere =
+            version_ > 1 &&
             std::all_of(versions_.begin(), versions_.end(),
                         [&](const auto& v) { return v.second == version_; });
         const std::chrono::duration<double> spread_time = now_ - changed_at;
@@ -498,6 +506,29 @@
         });
 }
 
+/// Bytes of the record kept in the platform. Targets are written out as
+/// operators do.
+std::vector<point> size_of_record()
+{
+    return measure_state(
+        [](std::size_t count)
+        {
+            configuration value;
+            for (std::size_t i = 0; i < count; ++i)
+            {
+                const auto name = "database-" + std::to_string(i);
+                value.text += "[database " + name + "]\n";
+                for (const char* suffix : {"-a", "-b", "-c"})
+                    value.text += "[target " + name + suffix +
+                                  "]\ndatabase = " + name +
+                                  "\naddress = 10.0.0.1:5432\n"
+                                  "failure_domain = domain-7\nslots = 3\n"
+                                  "connections = 20\n";
+            }
+            return static_cast<double>(serialize_configuration(value).size());
+        });
+}
+
 /// Processor time of single decisions, in nanoseconds.
 struct decision_times
 {
@@ -633,6 +664,7 @@
     const auto bank_state = state_of_bank();
     const auto borrower_state = state_of_borrower();
     const auto coordinator_state = state_of_coordinator();
+    const auto record_size = size_of_record();
     print_fit("configuration, bytes against databases", "B",
               configuration_state);
     print_fit("router, bytes against databases", "B", router_state);
@@ -641,6 +673,9 @@
     print_fit("borrower, bytes against active accounts", "B", borrower_state);
     print_fit("coordinators, bytes against groups", "B", coordinator_state);
 
+    print_fit("configuration record, bytes against databases", "B",
+              record_size);
+
     const auto times = measure_decisions();
     std::printf("\nOne decision, ns: route %.0f, sign token %.0f, verify "
                 "token %.0f, check key %.0f, admit %.0f, statement codec "
@@ -683,6 +718,16 @@
               at_target.platform_calls_per_second, "1/s", 2000);
     print_row("platform writes/s for 194 VMs replaced daily",
               vms_replaced_daily / seconds_per_day, "1/s");
+    const auto record_bytes = fit(record_size).at(target_databases);
+    print_row("configuration record in one value", record_bytes, "B",
+              standins::platform_store::max_value_bytes);
+    print_row("configuration changes sent whole, mean of a day",
+              record_bytes * changes_daily / seconds_per_day, "B/s",
+              budget_bytes);
+    print_row("VM list sent whole by a lead, mean of a day",
+              vm_entry_bytes * target_nodes * target_nodes / target_domains *
+                  vms_replaced_daily * 2 / seconds_per_day,
+              "B/s", budget_bytes);
     print_row("change everywhere after", at_target.spread_seconds, "s", 5);
     print_row("announcement of a promotion, messages at once", target_nodes,
               "");
--- a/src/connection/peer_message.capnp
+++ b/src/connection/peer_message.capnp
@@ -88,16 +88,12 @@
   steady @3 :Bool;
 }
 
-struct DomainContact {
+struct DomainLead {
   failureDomain @0 :Text;
-  # Age of the newest proof that this domain heard from the platform.
-  platformAge @1 :UInt64;
-  # Age of the sender's newest direct contact with this domain.
-  heardAge @2 :UInt64;
-  # The VM that leads this domain, as far as the sender knows.
-  lead @3 :Text;
+  vm @1 :Text;
 }
 
+# Lists are empty unless the receiver's digest showed that it lacks something.
 struct Heartbeat {
   node @0 :Text;
   failureDomain @1 :Text;
@@ -105,17 +101,23 @@
   configurationVersion @3 :UInt64;
   # Age of the newest proof that this version is the latest.
   confirmationAge @4 :UInt64;
-  contacts @5 :List(DomainContact);
-  lead @6 :Text;
-  groups @7 :List(GroupRecord);
-  leaving @8 :Bool;
-  # The list of VMs as JSON; in a reply, the digest of the list held.
-  vms @9 :Text;
+  # Age of the newest proof that any domain heard from the platform.
+  platformAge @5 :UInt64;
+  # Age at which the sender's domain last heard from a majority of domains.
+  majorityAge @6 :UInt64;
+  lead @7 :Text;
   # Revision of the lead's lease.
-  epoch @10 :UInt64;
+  epoch @8 :UInt64;
+  leaving @9 :Bool;
   # The sender's own clock, and the receiver's clock as of its last reply.
-  clock @11 :UInt64;
-  echo @12 :UInt64;
+  clock @10 :UInt64;
+  echo @11 :UInt64;
+  vms @12 :Text;
+  leads @13 :List(DomainLead);
+  groups @14 :List(GroupRecord);
+  vmsDigest @15 :UInt64;
+  leadsDigest @16 :UInt64;
+  groupsDigest @17 :UInt64;
 }
 
 struct ConfigurationRecord {
--- a/src/connection/peer_message.capnp.h
+++ b/src/connection/peer_message.capnp.h
@@ -23,7 +23,7 @@
 CAPNP_DECLARE_SCHEMA(fe9ee094c32c98d5);
 CAPNP_DECLARE_SCHEMA(d1f8e3aaff48a99f);
 CAPNP_DECLARE_SCHEMA(840a9501ecb8a123);
-CAPNP_DECLARE_SCHEMA(a2babf074e5b6c5f);
+CAPNP_DECLARE_SCHEMA(8ffad119ff95d385);
 CAPNP_DECLARE_SCHEMA(c5037c0b6e767052);
 CAPNP_DECLARE_SCHEMA(882372b5b1743300);
 
@@ -151,15 +151,15 @@
   };
 };
 
-struct DomainContact {
-  DomainContact() = delete;
+struct DomainLead {
+  DomainLead() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a2babf074e5b6c5f, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(8ffad119ff95d385, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -174,7 +174,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5037c0b6e767052, 7, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(c5037c0b6e767052, 12, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1149,9 +1149,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class DomainContact::Reader {
+class DomainLead::Reader {
 public:
-  typedef DomainContact Reads;
+  typedef DomainLead Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1169,12 +1169,8 @@
   inline bool hasFailureDomain() const;
   inline  ::capnp::Text::Reader getFailureDomain() const;
 
-  inline  ::uint64_t getPlatformAge() const;
-
-  inline  ::uint64_t getHeardAge() const;
-
-  inline bool hasLead() const;
-  inline  ::capnp::Text::Reader getLead() const;
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1188,9 +1184,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class DomainContact::Builder {
+class DomainLead::Builder {
 public:
-  typedef DomainContact Builds;
+  typedef DomainLead Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1211,18 +1207,12 @@
   inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
 
-  inline  ::uint64_t getPlatformAge();
-  inline void setPlatformAge( ::uint64_t value);
-
-  inline  ::uint64_t getHeardAge();
-  inline void setHeardAge( ::uint64_t value);
-
-  inline bool hasLead();
-  inline  ::capnp::Text::Builder getLead();
-  inline void setLead( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initLead(unsigned int size);
-  inline void adoptLead(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownLead();
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1234,9 +1224,9 @@
 };
 
 #if !CAPNP_LITE
-class DomainContact::Pipeline {
+class DomainLead::Pipeline {
 public:
-  typedef DomainContact Pipelines;
+  typedef DomainLead Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1279,25 +1269,35 @@
 
   inline  ::uint64_t getConfirmationAge() const;
 
-  inline bool hasContacts() const;
-  inline  ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>::Reader getContacts() const;
+  inline  ::uint64_t getPlatformAge() const;
+
+  inline  ::uint64_t getMajorityAge() const;
 
   inline bool hasLead() const;
   inline  ::capnp::Text::Reader getLead() const;
 
-  inline bool hasGroups() const;
-  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+  inline  ::uint64_t getEpoch() const;
 
   inline bool getLeaving() const;
 
+  inline  ::uint64_t getClock() const;
+
+  inline  ::uint64_t getEcho() const;
+
   inline bool hasVms() const;
   inline  ::capnp::Text::Reader getVms() const;
 
-  inline  ::uint64_t getEpoch() const;
+  inline bool hasLeads() const;
+  inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Reader getLeads() const;
 
-  inline  ::uint64_t getClock() const;
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
 
-  inline  ::uint64_t getEcho() const;
+  inline  ::uint64_t getVmsDigest() const;
+
+  inline  ::uint64_t getLeadsDigest() const;
+
+  inline  ::uint64_t getGroupsDigest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1350,12 +1350,11 @@
   inline  ::uint64_t getConfirmationAge();
   inline void setConfirmationAge( ::uint64_t value);
 
-  inline bool hasContacts();
-  inline  ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>::Builder getContacts();
-  inline void setContacts( ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>::Builder initContacts(unsigned int size);
-  inline void adoptContacts(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>> disownContacts();
+  inline  ::uint64_t getPlatformAge();
+  inline void setPlatformAge( ::uint64_t value);
+
+  inline  ::uint64_t getMajorityAge();
+  inline void setMajorityAge( ::uint64_t value);
 
   inline bool hasLead();
   inline  ::capnp::Text::Builder getLead();
@@ -1364,16 +1363,18 @@
   inline void adoptLead(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownLead();
 
-  inline bool hasGroups();
-  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder getGroups();
-  inline void setGroups( ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
-  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>> disownGroups();
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
 
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline  ::uint64_t getClock();
+  inline void setClock( ::uint64_t value);
+
+  inline  ::uint64_t getEcho();
+  inline void setEcho( ::uint64_t value);
+
   inline bool hasVms();
   inline  ::capnp::Text::Builder getVms();
   inline void setVms( ::capnp::Text::Reader value);
@@ -1381,14 +1382,28 @@
   inline void adoptVms(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownVms();
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline bool hasLeads();
+  inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Builder getLeads();
+  inline void setLeads( ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Builder initLeads(unsigned int size);
+  inline void adoptLeads(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>> disownLeads();
 
-  inline  ::uint64_t getClock();
-  inline void setClock( ::uint64_t value);
+  inline bool hasGroups();
+  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>> disownGroups();
 
-  inline  ::uint64_t getEcho();
-  inline void setEcho( ::uint64_t value);
+  inline  ::uint64_t getVmsDigest();
+  inline void setVmsDigest( ::uint64_t value);
+
+  inline  ::uint64_t getLeadsDigest();
+  inline void setLeadsDigest( ::uint64_t value);
+
+  inline  ::uint64_t getGroupsDigest();
+  inline void setGroupsDigest( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3109,98 +3124,70 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool DomainContact::Reader::hasFailureDomain() const {
+inline bool DomainLead::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool DomainContact::Builder::hasFailureDomain() {
+inline bool DomainLead::Builder::hasFailureDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader DomainContact::Reader::getFailureDomain() const {
+inline  ::capnp::Text::Reader DomainLead::Reader::getFailureDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder DomainContact::Builder::getFailureDomain() {
+inline  ::capnp::Text::Builder DomainLead::Builder::getFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void DomainContact::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+inline void DomainLead::Builder::setFailureDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder DomainContact::Builder::initFailureDomain(unsigned int size) {
+inline  ::capnp::Text::Builder DomainLead::Builder::initFailureDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void DomainContact::Builder::adoptFailureDomain(
+inline void DomainLead::Builder::adoptFailureDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> DomainContact::Builder::disownFailureDomain() {
+inline ::capnp::Orphan< ::capnp::Text> DomainLead::Builder::disownFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t DomainContact::Reader::getPlatformAge() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t DomainContact::Builder::getPlatformAge() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void DomainContact::Builder::setPlatformAge( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t DomainContact::Reader::getHeardAge() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t DomainContact::Builder::getHeardAge() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void DomainContact::Builder::setHeardAge( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool DomainContact::Reader::hasLead() const {
+inline bool DomainLead::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool DomainContact::Builder::hasLead() {
+inline bool DomainLead::Builder::hasVm() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader DomainContact::Reader::getLead() const {
+inline  ::capnp::Text::Reader DomainLead::Reader::getVm() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder DomainContact::Builder::getLead() {
+inline  ::capnp::Text::Builder DomainLead::Builder::getVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void DomainContact::Builder::setLead( ::capnp::Text::Reader value) {
+inline void DomainLead::Builder::setVm( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder DomainContact::Builder::initLead(unsigned int size) {
+inline  ::capnp::Text::Builder DomainLead::Builder::initVm(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void DomainContact::Builder::adoptLead(
+inline void DomainLead::Builder::adoptVm(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> DomainContact::Builder::disownLead() {
+inline ::capnp::Orphan< ::capnp::Text> DomainLead::Builder::disownVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
@@ -3315,196 +3302,266 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::hasContacts() const {
+inline  ::uint64_t Heartbeat::Reader::getPlatformAge() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getPlatformAge() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setPlatformAge( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getMajorityAge() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getMajorityAge() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setMajorityAge( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::hasLead() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasContacts() {
+inline bool Heartbeat::Builder::hasLead() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getContacts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Heartbeat::Reader::getLead() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getContacts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Heartbeat::Builder::getLead() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setContacts( ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Heartbeat::Builder::setLead( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initContacts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Heartbeat::Builder::initLead(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptContacts(
-    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Heartbeat::Builder::adoptLead(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownContacts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainContact,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownLead() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasLead() const {
+inline  ::uint64_t Heartbeat::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<384>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<384>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<384>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getClock() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getClock() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setClock( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getEcho() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getEcho() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setEcho( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::hasVms() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasLead() {
+inline bool Heartbeat::Builder::hasVms() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Heartbeat::Reader::getLead() const {
+inline  ::capnp::Text::Reader Heartbeat::Reader::getVms() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getLead() {
+inline  ::capnp::Text::Builder Heartbeat::Builder::getVms() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setLead( ::capnp::Text::Reader value) {
+inline void Heartbeat::Builder::setVms( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::initLead(unsigned int size) {
+inline  ::capnp::Text::Builder Heartbeat::Builder::initVms(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptLead(
+inline void Heartbeat::Builder::adoptVms(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownLead() {
+inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownVms() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasGroups() const {
+inline bool Heartbeat::Reader::hasLeads() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasGroups() {
+inline bool Heartbeat::Builder::hasLeads() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getGroups() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getLeads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getGroups() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getLeads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setGroups( ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Heartbeat::Builder::setLeads( ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initGroups(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initLeads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptGroups(
-    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Heartbeat::Builder::adoptLeads(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownGroups() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownLeads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-
-inline bool Heartbeat::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Heartbeat::Reader::hasVms() const {
+inline bool Heartbeat::Reader::hasGroups() const {
   return !_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasVms() {
+inline bool Heartbeat::Builder::hasGroups() {
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Heartbeat::Reader::getVms() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getVms() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setVms( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Heartbeat::Builder::setGroups( ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::initVms(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptVms(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Heartbeat::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownVms() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getEpoch() const {
+inline  ::uint64_t Heartbeat::Reader::getVmsDigest() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getEpoch() {
+inline  ::uint64_t Heartbeat::Builder::getVmsDigest() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setEpoch( ::uint64_t value) {
+inline void Heartbeat::Builder::setVmsDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getClock() const {
+inline  ::uint64_t Heartbeat::Reader::getLeadsDigest() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getClock() {
+inline  ::uint64_t Heartbeat::Builder::getLeadsDigest() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setClock( ::uint64_t value) {
+inline void Heartbeat::Builder::setLeadsDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getEcho() const {
+inline  ::uint64_t Heartbeat::Reader::getGroupsDigest() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getEcho() {
+inline  ::uint64_t Heartbeat::Builder::getGroupsDigest() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setEcho( ::uint64_t value) {
+inline void Heartbeat::Builder::setGroupsDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t ConfigurationRecord::Reader::getVersion() const {
--- a/src/connection/peer_message.cpp
+++ b/src/connection/peer_message.cpp
@@ -3,10 +3,11 @@
 #include "peer_message.capnp.h"
 
 #include <capnp/message.h>
-#include <capnp/serialize.h>
+#include <capnp/serialize-packed.h>
 #include <kj/exception.h>
+#include <kj/io.h>
 
-#include <cstring>
+#include <algorithm>
 
 namespace oleandergrade
 {
@@ -15,6 +16,7 @@
 {
 
 constexpr std::size_t first_segment_words = 256;
+constexpr std::size_t first_buffer_bytes = 1024;
 
 std::string text(capnp::Text::Reader reader)
 {
@@ -171,23 +173,32 @@
     out.setIncarnation(in.incarnation);
     out.setConfigurationVersion(in.configuration_version);
     out.setConfirmationAge(count(in.confirmation_age));
-    auto contacts = out.initContacts(static_cast<unsigned>(in.contacts.size()));
-    for (unsigned i = 0; i < contacts.size(); ++i)
+    out.setPlatformAge(count(in.platform_age));
+    out.setMajorityAge(count(in.majority_age));
+    out.setLead(in.lead);
+    out.setEpoch(in.epoch);
+    out.setLeaving(in.leaving);
+    out.setClock(in.clock);
+    out.setEcho(in.echo);
+    out.setVmsDigest(in.held.vms);
+    out.setLeadsDigest(in.held.leads);
+    out.setGroupsDigest(in.held.groups);
+    if (!in.vms.empty())
+        out.setVms(in.vms);
+    if (!in.leads.empty())
     {
-        contacts[i].setFailureDomain(in.contacts[i].failure_domain);
-        contacts[i].setPlatformAge(count(in.contacts[i].platform_age));
-        contacts[i].setHeardAge(count(in.contacts[i].heard_age));
-        contacts[i].setLead(in.contacts[i].lead);
+        auto leads = out.initLeads(static_cast<unsigned>(in.leads.size()));
+        for (unsigned i = 0; i < leads.size(); ++i)
+        {
+            leads[i].setFailureDomain(in.leads[i].failure_domain);
+            leads[i].setVm(in.leads[i].vm);
+        }
     }
-    out.setLead(in.lead);
+    if (in.groups.empty())
+        return;
     auto groups = out.initGroups(static_cast<unsigned>(in.groups.size()));
     for (unsigned i = 0; i < groups.size(); ++i)
         write(groups[i], in.groups[i]);
-    out.setLeaving(in.leaving);
-    out.setVms(in.vms);
-    out.setEpoch(in.epoch);
-    out.setClock(in.clock);
-    out.setEcho(in.echo);
 }
 
 heartbeat read(wire::Heartbeat::Reader in)
@@ -198,19 +209,20 @@
     out.incarnation = in.getIncarnation();
     out.configuration_version = in.getConfigurationVersion();
     out.confirmation_age = ms(in.getConfirmationAge());
-    for (const auto contact : in.getContacts())
-        out.contacts.push_back({text(contact.getFailureDomain()),
-                                ms(contact.getPlatformAge()),
-                                ms(contact.getHeardAge()),
-                                text(contact.getLead())});
+    out.platform_age = ms(in.getPlatformAge());
+    out.majority_age = ms(in.getMajorityAge());
     out.lead = text(in.getLead());
-    for (const auto group : in.getGroups())
-        out.groups.push_back(read(group));
-    out.leaving = in.getLeaving();
-    out.vms = text(in.getVms());
     out.epoch = in.getEpoch();
+    out.leaving = in.getLeaving();
     out.clock = in.getClock();
     out.echo = in.getEcho();
+    out.held = {in.getVmsDigest(), in.getLeadsDigest(), in.getGroupsDigest()};
+    out.vms = text(in.getVms());
+    for (const auto lead : in.getLeads())
+        out.leads.push_back(
+            {text(lead.getFailureDomain()), text(lead.getVm())});
+    for (const auto group : in.getGroups())
+        out.groups.push_back(read(group));
     return out;
 }
 
@@ -299,20 +311,19 @@
     auto root = builder.initRoot<wire::PeerMessage>();
     root.setId(message.id);
     std::visit(body_writer{root}, message.body);
-    const auto words = capnp::messageToFlatArray(builder);
-    const auto bytes = words.asBytes();
+    kj::VectorOutputStream output(first_buffer_bytes);
+    capnp::writePackedMessage(output, builder);
+    const auto bytes = output.getArray();
     return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
 }
 
 result<peer_message> decode_peer_message(const std::string& frame)
 {
-    if (frame.empty() || frame.size() % sizeof(capnp::word) != 0)
-        return decode_failure("the frame is not a whole number of words");
-    auto words = kj::heapArray<capnp::word>(frame.size() / sizeof(capnp::word));
-    std::memcpy(words.begin(), frame.data(), frame.size());
     try
     {
-        capnp::FlatArrayMessageReader reader(words);
+        kj::ArrayInputStream input(kj::arrayPtr(
+            reinterpret_cast<const kj::byte*>(frame.data()), frame.size()));
+        capnp::PackedMessageReader reader(input);
         const auto root = reader.getRoot<wire::PeerMessage>();
         return peer_message{root.getId(), read_body(root)};
     }
--- a/src/process/configuration_freshness.cpp
+++ b/src/process/configuration_freshness.cpp
@@ -29,24 +29,22 @@
 configuration_freshness::configuration_freshness(std::string own_domain)
     : own_domain_(std::move(own_domain))
 {
-    domains_[own_domain_];
 }
 
 void configuration_freshness::use_domains(
     const std::vector<std::string>& domains)
 {
-    std::map<std::string, domain_state> kept;
-    kept[own_domain_] = domains_[own_domain_];
+    std::map<std::string, time_point> kept;
     for (const auto& name : domains)
-        kept[name] = domains_[name];
-    domains_ = std::move(kept);
+        if (name != own_domain_)
+            kept[name] = heard_at_[name];
+    heard_at_ = std::move(kept);
 }
 
 void configuration_freshness::on_platform_read(std::uint64_t latest,
                                                time_point sent_at)
 {
-    auto& own = domains_[own_domain_];
-    own.platform_at = std::max(own.platform_at, sent_at);
+    platform_at_ = std::max(platform_at_, sent_at);
     if (latest <= version_)
         confirmed_at_ = std::max(confirmed_at_, sent_at);
 }
@@ -54,22 +52,13 @@
 void configuration_freshness::on_heartbeat(const heartbeat& state,
                                            time_point at)
 {
-    if (const auto peer = domains_.find(state.failure_domain);
-        peer != domains_.end())
-        peer->second.heard_at = std::max(peer->second.heard_at, at);
-    for (const auto& contact : state.contacts)
-    {
-        const auto known = domains_.find(contact.failure_domain);
-        if (known == domains_.end())
-            continue;
-        auto& domain = known->second;
-        domain.platform_at =
-            std::max(domain.platform_at, instant_of(contact.platform_age, at));
-        // Only the lead of the own domain hears others on its VMs' behalf.
-        if (state.failure_domain == own_domain_)
-            domain.heard_at =
-                std::max(domain.heard_at, instant_of(contact.heard_age, at));
-    }
+    if (const auto peer = heard_at_.find(state.failure_domain);
+        peer != heard_at_.end())
+        peer->second = std::max(peer->second, at);
+    if (state.failure_domain == own_domain_)
+        relayed_majority_at_ =
+            std::max(relayed_majority_at_, instant_of(state.majority_age, at));
+    platform_at_ = std::max(platform_at_, instant_of(state.platform_age, at));
     if (state.configuration_version <= version_)
         confirmed_at_ =
             std::max(confirmed_at_, instant_of(state.confirmation_age, at));
@@ -80,11 +69,7 @@
     freshness_state state;
     state.confirmation_age = confirmation_age(now);
     const bool is_confirmed = state.confirmation_age <= confirmation_limit;
-    const bool heard_platform = std::any_of(
-        domains_.begin(), domains_.end(),
-        [&](const auto& entry) {
-            return age_of(entry.second.platform_at, now) <= confirmation_limit;
-        });
+    const bool heard_platform = platform_age(now) <= confirmation_limit;
     state.platform_outage = !heard_platform && hears_majority(now);
     state.may_serve = version_ > 0 && (is_confirmed || state.platform_outage);
     return state;
@@ -92,32 +77,46 @@
 
 bool configuration_freshness::hears_majority(time_point now) const
 {
-    std::size_t heard = 0;
-    for (const auto& [name, domain] : domains_)
-        if (name == own_domain_ ||
-            age_of(domain.heard_at, now) <= contact_limit)
-            ++heard;
-    return heard > domains_.size() / 2;
+    return majority_age(now) <= contact_limit;
 }
 
-std::vector<domain_contact>
-configuration_freshness::contacts(time_point now) const
+milliseconds configuration_freshness::confirmation_age(time_point now) const
 {
-    std::vector<domain_contact> contacts;
-    for (const auto& [name, domain] : domains_)
-    {
-        const auto heard_age = name == own_domain_
-                                   ? milliseconds(0)
-                                   : age_of(domain.heard_at, now);
-        contacts.push_back(
-            {name, age_of(domain.platform_at, now), heard_age, ""});
-    }
-    return contacts;
+    return age_of(confirmed_at_, now);
 }
 
-milliseconds configuration_freshness::confirmation_age(time_point now) const
+milliseconds configuration_freshness::platform_age(time_point now) const
 {
-    return age_of(confirmed_at_, now);
+    return age_of(platform_at_, now);
+}
+
+milliseconds configuration_freshness::majority_age(time_point now) const
+{
+    return age_of(majority_at(now), now);
+}
+
+milliseconds configuration_freshness::heard_age(const std::string& domain,
+                                                time_point now) const
+{
+    if (domain == own_domain_)
+        return milliseconds(0);
+    const auto found = heard_at_.find(domain);
+    return age_of(found == heard_at_.end() ? time_point{} : found->second, now);
+}
+
+// The latest instant by which so many other domains had been heard since that
+// they are a majority together with the own one.
+time_point configuration_freshness::majority_at(time_point now) const
+{
+    const auto domain_count = heard_at_.size() + 1;
+    const auto others_needed = domain_count / 2;
+    if (others_needed == 0)
+        return now;
+    std::vector<time_point> newest_first;
+    for (const auto& [name, heard] : heard_at_)
+        newest_first.push_back(heard);
+    std::sort(newest_first.rbegin(), newest_first.rend());
+    return std::max(relayed_majority_at_, newest_first[others_needed - 1]);
 }
 
 } // namespace oleandergrade
--- a/src/process/control_plane.cpp
+++ b/src/process/control_plane.cpp
@@ -1,5 +1,7 @@
 #include <oleandergrade/process/control_plane.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -9,7 +11,10 @@
 namespace
 {
 
-constexpr auto heartbeat_interval = milliseconds(200);
+constexpr auto shortest_heartbeat_interval = milliseconds(200);
+constexpr auto longest_heartbeat_interval = milliseconds(700);
+/// Added for each receiver, which bounds what a lead spends on heartbeats.
+constexpr auto interval_per_receiver = milliseconds(12);
 constexpr auto platform_read_interval = milliseconds(1000);
 /// Without heartbeats for this long, a VM reads the platform itself.
 constexpr auto lead_silence = milliseconds(1000);
@@ -18,6 +23,17 @@
 /// Unchanged group records that go into each heartbeat, in rotation.
 constexpr std::size_t groups_per_heartbeat = 20;
 
+std::uint64_t digest_of(const std::string& text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+std::uint64_t digest_of(const group_record& record)
+{
+    return digest_of(record.database + "\n" + record.primary + "\n" +
+                     std::to_string(record.term) + (record.steady ? "s" : ""));
+}
+
 std::uint64_t clock_value(time_point at)
 {
     return static_cast<std::uint64_t>(to_milliseconds(at.time_since_epoch()));
@@ -41,7 +57,6 @@
                                       const std::vector<std::string>& domains)
 {
     version_ = std::max(version_, version);
-    domains_ = domains;
     freshness_.use_domains(domains);
     freshness_.use_version(version_);
 }
@@ -49,24 +64,28 @@
 void control_plane::use_vms(std::shared_ptr<const vm_list> list)
 {
     vms_ = std::move(list);
-    vms_digest_ = vms_->digest();
-    std::vector<std::string> neighbours;
-    for (const auto& entry : vms_->in_domain(identity_.failure_domain))
-        if (entry.id != identity_.node)
-            neighbours.push_back(entry.id);
-    election_.use_neighbours(neighbours);
+    held_.vms = digest_of(vms_->text);
+    neighbours_.clear();
+    others_.clear();
+    for (const auto& entry : vms_->vms)
+    {
+        if (entry.failure_domain != identity_.failure_domain)
+            others_[entry.failure_domain].push_back(entry.id);
+        else if (entry.id != identity_.node)
+            neighbours_.push_back(entry.id);
+    }
+    election_.use_neighbours(neighbours_);
 }
 
-void control_plane::use_groups(const std::vector<group_record>& groups,
-                               time_point now)
+void control_plane::use_group(const group_record& record, time_point now)
 {
-    for (const auto& record : groups)
-    {
-        const auto known = std::find(groups_.begin(), groups_.end(), record);
-        if (known == groups_.end())
-            group_changes_[record.database] = now;
-    }
-    groups_ = groups;
+    auto& known = groups_[record.database];
+    // Independent of the order in which records are learned.
+    if (known.term > 0)
+        held_.groups ^= digest_of(known);
+    known = record;
+    held_.groups ^= digest_of(known);
+    group_changes_[record.database] = now;
 }
 
 std::vector<control_action> control_plane::tick(time_point now, double random)
@@ -84,6 +103,7 @@
     }
     if (!lead)
         return actions;
+    learn_lead(identity_.failure_domain, identity_.node);
     for (const auto& vm : heartbeat_receivers(now))
         actions.push_back(send_heartbeat_action{vm, make_heartbeat(vm, now)});
     return actions;
@@ -103,9 +123,7 @@
         if (is_own_domain)
             freshness_.on_heartbeat(state, echoed_instant(state, now));
     }
-    auto reply = make_state(now);
-    reply.vms = vms_digest_;
-    return reply;
+    return make_state(now);
 }
 
 void control_plane::on_heartbeat_reply(const std::string& vm,
@@ -115,7 +133,7 @@
     auto& peer = peers_[vm];
     peer.incarnation = reply.incarnation;
     peer.clock = reply.clock;
-    peer.vms_digest = reply.vms;
+    peer.held = reply.held;
     freshness_.on_heartbeat(reply, sent_at);
     const bool is_own_domain = reply.failure_domain == identity_.failure_domain;
     if (is_own_domain)
@@ -152,16 +170,14 @@
     state.incarnation = identity_.incarnation;
     state.configuration_version = version_;
     state.confirmation_age = freshness_.confirmation_age(now);
-    state.contacts = freshness_.contacts(now);
-    for (auto& contact : state.contacts)
-        if (const auto known = leads_.find(contact.failure_domain);
-            known != leads_.end())
-            contact.lead = known->second;
+    state.platform_age = freshness_.platform_age(now);
+    state.majority_age = freshness_.majority_age(now);
     state.lead =
         election_.leads(now) ? identity_.node : election_.known_lead(now);
     state.epoch = election_.epoch();
     state.leaving = leaving_;
     state.clock = clock_value(now);
+    state.held = held_;
     return state;
 }
 
@@ -170,8 +186,11 @@
     auto state = make_state(now);
     auto& peer = peers_[vm];
     state.echo = peer.clock;
-    if (peer.vms_digest != vms_digest_)
+    if (peer.held.vms != held_.vms)
         state.vms = vms_->text;
+    if (peer.held.leads != held_.leads)
+        for (const auto& [domain, lead] : leads_)
+            state.leads.push_back({domain, lead});
     add_groups(state, peer, now);
     return state;
 }
@@ -181,48 +200,62 @@
 std::vector<std::string> control_plane::heartbeat_receivers(time_point now)
 {
     std::vector<std::string> receivers;
-    for (const auto& entry : vms_->in_domain(identity_.failure_domain))
-        if (entry.id != identity_.node)
-            receivers.push_back(entry.id);
-    for (const auto& domain : domains_)
+    const auto add_if_due = [&](const std::string& vm, duration interval)
     {
-        if (domain == identity_.failure_domain)
-            continue;
-        auto receiver = receiver_in(domain);
-        if (!receiver.empty())
-            receivers.push_back(std::move(receiver));
-    }
-    std::erase_if(receivers, [&](const std::string& vm)
-                  { return peers_[vm].next_heartbeat > now; });
-    for (const auto& vm : receivers)
-        peers_[vm].next_heartbeat = now + heartbeat_interval;
+        auto& next = peers_[vm].next_heartbeat;
+        if (next > now)
+            return;
+        next = now + interval;
+        receivers.push_back(vm);
+    };
+    const auto interval = heartbeat_interval();
+    for (const auto& vm : neighbours_)
+        add_if_due(vm, interval);
+    // Other domains are told half as often; their leads send heartbeats too.
+    for (const auto& [domain, members] : others_)
+        add_if_due(receiver_in(domain, members), interval * 2);
     return receivers;
 }
 
-std::string control_plane::receiver_in(const std::string& failure_domain)
+duration control_plane::heartbeat_interval() const
+{
+    const auto wanted =
+        interval_per_receiver * (neighbours_.size() + others_.size());
+    return std::clamp<duration>(wanted, shortest_heartbeat_interval,
+                                longest_heartbeat_interval);
+}
+
+// The lead of another domain, or one of its VMs in turn.
+std::string control_plane::receiver_in(const std::string& failure_domain,
+                                       const std::vector<std::string>& members)
 {
     const auto lead = leads_.find(failure_domain);
-    if (lead != leads_.end() && vms_->find(lead->second) != nullptr)
+    const bool is_listed =
+        lead != leads_.end() && std::find(members.begin(), members.end(),
+                                          lead->second) != members.end();
+    if (is_listed)
         return lead->second;
-    const auto members = vms_->in_domain(failure_domain);
-    if (members.empty())
-        return "";
-    return members[rotation_[failure_domain]++ % members.size()].id;
+    return members[rotation_[failure_domain]++ % members.size()];
 }
 
 void control_plane::add_groups(heartbeat& state, peer_state& peer,
-                               time_point now) const
+                               time_point now)
 {
-    for (const auto& record : groups_)
-    {
-        const auto changed = group_changes_.find(record.database);
-        if (changed != group_changes_.end() &&
-            now - changed->second < group_news_period)
-            state.groups.push_back(record);
-    }
+    std::erase_if(group_changes_, [&](const auto& change)
+                  { return now - change.second > group_news_period; });
+    for (const auto& [database, changed_at] : group_changes_)
+        state.groups.push_back(groups_.at(database));
+    if (peer.held.groups == held_.groups)
+        return;
     const auto count = std::min(groups_per_heartbeat, groups_.size());
     for (std::size_t i = 0; i < count; ++i)
-        state.groups.push_back(groups_[peer.next_group++ % groups_.size()]);
+    {
+        auto next = groups_.upper_bound(peer.last_group);
+        if (next == groups_.end())
+            next = groups_.begin();
+        peer.last_group = next->first;
+        state.groups.push_back(next->second);
+    }
 }
 
 void control_plane::take_in_common(const std::string& vm,
@@ -238,9 +271,9 @@
         state.lead == state.node;
     if (!is_from_own_lead)
         return;
-    for (const auto& contact : state.contacts)
-        if (contact.failure_domain != identity_.failure_domain)
-            learn_lead(contact.failure_domain, contact.lead);
+    for (const auto& known : state.leads)
+        if (known.failure_domain != identity_.failure_domain)
+            learn_lead(known.failure_domain, known.vm);
     if (state.vms.empty() || state.vms == vms_->text)
         return;
     auto parsed = parse_vm_list(state.vms);
@@ -257,6 +290,16 @@
         return;
     known = lead;
     news_.push_back(lead_change{failure_domain, known});
+    update_leads_digest();
+}
+
+void control_plane::update_leads_digest()
+{
+    std::string text;
+    for (const auto& [domain, lead] : leads_)
+        if (!lead.empty())
+            text += domain + "=" + lead + "\n";
+    held_.leads = digest_of(text);
 }
 
 time_point control_plane::echoed_instant(const heartbeat& state,
--- a/src/process/control_service.cpp
+++ b/src/process/control_service.cpp
@@ -315,7 +315,7 @@
         record.database + " has term " + std::to_string(record.term) +
             (record.steady ? " with primary " + record.primary
                            : ", its primary is being decided"));
-    plane_.use_groups(context_.view.groups(), clock::now());
+    plane_.use_group(record, clock::now());
     failover_.learn(record);
 }
 
@@ -448,11 +448,10 @@
     const auto now = clock::now();
     const auto& election = plane_.election();
     const auto freshness = plane_.freshness().state(now);
-    json::object contacts;
-    for (const auto& contact : plane_.freshness().contacts(now))
-        contacts[contact.failure_domain] =
-            json::object{{"platform_age_ms", contact.platform_age.count()},
-                         {"heard_age_ms", contact.heard_age.count()}};
+    json::object heard;
+    for (const auto& domain :
+         context_.view.current_configuration()->failure_domains)
+        heard[domain] = plane_.freshness().heard_age(domain, now).count();
     json::array vms;
     for (const auto& entry : context_.view.vms()->vms)
         vms.push_back(json::object{{"id", entry.id},
@@ -475,7 +474,9 @@
             {"leads", election.leads(now)},
             {"in_overtime", election.is_in_overtime(now)},
             {"lead", context_.view.lead_of(context_.own.failure_domain)},
-            {"contacts", std::move(contacts)},
+            {"platform_age_ms", plane_.freshness().platform_age(now).count()},
+            {"majority_age_ms", plane_.freshness().majority_age(now).count()},
+            {"heard_age_ms", std::move(heard)},
             {"vms", std::move(vms)},
             {"groups", std::move(groups)},
             {"coordinated", failover_.dump()}};
--- a/src/version/vm_list.cpp
+++ b/src/version/vm_list.cpp
@@ -38,11 +38,6 @@
     return members;
 }
 
-std::string vm_list::digest() const
-{
-    return std::to_string(XXH3_64bits(text.data(), text.size()));
-}
-
 result<vm_list> parse_vm_list(const std::string& text)
 {
     const auto parsed = parse_json_object(text);
