--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Starts a demo fleet on loopback as plain processes, and stops it again.
 #
-#   scripts/fleet.sh start head-office|plant [VMS_PER_DOMAIN]
+#   scripts/fleet.sh start head-office|plant|FILE [VMS_PER_DOMAIN]
 #   scripts/fleet.sh kill NAME      ends one process by its id
 #   scripts/fleet.sh restart NAME   starts a target again, with its log
 #   scripts/fleet.sh stop
@@ -129,7 +129,8 @@
 }
 
 start() {
-    local fleet=$root/examples/$1/fleet.ini
+    local fleet=$1
+    [ -f "$fleet" ] || fleet=$root/examples/$1/fleet.ini
     rm -rf "$state"
     mkdir -p "$state/targets" "$state/logs" "$state/pids" "$state/settings"
     echo "$fleet" >"$state/fleet_file"
--- a/tests/fakes/database_world.cpp
+++ b/tests/fakes/database_world.cpp
@@ -672,6 +672,7 @@
     }
     if (user->may_have_run && outcome.run == run_status::not_run)
         outcome.run = run_status::outcome_unknown;
+    note_answer(*user, outcome);
     auto token = user->token.value_or(session_token{"a", "d", {}, false});
     if (outcome.run == run_status::ran && !user->browses)
     {
@@ -779,6 +780,29 @@
         violation("the group is not in step after the faults have ended");
 }
 
+void database_world::note_answer(const session& user, const answer& outcome)
+{
+    const auto& sent = user.sent;
+    auto line = user.name + " " + to_string(sent.kind);
+    if (changes_data(sent.kind))
+        line += " " + std::to_string(user.number);
+    if (!sent.request_id.empty())
+        line += " with an identifier";
+    if (user.browses)
+        line += " of a stated age";
+    line +=
+        " through " + user.entry->machine->name + ": " + to_string(outcome.run);
+    if (outcome.run == run_status::ran)
+        line += " at " + sent.target + ", term " +
+                std::to_string(outcome.position.term) + " position " +
+                std::to_string(outcome.position.position);
+    else
+        line += std::string(", ") + to_string(outcome.code);
+    if (user.attempts > 1)
+        line += ", " + std::to_string(user.attempts) + " attempts";
+    note(line);
+}
+
 void database_world::note(const std::string& line)
 {
     if (!keeps_log_)
--- a/tests/fakes/database_world.hpp
+++ b/tests/fakes/database_world.hpp
@@ -99,6 +99,7 @@
     void check_age(const std::shared_ptr<session>& user,
                    const std::string& value);
     void check_at_end();
+    void note_answer(const session& user, const answer& outcome);
     void note(const std::string& line);
     void violation(const std::string& line);
     std::shared_ptr<server> find_server(const std::string& name) const;
