--- a/include/oleandergrade/connection/target_connection.hpp
+++ b/include/oleandergrade/connection/target_connection.hpp
@@ -52,6 +52,8 @@
     /// sent or if the target says so.
     virtual boost::asio::awaitable<answer> execute(const statement& sent,
                                                    duration timeout) = 0;
+    /// Connects ahead of the first statement.
+    virtual boost::asio::awaitable<result<bool>> open(duration timeout) = 0;
     /// Whether the connection can be used again.
     virtual bool is_reusable() = 0;
 };
--- a/include/oleandergrade/process/admission_service.hpp
+++ b/include/oleandergrade/process/admission_service.hpp
@@ -55,7 +55,10 @@
     };
 
     std::size_t shard_index(const std::string& account) const;
-    void pump(std::size_t index, time_point now);
+    void pump(std::size_t index, const std::string& account, time_point now);
+    static std::vector<std::shared_ptr<waiting_caller>> take_ended(shard& part);
+    void finish(std::size_t index, std::vector<borrow_call> calls,
+                const std::vector<std::shared_ptr<waiting_caller>>& ended);
     void make_call(std::size_t index, borrow_call call);
     boost::asio::awaitable<void> call_bank(std::size_t index, borrow_call call);
 
--- a/include/oleandergrade/process/configuration_freshness.hpp
+++ b/include/oleandergrade/process/configuration_freshness.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <oleandergrade/clock.hpp>
-#include <oleandergrade/process/fleet_view.hpp>
 #include <oleandergrade/process/heartbeat.hpp>
 
 #include <cstdint>
@@ -14,6 +13,17 @@
 namespace oleandergrade
 {
 
+/// Whether callers with keys may be served with the configuration in force.
+struct freshness_state
+{
+    bool may_serve = false;
+    milliseconds confirmation_age{0};
+    /// No failure domain hears from the platform.
+    bool platform_outage = false;
+
+    bool operator==(const freshness_state&) const = default;
+};
+
 /// Follows how old the newest proof is that no later configuration exists.
 ///
 /// A VM serves callers with keys if its version was confirmed within
--- a/include/oleandergrade/process/control_plane.hpp
+++ b/include/oleandergrade/process/control_plane.hpp
@@ -84,14 +84,13 @@
     void use_vms(std::shared_ptr<const vm_list> list);
     /// Takes in a group record that is new to this VM.
     void use_group(const group_record& record, time_point now);
-    void set_leaving(bool leaving) { leaving_ = leaving; }
 
     std::vector<control_action> tick(time_point now, double random);
 
     /// Takes in a heartbeat and returns the reply to it.
     heartbeat on_heartbeat(const heartbeat& state, time_point now);
     void on_heartbeat_reply(const std::string& vm, const heartbeat& reply,
-                            time_point sent_at, time_point now);
+                            time_point sent_at);
     /// The platform answered a read sent at `sent_at`.
     void on_platform_read(std::uint64_t latest_version, time_point sent_at);
 
@@ -103,13 +102,6 @@
     /// What has been learned since the last call.
     std::vector<control_news> take_news();
 
-    /// Lowest configuration version that each failure domain is known to
-    /// have in force at its lead.
-    const std::map<std::string, std::uint64_t>& domain_versions() const
-    {
-        return domain_versions_;
-    }
-
 private:
     struct peer_state
     {
@@ -149,9 +141,7 @@
     std::map<std::string, std::string> leads_;
     std::map<std::string, std::size_t> rotation_;
     std::map<std::string, peer_state> peers_;
-    std::map<std::string, std::uint64_t> domain_versions_;
     time_point next_platform_read_;
-    bool leaving_ = false;
     std::vector<control_news> news_;
 };
 
--- a/include/oleandergrade/process/control_service.hpp
+++ b/include/oleandergrade/process/control_service.hpp
@@ -30,8 +30,6 @@
                     peer_directory& peers);
 
     void start();
-    /// Tells the other VMs that this one is leaving.
-    void set_leaving();
 
     /// Answers a control message of a peer.
     boost::asio::awaitable<peer_body> serve(peer_body body);
--- a/include/oleandergrade/process/entry_service.hpp
+++ b/include/oleandergrade/process/entry_service.hpp
@@ -48,8 +48,11 @@
 
     boost::asio::awaitable<http_response> serve_statement(http_request request,
                                                           statement_kind kind);
+    boost::asio::awaitable<void> await_freshness(time_point deadline);
     std::optional<answer> identify(request_state& state,
                                    const std::string& key);
+    boost::asio::awaitable<std::optional<answer>>
+    admit(request_state& state);
     std::optional<answer> take_in_session(request_state& state,
                                           const std::string& text);
     boost::asio::awaitable<answer> run(request_state& state);
--- a/include/oleandergrade/process/failover_service.hpp
+++ b/include/oleandergrade/process/failover_service.hpp
@@ -50,8 +50,7 @@
                                            fence_action action);
     boost::asio::awaitable<void> run_promote(group_handle group,
                                              promote_action action);
-    boost::asio::awaitable<void> run_follow(group_handle group,
-                                            follow_action action);
+    boost::asio::awaitable<void> run_follow(follow_action action);
     std::string address_of(const std::string& target) const;
 
     process_context& context_;
--- a/include/oleandergrade/process/fleet_view.hpp
+++ b/include/oleandergrade/process/fleet_view.hpp
@@ -1,6 +1,7 @@
 /// What this process knows of the fleet: configuration, VMs, leadership.
 #pragma once
 
+#include <oleandergrade/process/configuration_freshness.hpp>
 #include <oleandergrade/request/router.hpp>
 #include <oleandergrade/version/configuration.hpp>
 #include <oleandergrade/version/vm_list.hpp>
@@ -15,17 +16,6 @@
 namespace oleandergrade
 {
 
-/// Whether callers with keys may be served with the configuration in force.
-struct freshness_state
-{
-    bool may_serve = false;
-    milliseconds confirmation_age{0};
-    /// No failure domain hears from the platform.
-    bool platform_outage = false;
-
-    bool operator==(const freshness_state&) const = default;
-};
-
 /// Shared by all threads. Versions are swapped whole; routing state is kept
 /// in shards by database, each under its own lock.
 class fleet_view
--- a/include/oleandergrade/process/heartbeat.hpp
+++ b/include/oleandergrade/process/heartbeat.hpp
@@ -48,7 +48,6 @@
     std::string lead;
     /// Revision of the lease under which `lead` leads.
     std::uint64_t epoch = 0;
-    bool leaving = false;
     /// The sender's own clock, opaque to others.
     std::uint64_t clock = 0;
     /// The receiver's clock as of its last reply. A heartbeat proves nothing
--- a/include/oleandergrade/process/metrics.hpp
+++ b/include/oleandergrade/process/metrics.hpp
@@ -34,11 +34,10 @@
     primary_reads,
     retries,
     tokens_spent,
-    peer_calls,
-    invariant_failures
+    peer_calls
 };
 
-inline constexpr std::size_t counter_count = 6;
+inline constexpr std::size_t counter_count = 5;
 const char* to_string(counter which);
 
 /// Safe to use from several threads.
--- a/include/oleandergrade/process/target_gateway.hpp
+++ b/include/oleandergrade/process/target_gateway.hpp
@@ -83,6 +83,7 @@
     void give_back(std::unique_ptr<target_connection> connection);
     std::size_t connection_limit() const;
 
+    boost::asio::awaitable<void> open_connections();
     boost::asio::awaitable<void> watch_target();
     void take_in_status(const target_status& status);
     void resolve_confirmations();
@@ -104,7 +105,6 @@
     std::vector<std::unique_ptr<target_connection>> idle_;
     std::map<std::string, open_transaction> transactions_;
     std::optional<target_status> status_;
-    time_point status_at_;
     time_point confirmed_at_;
     std::vector<confirmation_wait> confirmations_;
     transaction_limits transaction_limits_;
--- a/include/oleandergrade/process/token_borrower.hpp
+++ b/include/oleandergrade/process/token_borrower.hpp
@@ -50,17 +50,22 @@
     bool admit(std::uint64_t ticket, const std::string& account,
                time_point wait_until, time_point now);
 
-    /// Calls to make now. Each must be followed by `on_grant` or
-    /// `on_failure`.
+    /// Calls to make now for all accounts. Each must be followed by
+    /// `on_grant` or `on_failure`.
     std::vector<borrow_call> due_calls(time_point now);
+    /// Calls to make now for one account.
+    std::vector<borrow_call> due_calls(const std::string& account,
+                                       time_point now);
 
     void on_grant(const std::string& lender_domain, const borrow_call& call,
                   const token_grant& grant, time_point sent_at, time_point now);
     void on_failure(const std::string& lender_domain, const borrow_call& call,
                     time_point now);
 
+    /// Ends the waits whose time is over.
+    void end_overdue_waits(time_point now);
     /// Waits that have ended since the last call.
-    std::vector<admission_result> take_results(time_point now);
+    std::vector<admission_result> take_results();
 
     std::size_t waiting(const std::string& account) const;
 
@@ -106,6 +111,8 @@
     void admit_waiting(account_state& account, time_point now);
     void count_arrival(account_state& account, time_point now);
     void return_idle_tokens(account_state& account, time_point now);
+    void add_due(const std::string& name, account_state& account,
+                 time_point now, std::vector<borrow_call>& calls);
     void add_calls(const std::string& name, account_state& account,
                    time_point now, std::vector<borrow_call>& calls);
     void add_reports(const std::string& name, account_state& account,
--- a/include/oleandergrade/process/token_messages.hpp
+++ b/include/oleandergrade/process/token_messages.hpp
@@ -34,8 +34,6 @@
     /// Units.
     std::uint32_t wanted = 0;
     std::vector<token_report> reports;
-    /// The lender may pass the wish on to other failure domains.
-    bool may_forward = false;
 
     bool operator==(const token_request&) const = default;
 };
--- a/programs/oleander_load.cpp
+++ b/programs/oleander_load.cpp
@@ -26,6 +26,7 @@
               "requests per second of each account, 'ACCOUNT=RATE' with "
               "commas; accounts not named run as fast as they are answered");
 DEFINE_uint32(clients, 4, "sessions of each account");
+DEFINE_string(noisy, "", "account that gets ten times the sessions");
 DEFINE_double(seconds, 5, "how long to send");
 DEFINE_double(writes, 0.2, "share of writes");
 DEFINE_uint32(max_age_ms, 0, "accepted age of read data; 0 for sessions");
@@ -44,6 +45,9 @@
 
 /// Writes to one cell before a session begins a new one.
 constexpr unsigned writes_per_cell = 40;
+constexpr auto connect_timeout = milliseconds(500);
+/// How long an entry VM that does not accept connections is passed over.
+constexpr auto avoid_period = milliseconds(1000);
 
 /// What the callers of one account have seen.
 struct account_report
@@ -104,6 +108,7 @@
     asio::awaitable<void> run(time_point end, duration interval);
 
 private:
+    asio::awaitable<http_client*> choose_entry();
     asio::awaitable<json::object> send(const char* path, json::object body);
     asio::awaitable<void> write();
     asio::awaitable<void> read();
@@ -121,6 +126,7 @@
     std::mt19937_64 random_;
     load_report& report_;
     std::vector<std::unique_ptr<http_client>> entries_;
+    std::map<http_client*, time_point> avoid_until_;
     std::string session_;
     unsigned cell_ = 0;
     unsigned next_number_ = 0;
@@ -154,7 +160,12 @@
 asio::awaitable<json::object> load_session::send(const char* path,
                                                  json::object body)
 {
-    auto& client = *entries_[random_() % entries_.size()];
+    auto* client = co_await choose_entry();
+    if (client == nullptr)
+    {
+        ++mine().refusals["no_entry"];
+        co_return json::object{{"run", "not_run"}, {"code", "no_entry"}};
+    }
     body["database"] = database_;
     body["deadline_ms"] = FLAGS_deadline_ms;
     if (!session_.empty())
@@ -163,9 +174,7 @@
     request.path = path;
     request.key = key_;
     request.body = json::serialize(body);
-    if (client.is_open() && !client.is_reusable())
-        client.close();
-    auto outcome = co_await client.exchange(
+    auto outcome = co_await client->exchange(
         std::move(request), milliseconds(FLAGS_deadline_ms + 1000));
     json::object answer;
     if (succeeded(outcome))
@@ -199,6 +208,25 @@
     co_return answer;
 }
 
+// Takes the balancer's place: passes over entry VMs that do not accept a
+// connection, or that end the one they have.
+asio::awaitable<http_client*> load_session::choose_entry()
+{
+    for (std::size_t i = 0; i < entries_.size() * 2; ++i)
+    {
+        auto& client = *entries_[random_() % entries_.size()];
+        if (client.is_reusable())
+            co_return &client;
+        if (avoid_until_[&client] > clock::now())
+            continue;
+        const auto connected = co_await client.connect(connect_timeout);
+        if (succeeded(connected))
+            co_return &client;
+        avoid_until_[&client] = clock::now() + avoid_period;
+    }
+    co_return nullptr;
+}
+
 asio::awaitable<void> load_session::write()
 {
     if (next_number_ >= writes_per_cell)
@@ -418,7 +446,7 @@
                                   : std::chrono::duration_cast<duration>(
                                         std::chrono::duration<double>(
                                             FLAGS_clients / rate->second));
-        for (unsigned i = 0; i < FLAGS_clients; ++i)
+        for (unsigned i = 0; i < clients; ++i)
         {
             const auto name =
                 run_number + "/" + account + "/" + std::to_string(i);
--- a/scripts/experiments/faults.sh
+++ b/scripts/experiments/faults.sh
@@ -49,7 +49,7 @@
     "$programs/oleander-load" --entries="$(paste -sd, "$state/entries")" \
         --keys="$state/keys" --databases="$(cat "$state/databases")" \
         --clients=6 --seconds="$1" --rates="$(rates "${noisy:-none}" "${factor:-0.7}")" \
-        --report="$state/report.json" "${@:2}" || true
+        --noisy="${noisy:-}" --report="$state/report.json" "${@:2}" || true
 }
 
 case $scenario in
--- a/src/connection/peer_message.capnp
+++ b/src/connection/peer_message.capnp
@@ -67,8 +67,6 @@
   account @1 :Text;
   wanted @2 :UInt32;
   reports @3 :List(TokenReport);
-  # Whether the lender may pass the wish on to other failure domains.
-  mayForward @4 :Bool;
 }
 
 struct TokenGrant {
@@ -108,16 +106,15 @@
   lead @7 :Text;
   # Revision of the lead's lease.
   epoch @8 :UInt64;
-  leaving @9 :Bool;
   # The sender's own clock, and the receiver's clock as of its last reply.
-  clock @10 :UInt64;
-  echo @11 :UInt64;
-  vms @12 :Text;
-  leads @13 :List(DomainLead);
-  groups @14 :List(GroupRecord);
-  vmsDigest @15 :UInt64;
-  leadsDigest @16 :UInt64;
-  groupsDigest @17 :UInt64;
+  clock @9 :UInt64;
+  echo @10 :UInt64;
+  vms @11 :Text;
+  leads @12 :List(DomainLead);
+  groups @13 :List(GroupRecord);
+  vmsDigest @14 :UInt64;
+  leadsDigest @15 :UInt64;
+  groupsDigest @16 :UInt64;
 }
 
 struct ConfigurationRecord {
--- a/src/connection/peer_message.capnp.h
+++ b/src/connection/peer_message.capnp.h
@@ -174,7 +174,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5037c0b6e767052, 12, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(c5037c0b6e767052, 11, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -859,8 +859,6 @@
   inline bool hasReports() const;
   inline  ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Reader getReports() const;
 
-  inline bool getMayForward() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -913,9 +911,6 @@
   inline void adoptReports(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>> disownReports();
 
-  inline bool getMayForward();
-  inline void setMayForward(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1278,8 +1273,6 @@
 
   inline  ::uint64_t getEpoch() const;
 
-  inline bool getLeaving() const;
-
   inline  ::uint64_t getClock() const;
 
   inline  ::uint64_t getEcho() const;
@@ -1366,9 +1359,6 @@
   inline  ::uint64_t getEpoch();
   inline void setEpoch( ::uint64_t value);
 
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
-
   inline  ::uint64_t getClock();
   inline void setClock( ::uint64_t value);
 
@@ -2910,20 +2900,6 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool TokenRequest::Reader::getMayForward() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-
-inline bool TokenRequest::Builder::getMayForward() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-inline void TokenRequest::Builder::setMayForward(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool TokenGrant::Reader::hasAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3378,46 +3354,32 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<384>() * ::capnp::ELEMENTS);
-}
-
-inline bool Heartbeat::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<384>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<384>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint64_t Heartbeat::Reader::getClock() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t Heartbeat::Builder::getClock() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setClock( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t Heartbeat::Reader::getEcho() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t Heartbeat::Builder::getEcho() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setEcho( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Heartbeat::Reader::hasVms() const {
@@ -3524,44 +3486,44 @@
 
 inline  ::uint64_t Heartbeat::Reader::getVmsDigest() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t Heartbeat::Builder::getVmsDigest() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setVmsDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t Heartbeat::Reader::getLeadsDigest() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t Heartbeat::Builder::getLeadsDigest() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setLeadsDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t Heartbeat::Reader::getGroupsDigest() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t Heartbeat::Builder::getGroupsDigest() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setGroupsDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t ConfigurationRecord::Reader::getVersion() const {
--- a/src/connection/peer_message.cpp
+++ b/src/connection/peer_message.cpp
@@ -113,7 +113,6 @@
     out.setBorrower(in.borrower);
     out.setAccount(in.account);
     out.setWanted(in.wanted);
-    out.setMayForward(in.may_forward);
     auto reports = out.initReports(static_cast<unsigned>(in.reports.size()));
     for (unsigned i = 0; i < reports.size(); ++i)
     {
@@ -129,7 +128,6 @@
     out.borrower = text(in.getBorrower());
     out.account = text(in.getAccount());
     out.wanted = in.getWanted();
-    out.may_forward = in.getMayForward();
     for (const auto report : in.getReports())
         out.reports.push_back(
             {report.getBatch(), report.getSpent(), report.getReturned()});
@@ -177,7 +175,6 @@
     out.setMajorityAge(count(in.majority_age));
     out.setLead(in.lead);
     out.setEpoch(in.epoch);
-    out.setLeaving(in.leaving);
     out.setClock(in.clock);
     out.setEcho(in.echo);
     out.setVmsDigest(in.held.vms);
@@ -213,7 +210,6 @@
     out.majority_age = ms(in.getMajorityAge());
     out.lead = text(in.getLead());
     out.epoch = in.getEpoch();
-    out.leaving = in.getLeaving();
     out.clock = in.getClock();
     out.echo = in.getEcho();
     out.held = {in.getVmsDigest(), in.getLeadsDigest(), in.getGroupsDigest()};
--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -134,6 +134,17 @@
         co_return done;
     }
 
+    // An exchange, since a server may take its time after accepting.
+    asio::awaitable<result<bool>> open(duration timeout) override
+    {
+        http_request request;
+        request.path = "/rollback";
+        auto outcome = co_await client_.exchange(std::move(request), timeout);
+        if (!succeeded(outcome))
+            co_return error_of(outcome);
+        co_return client_.is_open();
+    }
+
     bool is_reusable() override { return client_.is_reusable(); }
 
 private:
--- a/src/process/admission_service.cpp
+++ b/src/process/admission_service.cpp
@@ -73,7 +73,7 @@
         caller->event = std::make_shared<async_event>(caller->executor);
         part.callers[ticket] = caller;
     }
-    pump(index, started_at);
+    pump(index, account, started_at);
     co_await caller->event->wait_until(time_point::max());
     context_.measured.observe(latency_kind::admission_wait,
                               clock::now() - started_at);
@@ -90,7 +90,18 @@
 void admission_service::tick(time_point now)
 {
     for (std::size_t index = 0; index < shard_count; ++index)
-        pump(index, now);
+    {
+        std::vector<borrow_call> calls;
+        std::vector<std::shared_ptr<waiting_caller>> ended;
+        {
+            auto& part = shards_[index];
+            const std::lock_guard lock(part.mutex);
+            part.borrower->end_overdue_waits(now);
+            calls = part.borrower->due_calls(now);
+            ended = take_ended(part);
+        }
+        finish(index, std::move(calls), ended);
+    }
 }
 
 std::size_t admission_service::shard_index(const std::string& account) const
@@ -98,23 +109,40 @@
     return std::hash<std::string>()(account) % shard_count;
 }
 
-void admission_service::pump(std::size_t index, time_point now)
+// Makes the calls of one account and ends the waits that they decided.
+void admission_service::pump(std::size_t index, const std::string& account,
+                             time_point now)
 {
     auto& part = shards_[index];
     std::vector<borrow_call> calls;
     std::vector<std::shared_ptr<waiting_caller>> ended;
     {
         const std::lock_guard lock(part.mutex);
-        calls = part.borrower->due_calls(now);
-        for (const auto& result : part.borrower->take_results(now))
-        {
-            auto node = part.callers.extract(result.ticket);
-            if (node.empty())
-                continue;
-            node.mapped()->result = result;
-            ended.push_back(std::move(node.mapped()));
-        }
+        calls = part.borrower->due_calls(account, now);
+        ended = take_ended(part);
     }
+    finish(index, std::move(calls), ended);
+}
+
+std::vector<std::shared_ptr<admission_service::waiting_caller>>
+admission_service::take_ended(shard& part)
+{
+    std::vector<std::shared_ptr<waiting_caller>> ended;
+    for (const auto& result : part.borrower->take_results())
+    {
+        auto node = part.callers.extract(result.ticket);
+        if (node.empty())
+            continue;
+        node.mapped()->result = result;
+        ended.push_back(std::move(node.mapped()));
+    }
+    return ended;
+}
+
+void admission_service::finish(
+    std::size_t index, std::vector<borrow_call> calls,
+    const std::vector<std::shared_ptr<waiting_caller>>& ended)
+{
     for (const auto& caller : ended)
         asio::post(caller->executor,
                    [event = caller->event] { event->signal(); });
@@ -138,7 +166,7 @@
         shards_[index].borrower->on_grant(call.lender_domain, call, grant, now,
                                           now);
     }
-    pump(index, now);
+    pump(index, call.request.account, now);
 }
 
 asio::awaitable<void> admission_service::call_bank(std::size_t index,
@@ -168,7 +196,7 @@
         else
             borrower.on_grant(call.lender_domain, call, *grant, sent_at, now);
     }
-    pump(index, now);
+    pump(index, call.request.account, now);
 }
 
 } // namespace oleandergrade
--- a/src/process/control_plane.cpp
+++ b/src/process/control_plane.cpp
@@ -128,7 +128,7 @@
 
 void control_plane::on_heartbeat_reply(const std::string& vm,
                                        const heartbeat& reply,
-                                       time_point sent_at, time_point now)
+                                       time_point sent_at)
 {
     auto& peer = peers_[vm];
     peer.incarnation = reply.incarnation;
@@ -145,9 +145,6 @@
                 newer_configuration{vm, reply.configuration_version});
         return;
     }
-    (void)now;
-    auto& known = domain_versions_[reply.failure_domain];
-    known = std::max(known, reply.configuration_version);
     take_in_common(vm, reply);
 }
 
@@ -175,7 +172,6 @@
     state.lead =
         election_.leads(now) ? identity_.node : election_.known_lead(now);
     state.epoch = election_.epoch();
-    state.leaving = leaving_;
     state.clock = clock_value(now);
     state.held = held_;
     return state;
--- a/src/process/control_service.cpp
+++ b/src/process/control_service.cpp
@@ -59,11 +59,6 @@
                       [this](time_point now) { admission_.tick(now); });
 }
 
-void control_service::set_leaving()
-{
-    plane_.set_leaving(true);
-}
-
 void control_service::tick(time_point now)
 {
     std::uniform_real_distribution<double> share(0, 1);
@@ -182,7 +177,7 @@
     if (!succeeded(outcome))
         co_return;
     if (const auto* reply = std::get_if<heartbeat_reply>(&value_of(outcome)))
-        plane_.on_heartbeat_reply(vm, reply->state, sent_at, clock::now());
+        plane_.on_heartbeat_reply(vm, reply->state, sent_at);
     take_in_news();
 }
 
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -116,7 +116,6 @@
 asio::awaitable<void> daemon::parts::stop_gracefully()
 {
     log(log_level::info, part, "stops gracefully");
-    control.set_leaving();
     for (const auto& entry : entries)
         entry->set_leaving();
     for (const auto& server : caller_servers)
--- a/src/process/entry_service.cpp
+++ b/src/process/entry_service.cpp
@@ -14,6 +14,10 @@
 
 constexpr auto leadership_poll_interval = milliseconds(5);
 constexpr auto no_primary_retry_after = milliseconds(500);
+/// Waits shorter than this are left out of traces.
+constexpr auto notable_wait = milliseconds(1);
+constexpr auto freshness_wait = milliseconds(500);
+constexpr auto freshness_poll_interval = milliseconds(10);
 constexpr auto stale_retry_after = milliseconds(1000);
 /// Requests that may wait for a primary at the same time.
 constexpr std::size_t max_waiting_for_primary = 4096;
@@ -102,11 +106,13 @@
     state.sent.request_number = state.number;
     state.deadline = started_at + wanted.deadline;
 
+    if (!request.key.empty())
+        co_await await_freshness(state.deadline);
     auto refusal = identify(state, request.key);
     if (!refusal)
         refusal = take_in_session(state, wanted.session);
     if (!refusal)
-        refusal = co_await admission_.admit(state.sent.account, state.deadline);
+        refusal = co_await admit(state);
     answer outcome;
     if (refusal)
         outcome = std::move(*refusal);
@@ -128,6 +134,15 @@
                                session_after(state, outcome));
 }
 
+// A VM that was paused or has just started knows soon whether it is up to
+// date; its callers wait that long.
+asio::awaitable<void> entry_service::await_freshness(time_point deadline)
+{
+    const auto end = std::min(deadline, clock::now() + freshness_wait);
+    while (!context_.view.freshness().may_serve && clock::now() < end)
+        co_await sleep_for(freshness_poll_interval);
+}
+
 // Finds the account for which the request runs, or the refusal.
 std::optional<answer> entry_service::identify(request_state& state,
                                               const std::string& key)
@@ -186,6 +201,19 @@
     return std::nullopt;
 }
 
+asio::awaitable<std::optional<answer>>
+entry_service::admit(request_state& state)
+{
+    const auto started_at = clock::now();
+    auto refusal =
+        co_await admission_.admit(state.sent.account, state.deadline);
+    const auto waited = clock::now() - started_at;
+    if (waited >= notable_wait)
+        trace(state, "waited " + std::to_string(to_milliseconds(waited)) +
+                         " ms for a token of " + state.sent.account);
+    co_return refusal;
+}
+
 asio::awaitable<answer> entry_service::run(request_state& state)
 {
     budget_.count_request();
--- a/src/process/failover_service.cpp
+++ b/src/process/failover_service.cpp
@@ -49,9 +49,13 @@
     }
 
     failover_coordinator coordinator;
-    /// Separate connections, so that a slow probe delays no command.
-    std::map<std::string, std::shared_ptr<target_control>> probes;
-    std::map<std::string, std::shared_ptr<target_control>> commands;
+    struct probe_connection
+    {
+        std::string address;
+        std::shared_ptr<target_control> control;
+    };
+
+    std::map<std::string, probe_connection> probes;
 };
 
 failover_service::failover_service(
@@ -90,10 +94,11 @@
         {
             const auto& declared = configuration->targets.at(target_name);
             members.push_back(declared);
-            handle->probes[target_name] =
-                make_target_control(executor_, declared.address);
-            handle->commands[target_name] =
-                make_target_control(executor_, declared.address);
+            auto& probe = handle->probes[target_name];
+            if (probe.address == declared.address)
+                continue;
+            probe.address = declared.address;
+            probe.control = make_target_control(executor_, declared.address);
         }
         handle->coordinator.use_members(members);
         handle->coordinator.use_rank(
@@ -166,7 +171,7 @@
         }
         void operator()(const follow_action& action) const
         {
-            start(service.run_follow(group, action));
+            start(service.run_follow(action));
         }
         void operator()(const announce_action& action) const
         {
@@ -187,7 +192,7 @@
 asio::awaitable<void> failover_service::run_probe(group_handle group,
                                                   probe_action action)
 {
-    const auto control = group->probes.at(action.target);
+    const auto control = group->probes.at(action.target).control;
     const auto outcome = co_await control->status(probe_timeout);
     run(group,
         group->coordinator.on_probe(action.target, outcome, clock::now()));
@@ -238,13 +243,11 @@
         group->coordinator.on_promoted(action.target, outcome, clock::now()));
 }
 
-asio::awaitable<void> failover_service::run_follow(group_handle group,
-                                                   follow_action action)
+asio::awaitable<void> failover_service::run_follow(follow_action action)
 {
     auto address = address_of(action.target);
     auto primary = address_of(action.primary);
     const auto control = make_target_control(executor_, address);
-    (void)group;
     const auto outcome =
         co_await control->follow(action.term, primary, command_timeout);
     if (!succeeded(outcome))
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -1,5 +1,7 @@
 #include <oleandergrade/process/metrics.hpp>
 
+#include <oleandergrade/invariant.hpp>
+
 #include <boost/histogram/accumulators/count.hpp>
 #include <boost/histogram/axis/regular.hpp>
 #include <boost/histogram/indexed.hpp>
@@ -88,8 +90,8 @@
 const char* to_string(counter which)
 {
     static constexpr std::array<const char*, counter_count> names{
-        "replica_reads", "primary_reads", "retries",
-        "tokens_spent",  "peer_calls",    "invariant_failures"};
+        "replica_reads", "primary_reads", "retries", "tokens_spent",
+        "peer_calls"};
     return names.at(static_cast<std::size_t>(which));
 }
 
@@ -140,6 +142,7 @@
             answers[to_string(static_cast<refusal_code>(i))] = value;
     object["answers"] = std::move(answers);
     object["outcome_unknown"] = unknown_outcomes_.load();
+    object["invariant_failures"] = invariant_failure_count();
     boost::json::object latencies;
     for (std::size_t i = 0; i < latency_kind_count; ++i)
     {
@@ -159,6 +162,8 @@
     for (std::size_t i = 0; i < counter_count; ++i)
         text += std::string("oleander_") + to_string(static_cast<counter>(i)) +
                 "_total " + std::to_string(counters_[i].load()) + "\n";
+    text += "oleander_invariant_failures_total " +
+            std::to_string(invariant_failure_count()) + "\n";
     for (std::size_t i = 0; i < refusal_code_count; ++i)
         text += std::string("oleander_answers_total{code=\"") +
                 to_string(static_cast<refusal_code>(i)) + "\"} " +
--- a/src/process/target_gateway.cpp
+++ b/src/process/target_gateway.cpp
@@ -23,6 +23,7 @@
 /// Connections left to monitoring, promotion and operators.
 constexpr std::size_t reserved_connections = 4;
 constexpr auto replica_poll_interval = milliseconds(50);
+constexpr auto open_timeout = milliseconds(1000);
 constexpr auto watch_wait = milliseconds(1000);
 constexpr auto watch_timeout = milliseconds(1500);
 constexpr auto watch_retry_delay = milliseconds(20);
@@ -75,6 +76,8 @@
     if (!std::exchange(watching_, true))
         asio::co_spawn(
             executor_, [self] { return self->watch_target(); }, asio::detached);
+    asio::co_spawn(
+        executor_, [self] { return self->open_connections(); }, asio::detached);
     if (!std::exchange(sweeping_, true))
         asio::co_spawn(
             executor_, [self] { return self->sweep_transactions(); },
@@ -386,6 +389,26 @@
     return owner_rank_ == 0 ? first : std::max<std::size_t>(shared - first, 1);
 }
 
+// Opens as many connections as statements run at the same time, so that no
+// statement waits for one to open.
+asio::awaitable<void> target_gateway::open_connections()
+{
+    const auto self = shared_from_this();
+    const auto wanted = std::min<std::size_t>(declared_.slots + extra_in_flight,
+                                              connection_limit());
+    while (!stopping_ && open_connections_ < wanted)
+    {
+        ++open_connections_;
+        auto connection = make_target_connection(executor_, declared_.name,
+                                                 declared_.address);
+        const auto opened = co_await connection->open(open_timeout);
+        const bool is_usable = succeeded(opened) && value_of(opened);
+        give_back(std::move(connection));
+        if (!is_usable)
+            co_return;
+    }
+}
+
 asio::awaitable<void> target_gateway::watch_target()
 {
     const auto self = shared_from_this();
@@ -427,7 +450,6 @@
     if (advanced)
         confirmed_at_ = now;
     status_ = status;
-    status_at_ = now;
     resolve_confirmations();
 }
 
--- a/src/process/token_borrower.cpp
+++ b/src/process/token_borrower.cpp
@@ -51,14 +51,28 @@
 {
     std::vector<borrow_call> calls;
     for (auto& [name, account] : accounts_)
-    {
-        return_idle_tokens(account, now);
-        add_calls(name, account, now, calls);
-        add_reports(name, account, now, calls);
-    }
+        add_due(name, account, now, calls);
+    return calls;
+}
+
+std::vector<borrow_call> token_borrower::due_calls(const std::string& account,
+                                                   time_point now)
+{
+    std::vector<borrow_call> calls;
+    const auto found = accounts_.find(account);
+    if (found != accounts_.end())
+        add_due(account, found->second, now, calls);
     return calls;
 }
 
+void token_borrower::add_due(const std::string& name, account_state& account,
+                             time_point now, std::vector<borrow_call>& calls)
+{
+    return_idle_tokens(account, now);
+    add_calls(name, account, now, calls);
+    add_reports(name, account, now, calls);
+}
+
 void token_borrower::on_grant(const std::string& lender_domain,
                               const borrow_call& call, const token_grant& grant,
                               time_point sent_at, time_point now)
@@ -100,7 +114,7 @@
     lender.not_before = now + failure_pause;
 }
 
-std::vector<admission_result> token_borrower::take_results(time_point now)
+void token_borrower::end_overdue_waits(time_point now)
 {
     for (auto& [name, account] : accounts_)
     {
@@ -115,6 +129,10 @@
                           return true;
                       });
     }
+}
+
+std::vector<admission_result> token_borrower::take_results()
+{
     return std::exchange(results_, {});
 }
 
--- a/tests/fakes/token_world.cpp
+++ b/tests/fakes/token_world.cpp
@@ -164,7 +164,7 @@
                          for (const auto& call : each->borrower->due_calls(now))
                              call_bank(each, call);
                          for (const auto& result :
-                              each->borrower->take_results(now))
+                              each->borrower->take_results())
                              end_wait(each, result.ticket, result.admitted);
                      });
     network_.at(std::max(machine->paused_until, network_.now()) + pump_interval,
@@ -198,8 +198,7 @@
         {
             if (!succeeded(outcome))
                 return;
-            each->plane->on_heartbeat_reply(vm, value_of(outcome), sent_at,
-                                            network_.now());
+            each->plane->on_heartbeat_reply(vm, value_of(outcome), sent_at);
             take_in_news(each);
         });
 }
@@ -384,7 +383,7 @@
                                      value_of(outcome), sent_at, now);
             for (const auto& next : each->borrower->due_calls(now))
                 call_bank(each, next);
-            for (const auto& ended : each->borrower->take_results(now))
+            for (const auto& ended : each->borrower->take_results())
                 end_wait(each, ended.ticket, ended.admitted);
         });
 }
--- a/tests/test_request.cpp
+++ b/tests/test_request.cpp
@@ -248,7 +248,7 @@
     state.held = {1, 2, 3};
     state.groups = {{"d", 3, "d-a", true, ""}};
     state.epoch = 9;
-    const token_request wish{"n", "crew", 5, {{1, 2, 3}}, true};
+    const token_request wish{"n", "crew", 5, {{1, 2, 3}}};
     for (const peer_message& message :
          {peer_message{1, sent}, peer_message{2, state}, peer_message{3, wish},
           peer_message{4, configuration_reply{2, "text"}}})
