Refuse files that are not UTF-8

Cause: the fuzz target found, within seconds, a configuration file with a byte that is not UTF-8; it passed the check and would have been kept in the platform as JSON that no VM can read again. Files are now checked, and apply reads its own record back before it is sent.

--- a/include/oleandergrade/connection/http_client.hpp
+++ b/include/oleandergrade/connection/http_client.hpp
@@ -2,12 +2,12 @@
 #pragma once
 
 #include <oleandergrade/clock.hpp>
+#include <oleandergrade/connection/endpoint.hpp>
 #include <oleandergrade/connection/http_message.hpp>
 #include <oleandergrade/error.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 #include <memory>
 #include <string>
@@ -15,10 +15,6 @@
 namespace oleandergrade
 {
 
-/// Parses "127.0.0.1:7000" or "[::1]:7000". Host names are refused.
-result<boost::asio::ip::tcp::endpoint>
-parse_endpoint(const std::string& address);
-
 /// A keep-alive connection that carries one exchange at a time. All members
 /// must run on the executor given to the constructor.
 class http_client
--- a/include/oleandergrade/process/entry_service.hpp
+++ b/include/oleandergrade/process/entry_service.hpp
@@ -51,8 +51,7 @@
     boost::asio::awaitable<void> await_freshness(time_point deadline);
     std::optional<answer> identify(request_state& state,
                                    const std::string& key);
-    boost::asio::awaitable<std::optional<answer>>
-    admit(request_state& state);
+    boost::asio::awaitable<std::optional<answer>> admit(request_state& state);
     std::optional<answer> take_in_session(request_state& state,
                                           const std::string& text);
     boost::asio::awaitable<answer> run(request_state& state);
--- a/programs/oleander_load.cpp
+++ b/programs/oleander_load.cpp
@@ -441,11 +441,13 @@
     for (const auto& [account, key] : users)
     {
         const auto rate = rates.find(account);
-        const auto interval = rate == rates.end()
-                                  ? duration::zero()
-                                  : std::chrono::duration_cast<duration>(
-                                        std::chrono::duration<double>(
-                                            FLAGS_clients / rate->second));
+        const auto clients =
+            account == FLAGS_noisy ? FLAGS_clients * 10 : FLAGS_clients;
+        const auto interval =
+            rate == rates.end()
+                ? duration::zero()
+                : std::chrono::duration_cast<duration>(
+                      std::chrono::duration<double>(clients / rate->second));
         for (unsigned i = 0; i < clients; ++i)
         {
             const auto name =
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -6,7 +6,6 @@
 #include <boost/beast/http.hpp>
 
 #include <cerrno>
-#include <charconv>
 #include <sys/socket.h>
 
 namespace oleandergrade
@@ -22,12 +21,6 @@
 
 constexpr std::size_t answer_body_bytes = 64 * 1024 * 1024;
 
-error invalid_address(const std::string& address)
-{
-    return {error_kind::invalid, "parse address", address,
-            "expected IP-NUMBER:PORT, such as 127.0.0.1:7000"};
-}
-
 error_kind kind_of(const error_code& failure)
 {
     return failure == beast::error::timeout ? error_kind::timeout
@@ -36,26 +29,6 @@
 
 } // namespace
 
-result<tcp::endpoint> parse_endpoint(const std::string& address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos || colon == 0)
-        return invalid_address(address);
-    std::string host = address.substr(0, colon);
-    if (host.front() == '[' && host.back() == ']')
-        host = host.substr(1, host.size() - 2);
-    error_code failure;
-    const auto number = asio::ip::make_address(host, failure);
-    if (failure)
-        return invalid_address(address);
-    std::uint16_t port = 0;
-    const char* end = address.data() + address.size();
-    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-    if (parsed.ec != std::errc() || parsed.ptr != end || port == 0)
-        return invalid_address(address);
-    return tcp::endpoint(number, port);
-}
-
 struct http_client::state
 {
     explicit state(const asio::any_io_executor& executor) : stream(executor) {}
--- a/src/process/control_service.cpp
+++ b/src/process/control_service.cpp
@@ -384,6 +384,10 @@
                             std::to_string(expected)};
     next.version = current + 1;
     auto value = serialize_configuration(next);
+    // What could not be read back would stop the whole fleet.
+    const auto readable = parse_configuration_record(value);
+    if (!succeeded(readable))
+        co_return error_of(readable);
     const auto swapped = co_await platform_->compare_and_swap(
         configuration_key, value_of(found).revision, value, milliseconds(0));
     if (!succeeded(swapped))
--- a/src/version/ini_document.cpp
+++ b/src/version/ini_document.cpp
@@ -1,10 +1,11 @@
 #include <oleandergrade/version/ini_document.hpp>
 
-#include <oleandergrade/connection/http_client.hpp>
+#include <oleandergrade/connection/endpoint.hpp>
 
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
+#include <boost/json.hpp>
 #include <boost/property_tree/ini_parser.hpp>
 
 #include <algorithm>
@@ -69,6 +70,15 @@
     std::vector<std::string> titles_;
 };
 
+// The text has to survive being kept as a JSON string.
+bool is_utf8(const std::string& text)
+{
+    boost::system::error_code failure;
+    (void)boost::json::parse(boost::json::serialize(boost::json::value(text)),
+                             failure);
+    return !failure;
+}
+
 ini_section make_section(const std::string& title, unsigned line)
 {
     ini_section section;
@@ -104,6 +114,11 @@
 {
     ini_document document;
     document.file = file;
+    if (!is_utf8(text))
+    {
+        problems.push_back({file, 0, "", "the file is not valid UTF-8"});
+        return document;
+    }
     boost::property_tree::ptree tree;
     try
     {
--- a/tests/test_configuration.cpp
+++ b/tests/test_configuration.cpp
@@ -87,6 +87,16 @@
     cr_assert(!problems.empty());
 }
 
+// Found by scripts/fuzz.sh: such a file was accepted and kept, and no VM could
+// read the record again.
+Test(configuration, refuses_files_that_are_not_utf8)
+{
+    std::vector<ini_problem> problems;
+    parse_configuration("f", "[fleet]\nfailure_domains = X\xc9\n", problems);
+    cr_assert(problems.size() == 1);
+    cr_assert(problems.front().message.find("UTF-8") != std::string::npos);
+}
+
 Test(configuration, record_survives_serialization)
 {
     std::vector<ini_problem> problems;
