Share listening sockets and JSON answers; transactions in the load tool

Cause: the same lines stood in three and two places; interactive transactions were in no experiment. Not run: the thread sanitizer.

--- a/programs/oleander_load.cpp
+++ b/programs/oleander_load.cpp
@@ -29,6 +29,7 @@
 DEFINE_string(noisy, "", "account that gets ten times the sessions");
 DEFINE_double(seconds, 5, "how long to send");
 DEFINE_double(writes, 0.2, "share of writes");
+DEFINE_double(transactions, 0, "share of interactive transactions");
 DEFINE_uint32(max_age_ms, 0, "accepted age of read data; 0 for sessions");
 DEFINE_uint32(deadline_ms, 2000, "deadline of each request");
 DEFINE_bool(request_ids, true, "give writes a request identifier");
@@ -110,7 +111,10 @@
 private:
     asio::awaitable<http_client*> choose_entry();
     asio::awaitable<json::object> send(const char* path, json::object body);
+    asio::awaitable<void> next_operation(double choice);
     asio::awaitable<void> write();
+    asio::awaitable<void> transact();
+    void begin_cell_if_full(unsigned numbers);
     asio::awaitable<void> read();
     asio::awaitable<void> read_direct();
     void check(const std::string& value);
@@ -150,13 +154,68 @@
         }
         if (!FLAGS_direct.empty())
             co_await read_direct();
-        else if (share(random_) < FLAGS_writes)
-            co_await write();
         else
-            co_await read();
+            co_await next_operation(share(random_));
     }
 }
 
+asio::awaitable<void> load_session::next_operation(double choice)
+{
+    if (choice < FLAGS_writes)
+        co_await write();
+    else if (choice < FLAGS_writes + FLAGS_transactions)
+        co_await transact();
+    else
+        co_await read();
+}
+
+void load_session::begin_cell_if_full(unsigned numbers)
+{
+    if (next_number_ + numbers <= writes_per_cell)
+        return;
+    ++cell_;
+    next_number_ = 0;
+    acknowledged_.clear();
+    unknown_.clear();
+}
+
+// Appends two numbers through different VMs. They must both appear or neither
+// of them, and never after a rollback.
+asio::awaitable<void> load_session::transact()
+{
+    begin_cell_if_full(2);
+    json::object begin;
+    const auto begun = co_await send("/v1/begin", std::move(begin));
+    const auto transaction = text_field(begun, "transaction");
+    if (transaction.empty())
+        co_return;
+    const auto first = next_number_;
+    next_number_ += 2;
+    bool is_whole = true;
+    for (const auto number : {first, first + 1})
+    {
+        json::object statement{{"key", cell()},
+                               {"append", std::to_string(number) + ";"}};
+        json::object body{{"statement", std::move(statement)},
+                          {"transaction", transaction}};
+        const auto written =
+            co_await send("/v1/transaction/write", std::move(body));
+        is_whole = is_whole && text_field(written, "run") == "ran";
+    }
+    const bool commits = is_whole && random_() % 4 != 0;
+    json::object end{{"transaction", transaction}};
+    const auto ended =
+        co_await send(commits ? "/v1/commit" : "/v1/rollback", std::move(end));
+    if (!commits)
+        co_return;
+    const auto run = text_field(ended, "run");
+    if (run == "not_run")
+        co_return;
+    auto& numbers = run == "ran" ? acknowledged_ : unknown_;
+    numbers.insert(first);
+    numbers.insert(first + 1);
+}
+
 asio::awaitable<json::object> load_session::send(const char* path,
                                                  json::object body)
 {
@@ -229,13 +288,7 @@
 
 asio::awaitable<void> load_session::write()
 {
-    if (next_number_ >= writes_per_cell)
-    {
-        ++cell_;
-        next_number_ = 0;
-        acknowledged_.clear();
-        unknown_.clear();
-    }
+    begin_cell_if_full(1);
     const auto number = next_number_++;
     json::object statement{{"key", cell()},
                            {"append", std::to_string(number) + ";"}};
--- a/scripts/experiments/faults.sh
+++ b/scripts/experiments/faults.sh
@@ -5,7 +5,8 @@
 #   scripts/experiments/faults.sh SCENARIO [PROFILE]
 #
 # Scenarios: steady, platform-down, platform-slow, lost-answers, pause-lead,
-# kill-vm, stop-vm, noisy, withdraw, race, cut-domain.
+# kill-vm, stop-vm, noisy, withdraw, race, cut-domain, transactions,
+# leave-target.
 # Every account sends 0.7 of its rate, but for the noisy one.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
@@ -109,6 +110,26 @@
         echo "$entry refuses $account's key $((($(date +%s%N) - start) / 1000000)) ms after the command returned"
     done
     ;;
+transactions)
+    run_load 15 --transactions=0.2
+    ;;
+leave-target)
+    database=$(cut -d, -f1 "$state/databases")
+    first=$(cut -d' ' -f1 "$state/admins" | head -1)
+    sed "s/^\[target $database-a\]/&\nleaving = yes/" "$fleet" \
+        >"$state/leaving.ini"
+    (sleep 4; ctl "$first" apply "$state/leaving.ini"; sleep 3
+        curl -s -X POST "http://$(awk -F' = ' -v section="[target $database-a]" \
+            '$0 == section {found = 1} found && $1 == "address" {print $2; exit}' \
+            "$fleet")/dump" | grep -o '"statements":[0-9]*'
+        sleep 3
+        curl -s -X POST "http://$(awk -F' = ' -v section="[target $database-a]" \
+            '$0 == section {found = 1} found && $1 == "address" {print $2; exit}' \
+            "$fleet")/dump" | grep -o '"statements":[0-9]*') &
+    run_load 15
+    ctl "$first" --json status | grep -o "\"database\":\"$database\",[^}]*" |
+        head -1
+    ;;
 race)
     first=$(cut -d' ' -f1 "$state/admins" | head -1)
     last=$(cut -d' ' -f1 "$state/admins" | tail -1)
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -1,5 +1,7 @@
 #include <oleandergrade/connection/http_server.hpp>
 
+#include <oleandergrade/connection/listener.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -224,14 +226,7 @@
                          http_handlers handlers)
     : state_(std::make_shared<state>(context, limits, std::move(handlers)))
 {
-    using reuse_port =
-        asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-    auto& acceptor = state_->acceptor;
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(asio::socket_base::reuse_address(true));
-    acceptor.set_option(reuse_port(true));
-    acceptor.bind(endpoint);
-    acceptor.listen(4096);
+    listen_shared(state_->acceptor, endpoint);
     asio::co_spawn(context, state_->accept_loop(), asio::detached);
 }
 
--- /dev/null
+++ b/src/connection/listener.cpp
@@ -0,0 +1,24 @@
+#include <oleandergrade/connection/listener.hpp>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+
+namespace
+{
+constexpr int backlog = 4096;
+} // namespace
+
+void listen_shared(asio::ip::tcp::acceptor& acceptor,
+                   const asio::ip::tcp::endpoint& endpoint)
+{
+    using reuse_port =
+        asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.set_option(reuse_port(true));
+    acceptor.bind(endpoint);
+    acceptor.listen(backlog);
+}
+
+} // namespace oleandergrade
--- a/src/process/admin_service.cpp
+++ b/src/process/admin_service.cpp
@@ -2,6 +2,7 @@
 
 #include <oleandergrade/connection/digest.hpp>
 #include <oleandergrade/connection/json_fields.hpp>
+#include <oleandergrade/connection/json_response.hpp>
 #include <oleandergrade/version/key_check.hpp>
 
 namespace oleandergrade
@@ -15,14 +16,6 @@
 constexpr auto explain_timeout = milliseconds(500);
 constexpr std::size_t session_secret_bytes = 32;
 
-http_response json_response(unsigned status, const json::object& body)
-{
-    http_response response;
-    response.status = status;
-    response.body = json::serialize(body);
-    return response;
-}
-
 http_response failure_response(const error& failure)
 {
     const unsigned status = failure.kind == error_kind::conflict  ? 409
--- a/src/process/peer_service.cpp
+++ b/src/process/peer_service.cpp
@@ -1,5 +1,6 @@
 #include <oleandergrade/process/peer_service.hpp>
 
+#include <oleandergrade/connection/listener.hpp>
 #include <oleandergrade/connection/peer_link.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -20,13 +21,7 @@
     : acceptor_(worker), context_(context), owner_(owner), bank_(bank),
       control_(control), control_executor_(std::move(control_executor))
 {
-    using reuse_port =
-        asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-    acceptor_.open(endpoint.protocol());
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.set_option(reuse_port(true));
-    acceptor_.bind(endpoint);
-    acceptor_.listen(1024);
+    listen_shared(acceptor_, endpoint);
 }
 
 void peer_service::start()
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -4,6 +4,7 @@
 #include <oleandergrade/connection/http_client.hpp>
 #include <oleandergrade/connection/http_server.hpp>
 #include <oleandergrade/connection/json_fields.hpp>
+#include <oleandergrade/connection/json_response.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -52,14 +53,6 @@
     bool leaving = false;
 };
 
-http_response json_response(unsigned status, const json::object& body)
-{
-    http_response response;
-    response.status = status;
-    response.body = json::serialize(body);
-    return response;
-}
-
 /// Serves the store and the VM list. Everything runs on one thread.
 class platform_process
 {
--- a/standins/target_process.cpp
+++ b/standins/target_process.cpp
@@ -1,6 +1,7 @@
 #include "target_process.hpp"
 
 #include <oleandergrade/connection/json_fields.hpp>
+#include <oleandergrade/connection/json_response.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,14 +23,6 @@
 constexpr auto pull_retry_delay = milliseconds(20);
 constexpr std::uint64_t max_progress_wait_ms = 1000;
 
-http_response json_response(unsigned status, const json::object& body)
-{
-    http_response response;
-    response.status = status;
-    response.body = json::serialize(body);
-    return response;
-}
-
 http_response refuse(unsigned status, const char* code, std::uint64_t term)
 {
     return json_response(status, {{"error", code}, {"term", term}});
