--- a/include/oleandergrade/process/target_gateway.hpp
+++ b/include/oleandergrade/process/target_gateway.hpp
@@ -68,6 +68,7 @@
     boost::asio::awaitable<answer> run_single(statement sent,
                                               time_point deadline);
     boost::asio::awaitable<answer> begin(statement sent, time_point deadline);
+    boost::asio::awaitable<bool> await_transaction_place(time_point deadline);
     boost::asio::awaitable<answer> run_in_transaction(statement sent,
                                                       time_point deadline);
     boost::asio::awaitable<answer> confirm(answer done, time_point deadline);
--- a/include/oleandergrade/version/ini_document.hpp
+++ b/include/oleandergrade/version/ini_document.hpp
@@ -67,6 +67,9 @@
     std::string address(const std::string& key);
     std::uint64_t number(const std::string& key, std::uint64_t fallback,
                          std::uint64_t lowest, std::uint64_t highest);
+    /// Reports the key if it is absent; returns 0 for whatever is wrong.
+    std::uint64_t required_number(const std::string& key, std::uint64_t lowest,
+                                  std::uint64_t highest);
     bool flag(const std::string& key, bool fallback);
     /// A list separated by commas.
     std::vector<std::string> list(const std::string& key);
--- a/src/process/target_gateway.cpp
+++ b/src/process/target_gateway.cpp
@@ -34,6 +34,9 @@
 constexpr auto handover_retry_after = milliseconds(10);
 /// A replica that is a little behind a session is asked once more.
 constexpr auto behind_wait = milliseconds(2);
+/// How long a transaction waits for others to end before it is refused.
+constexpr auto transaction_wait = milliseconds(500);
+constexpr auto transaction_poll_interval = milliseconds(5);
 constexpr auto sweep_interval = milliseconds(500);
 constexpr std::size_t transaction_id_bytes = 12;
 
@@ -169,8 +172,7 @@
 asio::awaitable<answer> target_gateway::begin(statement sent,
                                               time_point deadline)
 {
-    const auto in_flight = declared_.slots + extra_in_flight;
-    if (transactions_.size() + in_flight >= connection_limit())
+    if (!co_await await_transaction_place(deadline))
         co_return refuse(refusal_code::overloaded, "begin", declared_.name,
                          "too many transactions are open",
                          overload_retry_after);
@@ -197,6 +199,21 @@
     co_return outcome;
 }
 
+// Transactions hold connections; some are left to other statements.
+asio::awaitable<bool>
+target_gateway::await_transaction_place(time_point deadline)
+{
+    const auto end = std::min(deadline, clock::now() + transaction_wait);
+    const auto in_flight = declared_.slots + extra_in_flight;
+    while (transactions_.size() + in_flight >= connection_limit())
+    {
+        if (clock::now() >= end)
+            co_return false;
+        co_await sleep_for(transaction_poll_interval);
+    }
+    co_return true;
+}
+
 asio::awaitable<answer> target_gateway::run_in_transaction(statement sent,
                                                            time_point deadline)
 {
--- a/src/version/configuration.cpp
+++ b/src/version/configuration.cpp
@@ -35,9 +35,7 @@
 {
     client_account account;
     account.name = name;
-    account.rate = reader.number("rate", 0, 1, max_rate);
-    if (account.rate == 0)
-        reader.report("rate", "is missing");
+    account.rate = reader.required_number("rate", 1, max_rate);
     account.burst = reader.number("burst", account.rate, 1, max_rate);
     account.weight = reader.number("weight", 1, 1, max_weight);
     account.databases = reader.list("databases");
--- a/src/version/ini_document.cpp
+++ b/src/version/ini_document.cpp
@@ -197,6 +197,15 @@
     return fallback;
 }
 
+std::uint64_t ini_reader::required_number(const std::string& key,
+                                          std::uint64_t lowest,
+                                          std::uint64_t highest)
+{
+    if (section_.find(key) == nullptr)
+        report(key, "is missing");
+    return number(key, 0, lowest, highest);
+}
+
 bool ini_reader::flag(const std::string& key, bool fallback)
 {
     const auto* entry = use(key);
