Ask replicas for their status once a second

Tried: gateways asked each replica 20 times a second; now once, and at once when the group names the target as primary.

--- a/include/oleandergrade/process/target_gateway.hpp
+++ b/include/oleandergrade/process/target_gateway.hpp
@@ -86,6 +86,7 @@
 
     boost::asio::awaitable<void> open_connections();
     boost::asio::awaitable<void> watch_target();
+    boost::asio::awaitable<void> sleep_as_replica();
     void take_in_status(const target_status& status);
     void resolve_confirmations();
     boost::asio::awaitable<void> sweep_transactions();
--- a/src/process/target_gateway.cpp
+++ b/src/process/target_gateway.cpp
@@ -22,7 +22,8 @@
 constexpr std::size_t extra_in_flight = 1;
 /// Connections left to monitoring, promotion and operators.
 constexpr std::size_t reserved_connections = 4;
-constexpr auto replica_poll_interval = milliseconds(50);
+constexpr auto replica_poll_interval = milliseconds(1000);
+constexpr auto role_check_interval = milliseconds(20);
 constexpr auto open_timeout = milliseconds(1000);
 constexpr auto watch_wait = milliseconds(1000);
 constexpr auto watch_timeout = milliseconds(1500);
@@ -453,11 +454,25 @@
         }
         take_in_status(value_of(outcome));
         if (!value_of(outcome).primary)
-            co_await sleep_for(replica_poll_interval);
+            co_await sleep_as_replica();
     }
     watching_ = false;
 }
 
+// A replica's status is of little use; but the target may become primary, and
+// then its first write must not wait for the next poll.
+asio::awaitable<void> target_gateway::sleep_as_replica()
+{
+    const auto end = clock::now() + replica_poll_interval;
+    while (!stopping_ && clock::now() < end)
+    {
+        co_await sleep_for(role_check_interval);
+        const auto group = context_.view.group(declared_.database);
+        if (group.steady && group.primary == declared_.name)
+            co_return;
+    }
+}
+
 void target_gateway::take_in_status(const target_status& status)
 {
     const auto now = clock::now();
