--- a/standins/target_process.cpp
+++ b/standins/target_process.cpp
@@ -328,15 +328,20 @@
     co_return json_response(200, status_object());
 }
 
+http_response target_process::command_reply(bool granted)
+{
+    notify_change();
+    auto answer = status_object();
+    answer["granted"] = granted;
+    return json_response(200, answer);
+}
+
 asio::awaitable<http_response>
 target_process::serve_fence(const http_request&, const json::object& body)
 {
     const bool held = database_.fence(number_field(body, "term"),
                                       text_field(body, "coordinator"));
-    notify_change();
-    auto answer = status_object();
-    answer["granted"] = held;
-    co_return json_response(200, answer);
+    co_return command_reply(held);
 }
 
 asio::awaitable<http_response>
@@ -344,10 +349,7 @@
 {
     const bool done = database_.promote(number_field(body, "term"),
                                         text_field(body, "coordinator"));
-    notify_change();
-    auto answer = status_object();
-    answer["granted"] = done;
-    co_return json_response(200, answer);
+    co_return command_reply(done);
 }
 
 asio::awaitable<http_response>
@@ -355,10 +357,7 @@
 {
     const bool done = database_.follow(number_field(body, "term"),
                                        text_field(body, "primary"));
-    notify_change();
-    auto answer = status_object();
-    answer["granted"] = done;
-    co_return json_response(200, answer);
+    co_return command_reply(done);
 }
 
 asio::awaitable<http_response>
--- a/standins/target_process.hpp
+++ b/standins/target_process.hpp
@@ -127,6 +127,8 @@
     boost::asio::awaitable<void> wait_for_change(duration limit);
     void notify_change();
     boost::json::object status_object() const;
+    /// Wakes up whoever waits for a change and tells the new status.
+    http_response command_reply(bool granted);
     http_response reply(const standins::statement_reply& outcome) const;
 
     boost::asio::io_context& context_;
