Take a key that an owner does not know for a new one

Cause: scripts/demo.sh, run as the README says, showed 2 requests refused as key_withdrawn with a key that had just been issued: the owner had not heard of its version yet, and took an unknown key for a withdrawn one after the queue. Keys are never removed, only marked, so unknown means newer.

--- a/include/oleandergrade/version/key_check.hpp
+++ b/include/oleandergrade/version/key_check.hpp
@@ -32,8 +32,9 @@
 key_decision check_key(const configuration& configuration,
                        const std::string& presented);
 
-/// Whether an admitted key is still valid in a later version.
-bool is_key_in_force(const configuration& configuration,
-                     const std::string& key_id);
+/// Whether an admitted key has been withdrawn since. A key that is not known
+/// has not: it may have been issued in a version later than this one.
+bool is_key_withdrawn(const configuration& configuration,
+                      const std::string& key_id);
 
 } // namespace oleandergrade
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -107,12 +107,14 @@
 }
 
 all_ready() {
-    local admin
+    local admin version versions=""
     while read -r _ admin; do
         local status
         status=$("$programs/oleanderctl" --node="$admin" --json status)
         [[ $status == *'"may_serve":true'* ]] || return 1
         [[ $status != *'"lead":""'* ]] || return 1
+        version=$(grep -o '"version":[0-9]*' <<<"$status")
+        [ "${versions:=$version}" = "$version" ] || return 1
     done <"$state/admins"
     [ "$(control --json status | grep -o '"steady":true' | wc -l)" -gt 0 ]
 }
--- a/src/process/target_gateway.cpp
+++ b/src/process/target_gateway.cpp
@@ -342,7 +342,7 @@
                          overload_retry_after);
     }
     const auto latest = context_.view.current_configuration();
-    if (!sent.key_id.empty() && !is_key_in_force(*latest, sent.key_id))
+    if (is_key_withdrawn(*latest, sent.key_id))
     {
         release_turn();
         co_return refuse(refusal_code::key_withdrawn, "queue", declared_.name,
--- a/src/version/key_check.cpp
+++ b/src/version/key_check.cpp
@@ -59,12 +59,13 @@
     return decision;
 }
 
-bool is_key_in_force(const configuration& configuration,
-                     const std::string& key_id)
+bool is_key_withdrawn(const configuration& configuration,
+                      const std::string& key_id)
 {
     const auto found = configuration.keys.find(key_id);
-    return found != configuration.keys.end() && !found->second.withdrawn &&
-           configuration.find_account(found->second.account) != nullptr;
+    return found != configuration.keys.end() &&
+           (found->second.withdrawn ||
+            configuration.find_account(found->second.account) == nullptr);
 }
 
 } // namespace oleandergrade
