--- a/include/oleandergrade/process/fair_queue.hpp
+++ b/include/oleandergrade/process/fair_queue.hpp
@@ -1,14 +1,11 @@
 /// Orders the work that waits for one target fairly over client accounts.
 #pragma once
 
-#include <oleandergrade/clock.hpp>
-
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace oleandergrade
 {
@@ -21,7 +18,7 @@
 };
 
 /// Deficit round robin over accounts by weight. Every statement costs one
-/// unit. Holds no clock: the time is passed in.
+/// unit. Deadlines are the caller's, which removes what it gives up.
 class fair_queue
 {
 public:
@@ -29,33 +26,24 @@
 
     /// Adds a statement; false if a limit is reached.
     bool push(std::uint64_t ticket, const std::string& account,
-              std::uint64_t weight, time_point deadline);
+              std::uint64_t weight);
 
     /// Takes the next statement whose turn it is.
     std::optional<std::uint64_t> pop();
 
-    /// Removes and returns the statements whose deadline has passed.
-    std::vector<std::uint64_t> remove_expired(time_point now);
-
     /// Removes one statement, if it still waits.
     bool remove(std::uint64_t ticket);
 
     std::size_t size() const { return size_; }
-    std::size_t size_of(const std::string& account) const;
 
 private:
-    struct entry
-    {
-        std::uint64_t ticket = 0;
-        time_point deadline;
-    };
     struct account_queue
     {
         std::uint64_t weight = 1;
         std::uint64_t deficit = 0;
         /// The account stands in `turns_`.
         bool has_turn = false;
-        std::deque<entry> entries;
+        std::deque<std::uint64_t> tickets;
     };
 
     fair_queue_limits limits_;
--- a/src/process/target_gateway.cpp
+++ b/src/process/target_gateway.cpp
@@ -326,7 +326,7 @@
     const auto* account = configuration->find_account(sent.account);
     const auto ticket = next_ticket_++;
     if (!queue_.push(ticket, sent.account,
-                     account == nullptr ? 1 : account->weight, deadline))
+                     account == nullptr ? 1 : account->weight))
         co_return refuse(refusal_code::overloaded, "queue", declared_.name,
                          "the queue of the target is full",
                          overload_retry_after);
--- a/tests/test_request.cpp
+++ b/tests/test_request.cpp
@@ -1,6 +1,7 @@
 /// Tests of tokens, keys, routes and retries.
 #include <oleandergrade/connection/peer_message.hpp>
 #include <oleandergrade/connection/session_token.hpp>
+#include <oleandergrade/process/fair_queue.hpp>
 #include <oleandergrade/request/caller_request.hpp>
 #include <oleandergrade/request/retry_policy.hpp>
 #include <oleandergrade/request/router.hpp>
@@ -275,3 +276,34 @@
     cr_assert(!succeeded(decode_peer_message("\x01")));
     cr_assert(!succeeded(decode_peer_message(std::string(64, '\xff'))));
 }
+
+Test(fair_queue, shares_turns_by_weight)
+{
+    fair_queue queue;
+    for (std::uint64_t ticket = 0; ticket < 300; ++ticket)
+        cr_assert(queue.push(ticket, "noisy", 1));
+    for (std::uint64_t ticket = 1000; ticket < 1030; ++ticket)
+        cr_assert(queue.push(ticket, "large", 2));
+    unsigned large = 0;
+    for (int turn = 0; turn < 45; ++turn)
+        large += *queue.pop() >= 1000 ? 1 : 0;
+    cr_assert(large == 30);
+    cr_assert(queue.size() == 285);
+}
+
+Test(fair_queue, forgets_removed_statements_and_keeps_its_limits)
+{
+    fair_queue queue({3, 2});
+    cr_assert(queue.push(1, "a", 1));
+    cr_assert(queue.push(2, "a", 1));
+    cr_assert(!queue.push(3, "a", 1));
+    cr_assert(queue.push(4, "b", 1));
+    cr_assert(!queue.push(5, "c", 1));
+    cr_assert(queue.remove(1));
+    cr_assert(queue.remove(2));
+    cr_assert(!queue.remove(2));
+    cr_assert(queue.push(6, "a", 1));
+    cr_assert(queue.size() == 2);
+    cr_assert(queue.pop().has_value() && queue.pop().has_value());
+    cr_assert(!queue.pop().has_value());
+}
