--- a/include/oleandergrade/connection/http_message.hpp
+++ b/include/oleandergrade/connection/http_message.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace oleandergrade
 {
@@ -14,6 +16,8 @@
     std::string body;
     /// Value of the Oleander-Key header; empty if absent.
     std::string key;
+    /// Further headers to send; not filled in for received requests.
+    std::vector<std::pair<std::string, std::string>> headers;
     /// Number of the connection the request came on, unique per server.
     std::uint64_t connection = 0;
 };
--- a/include/oleandergrade/connection/peer_message.hpp
+++ b/include/oleandergrade/connection/peer_message.hpp
@@ -1,6 +1,7 @@
 /// Messages between daemons and their Cap'n Proto encoding.
 #pragma once
 
+#include <oleandergrade/connection/fleet_message.hpp>
 #include <oleandergrade/error.hpp>
 #include <oleandergrade/process/heartbeat.hpp>
 #include <oleandergrade/process/token_messages.hpp>
@@ -65,7 +66,9 @@
 using peer_body =
     std::variant<statement, answer, token_request, token_grant, heartbeat,
                  heartbeat_reply, group_announcement, configuration_request,
-                 configuration_reply, trace_request, trace_reply>;
+                 configuration_reply, trace_request, trace_reply, fleet_report,
+                 fleet_grant, primary_notice, notice_receipt, snapshot_request,
+                 fleet_snapshot>;
 
 /// One frame. An answer carries the number of its question.
 struct peer_message
--- /dev/null
+++ b/include/oleandergrade/process/configuration/store_follower.hpp
@@ -0,0 +1,57 @@
+/// Follows everything below a prefix of the store.
+#pragma once
+
+#include <oleandergrade/process/metadata_store.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <string>
+
+namespace oleandergrade
+{
+
+/// Reads the prefix whole, then watches it, and reads it again when the
+/// history has been dropped. All members run on one executor.
+class store_follower
+{
+public:
+    /// Answers to a watch may be lost; a later watch repeats what they held.
+    static constexpr milliseconds watch_time{8000};
+    static constexpr milliseconds first_pause{100};
+    static constexpr milliseconds longest_pause{800};
+
+    struct handlers
+    {
+        /// Replaces all that is known.
+        std::function<void(const stored_range&)> on_all;
+        std::function<void(const stored_change&)> on_change;
+    };
+
+    store_follower(boost::asio::any_io_executor executor, metadata_store& store,
+                   std::string prefix, handlers behaviour);
+
+    void start();
+
+    /// The store has answered the last call.
+    bool is_in_touch() const { return in_touch_; }
+    bool has_read() const { return has_read_; }
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<bool> read();
+    boost::asio::awaitable<bool> watch();
+    boost::asio::awaitable<void> on_failure(const error& failure);
+    void on_answer();
+
+    boost::asio::any_io_executor executor_;
+    metadata_store& store_;
+    std::string prefix_;
+    handlers handlers_;
+    std::uint64_t as_of_ = 0;
+    milliseconds pause_ = first_pause;
+    bool in_touch_ = false;
+    bool has_read_ = false;
+};
+
+} // namespace oleandergrade
--- /dev/null
+++ b/include/oleandergrade/process/limits/operation_limiter.hpp
@@ -0,0 +1,79 @@
+/// Admits operations of client accounts at one VM. Pure logic.
+#pragma once
+
+#include <oleandergrade/clock.hpp>
+#include <oleandergrade/connection/fleet_message.hpp>
+#include <oleandergrade/version/route_table.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace oleandergrade
+{
+
+/// Whether an operation may run, and if not, when to come back.
+struct admission
+{
+    bool admitted = false;
+    milliseconds retry_after{0};
+
+    bool operator==(const admission&) const = default;
+};
+
+/// A token bucket per account. Its rate and burst are the VM's share of the
+/// account's limits, which the duty's holder assigns by demand. Without a valid
+/// share the VM takes an equal part, which the holder keeps free for it.
+class operation_limiter
+{
+public:
+    /// How long a share holds. Longer than it takes to replace a holder.
+    static constexpr milliseconds share_validity{2500};
+    /// Time over which demand is averaged.
+    static constexpr milliseconds demand_time{1000};
+    /// Part of an account's burst that may gather at the VMs; the rest is
+    /// kept for shares that are moved.
+    static constexpr double burst_part = 0.5;
+
+    /// `starts_full`: no other run of the fleet can have spent the burst.
+    explicit operation_limiter(bool starts_full);
+
+    void use_limits(const std::map<std::string, route_account>& accounts,
+                    std::uint32_t members, time_point now);
+    void use_members(std::uint32_t members) { members_ = members; }
+    /// Shares that were asked for at `asked_at`.
+    void use_shares(const std::vector<account_share>& shares,
+                    time_point asked_at, time_point now);
+
+    admission admit(const std::string& account, time_point now);
+
+    /// Demand and valid shares of accounts that were used lately.
+    std::vector<account_demand> demands(time_point now);
+
+private:
+    struct bucket
+    {
+        double limit_rate = 0;
+        double limit_burst = 0;
+        double share_rate = 0;
+        double share_burst = 0;
+        time_point share_until;
+        double tokens = 0;
+        time_point filled_at;
+        /// Operations asked for, decaying over `demand_time`.
+        double recent = 0;
+        time_point recent_at;
+    };
+
+    double rate_of(const bucket& account, time_point now) const;
+    double burst_of(const bucket& account, time_point now) const;
+    void fill(bucket& account, time_point now) const;
+    static void decay(bucket& account, time_point now);
+
+    bool starts_full_;
+    std::uint32_t members_ = 1;
+    std::map<std::string, bucket> buckets_;
+};
+
+} // namespace oleandergrade
--- /dev/null
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -0,0 +1,105 @@
+/// Keeps a VM in touch with the store, the other VMs and the duty's holder.
+#pragma once
+
+#include <oleandergrade/connection/peer_link.hpp>
+#include <oleandergrade/process/configuration/store_follower.hpp>
+#include <oleandergrade/process/failover/failover_driver.hpp>
+#include <oleandergrade/process/failover/grant_ledger.hpp>
+#include <oleandergrade/process/fleet_state.hpp>
+#include <oleandergrade/process/limits/share_ledger.hpp>
+#include <oleandergrade/process/membership/duty_election.hpp>
+#include <oleandergrade/process/membership/peer_calls.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace oleandergrade
+{
+
+/// Each VM reports to the duty's holder several times a second and gets a
+/// grant back: how long it may use primaries, which ones, and its share of the
+/// accounts' limits. All members run on one executor.
+class fleet_service
+{
+public:
+    static constexpr milliseconds report_interval{250};
+    static constexpr milliseconds call_timeout{400};
+    /// A configuration that another VM has and the store has not shown for
+    /// this long is fetched from that VM.
+    static constexpr milliseconds configuration_patience{300};
+
+    fleet_service(boost::asio::io_context& context, fleet_state& state);
+    ~fleet_service();
+
+    /// Throws boost::system::system_error if the peer address is taken.
+    void start();
+    /// Gives the duty up, if this VM holds it.
+    boost::asio::awaitable<void> retire();
+
+    const duty_election& duty() const { return duty_; }
+    failover_driver& failover() { return failover_; }
+
+private:
+    void use_configuration(const std::string& record, const char* source);
+    void use_all_targets(const stored_range& range);
+    void use_target(const std::string& key,
+                    const std::optional<std::string>& value);
+    void use_all_own_keys(const stored_range& range);
+    void use_own_key(const stored_change& change);
+    void use_record(const primary_record& record, const char* source);
+    void on_members_changed();
+    void on_targets_changed();
+
+    boost::asio::awaitable<void> register_member();
+    boost::asio::awaitable<void> elect();
+    boost::asio::awaitable<void> run_duty_call(duty_call call);
+    void on_duty_changed();
+    boost::asio::awaitable<void> report_to_holder();
+    boost::asio::awaitable<void> report_once();
+    std::string report_address();
+    fleet_report make_report();
+    void use_grant(const fleet_grant& grant, const std::string& address,
+                   time_point sent_at);
+    void grant_to_self(time_point now);
+    boost::asio::awaitable<void> fetch_snapshot(std::string address);
+    void use_snapshot(const fleet_snapshot& snapshot);
+
+    boost::asio::awaitable<void> accept_loop();
+    boost::asio::awaitable<peer_body> serve(peer_body body);
+    fleet_grant answer_report(const fleet_report& report);
+    boost::asio::awaitable<notice_receipt> take_notice(primary_notice notice);
+    fleet_snapshot make_snapshot(std::uint64_t known_version) const;
+    bool may_grant(time_point now) const;
+
+    boost::asio::io_context& context_;
+    fleet_state& state_;
+    duty_election duty_;
+    grant_ledger ledger_;
+    share_ledger shares_;
+    peer_calls peers_;
+    failover_driver failover_;
+    store_follower configuration_follower_;
+    store_follower target_follower_;
+    store_follower own_follower_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer election_poke_;
+    boost::asio::steady_timer report_poke_;
+    bool registered_ = false;
+    bool held_duty_ = false;
+    bool had_grant_ = false;
+    bool fetching_ = false;
+    unsigned failed_reports_ = 0;
+    std::size_t next_peer_ = 0;
+    /// The holder as other VMs name it, if the store does not.
+    std::string hinted_holder_;
+    /// Since when another VM has a newer configuration.
+    std::optional<time_point> behind_since_;
+};
+
+} // namespace oleandergrade
--- /dev/null
+++ b/include/oleandergrade/process/vm_daemon.hpp
@@ -0,0 +1,60 @@
+/// The process that runs on every VM of a fleet on the platform.
+#pragma once
+
+#include <oleandergrade/connection/http_server.hpp>
+#include <oleandergrade/process/fleet_state.hpp>
+#include <oleandergrade/process/membership/fleet_service.hpp>
+#include <oleandergrade/process/serving/session_server.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace oleandergrade
+{
+
+/// Starts the parts, answers for readiness and metrics, and stops in order:
+/// it reports itself as not ready, ends sessions as they become idle, and ends
+/// before the time to stop is over.
+class vm_daemon
+{
+public:
+    /// Reads the settings again; used at SIGHUP.
+    using settings_reader = std::function<result<vm_settings>()>;
+
+    vm_daemon(boost::asio::io_context& context, vm_settings settings,
+              platform_parts& platform, settings_reader read_settings);
+
+    /// Runs until the process was asked to stop. Throws
+    /// boost::system::system_error if an address is taken.
+    void run();
+
+private:
+    void start_http();
+    boost::asio::awaitable<http_response> serve_readiness(http_request request);
+    boost::asio::awaitable<http_response> serve_metrics(http_request request);
+    boost::asio::awaitable<void> wait_for_signals();
+    boost::asio::awaitable<void> stop();
+    void reload();
+    bool is_ready() const;
+    std::string metrics_text() const;
+    std::string state_text() const;
+
+    boost::asio::io_context& context_;
+    platform_parts& platform_;
+    settings_reader read_settings_;
+    fleet_state state_;
+    serving_metrics measured_;
+    statement_runner runner_;
+    fleet_service fleet_;
+    session_server sessions_;
+    std::unique_ptr<http_server> readiness_;
+    std::unique_ptr<http_server> metrics_;
+    boost::asio::signal_set signals_;
+};
+
+} // namespace oleandergrade
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -4,4 +4,5 @@
 apt-get update
 apt-get install -y cmake ninja-build g++ clang-format clang-tidy curl \
     libboost1.81-dev libboost-log1.81-dev libboost-json1.81-dev \
-    libcapnp-dev libgflags-dev libcriterion-dev libxxhash-dev libssl-dev
+    libcapnp-dev libgflags-dev libcriterion-dev libxxhash-dev libssl-dev \
+    libtomlplusplus-dev
--- /dev/null
+++ b/src/connection/fleet_message_codec.cpp
@@ -0,0 +1,192 @@
+#include "fleet_message_codec.hpp"
+
+#include "wire_values.hpp"
+
+namespace oleandergrade
+{
+
+namespace
+{
+
+template <typename Value> unsigned size_of(const std::vector<Value>& values)
+{
+    return static_cast<unsigned>(values.size());
+}
+
+void write(wire::PrimaryState::Builder out, const primary_state& in)
+{
+    out.setGroup(in.record.group);
+    out.setTerm(in.record.term);
+    out.setTarget(in.record.target);
+    out.setIsOpen(in.record.is_open);
+    out.setIsPlanned(in.record.is_planned);
+    out.setRevision(in.record.revision);
+    out.setHasPosition(in.has_position);
+    out.setPosition(in.position);
+    out.setPositionAge(count(in.position_age));
+}
+
+primary_state read(wire::PrimaryState::Reader in)
+{
+    primary_state out;
+    out.record.group = text(in.getGroup());
+    out.record.term = in.getTerm();
+    out.record.target = text(in.getTarget());
+    out.record.is_open = in.getIsOpen();
+    out.record.is_planned = in.getIsPlanned();
+    out.record.revision = in.getRevision();
+    out.has_position = in.getHasPosition();
+    out.position = in.getPosition();
+    out.position_age = ms(in.getPositionAge());
+    return out;
+}
+
+void write(capnp::List<wire::PrimaryState>::Builder out,
+           const std::vector<primary_state>& in)
+{
+    for (unsigned i = 0; i < in.size(); ++i)
+        write(out[i], in[i]);
+}
+
+std::vector<primary_state> read(capnp::List<wire::PrimaryState>::Reader in)
+{
+    std::vector<primary_state> out;
+    for (const auto state : in)
+        out.push_back(read(state));
+    return out;
+}
+
+void write(capnp::List<wire::SnapshotItem>::Builder out,
+           const std::vector<snapshot_item>& in)
+{
+    for (unsigned i = 0; i < in.size(); ++i)
+    {
+        out[i].setKey(in[i].key);
+        out[i].setValue(to_data(in[i].value));
+    }
+}
+
+std::vector<snapshot_item> read(capnp::List<wire::SnapshotItem>::Reader in)
+{
+    std::vector<snapshot_item> out;
+    for (const auto item : in)
+        out.push_back({text(item.getKey()), bytes(item.getValue())});
+    return out;
+}
+
+} // namespace
+
+void write(wire::FleetReport::Builder out, const fleet_report& in)
+{
+    out.setVm(in.vm);
+    out.setIncarnation(in.incarnation);
+    out.setIsRegistered(in.is_registered);
+    out.setToken(in.token);
+    out.setConfigurationVersion(in.configuration_version);
+    auto troubles = out.initTroubles(size_of(in.troubles));
+    for (unsigned i = 0; i < in.troubles.size(); ++i)
+    {
+        troubles[i].setTarget(in.troubles[i].target);
+        troubles[i].setSince(count(in.troubles[i].lasting));
+    }
+    auto demands = out.initDemands(size_of(in.demands));
+    for (unsigned i = 0; i < in.demands.size(); ++i)
+    {
+        demands[i].setAccount(in.demands[i].account);
+        demands[i].setWanted(in.demands[i].wanted);
+        demands[i].setHeld(in.demands[i].held);
+    }
+}
+
+fleet_report read(wire::FleetReport::Reader in)
+{
+    fleet_report out;
+    out.vm = text(in.getVm());
+    out.incarnation = in.getIncarnation();
+    out.is_registered = in.getIsRegistered();
+    out.token = in.getToken();
+    out.configuration_version = in.getConfigurationVersion();
+    for (const auto trouble : in.getTroubles())
+        out.troubles.push_back(
+            {text(trouble.getTarget()), ms(trouble.getSince())});
+    for (const auto demand : in.getDemands())
+        out.demands.push_back(
+            {text(demand.getAccount()), demand.getWanted(), demand.getHeld()});
+    return out;
+}
+
+void write(wire::FleetGrant::Builder out, const fleet_grant& in)
+{
+    out.setAccepted(in.accepted);
+    out.setToken(in.token);
+    out.setValidity(count(in.validity));
+    out.setMembers(in.members);
+    out.setHolder(in.holder);
+    out.setConfigurationVersion(in.configuration_version);
+    write(out.initPrimaries(size_of(in.primaries)), in.primaries);
+    auto shares = out.initShares(size_of(in.shares));
+    for (unsigned i = 0; i < in.shares.size(); ++i)
+    {
+        shares[i].setAccount(in.shares[i].account);
+        shares[i].setRate(in.shares[i].rate);
+        shares[i].setBurst(in.shares[i].burst);
+    }
+}
+
+fleet_grant read(wire::FleetGrant::Reader in)
+{
+    fleet_grant out;
+    out.accepted = in.getAccepted();
+    out.token = in.getToken();
+    out.validity = ms(in.getValidity());
+    out.members = in.getMembers();
+    out.holder = text(in.getHolder());
+    out.configuration_version = in.getConfigurationVersion();
+    out.primaries = read(in.getPrimaries());
+    for (const auto share : in.getShares())
+        out.shares.push_back(
+            {text(share.getAccount()), share.getRate(), share.getBurst()});
+    return out;
+}
+
+void write(wire::PrimaryNotice::Builder out, const primary_notice& in)
+{
+    out.setToken(in.token);
+    out.setHolder(in.holder);
+    write(out.initPrimaries(size_of(in.primaries)), in.primaries);
+}
+
+primary_notice read(wire::PrimaryNotice::Reader in)
+{
+    return {in.getToken(), text(in.getHolder()), read(in.getPrimaries())};
+}
+
+void write(wire::NoticeReceipt::Builder out, const notice_receipt& in)
+{
+    out.setVm(in.vm);
+    out.setIncarnation(in.incarnation);
+    out.setToken(in.token);
+    out.setAccepted(in.accepted);
+}
+
+notice_receipt read(wire::NoticeReceipt::Reader in)
+{
+    return {text(in.getVm()), in.getIncarnation(), in.getToken(),
+            in.getAccepted()};
+}
+
+void write(wire::FleetSnapshot::Builder out, const fleet_snapshot& in)
+{
+    out.setConfigurationVersion(in.configuration_version);
+    out.setConfiguration(to_data(in.configuration));
+    write(out.initTargets(size_of(in.targets)), in.targets);
+    write(out.initMembers(size_of(in.members)), in.members);
+}
+
+fleet_snapshot read(wire::FleetSnapshot::Reader in)
+{
+    return {in.getConfigurationVersion(), bytes(in.getConfiguration()),
+            read(in.getTargets()), read(in.getMembers())};
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/connection/fleet_message_codec.hpp
@@ -0,0 +1,26 @@
+/// Cap'n Proto encoding of the fleet's messages.
+#pragma once
+
+#include "peer_message.capnp.h"
+
+#include <oleandergrade/connection/fleet_message.hpp>
+
+namespace oleandergrade
+{
+
+void write(wire::FleetReport::Builder out, const fleet_report& in);
+fleet_report read(wire::FleetReport::Reader in);
+
+void write(wire::FleetGrant::Builder out, const fleet_grant& in);
+fleet_grant read(wire::FleetGrant::Reader in);
+
+void write(wire::PrimaryNotice::Builder out, const primary_notice& in);
+primary_notice read(wire::PrimaryNotice::Reader in);
+
+void write(wire::NoticeReceipt::Builder out, const notice_receipt& in);
+notice_receipt read(wire::NoticeReceipt::Reader in);
+
+void write(wire::FleetSnapshot::Builder out, const fleet_snapshot& in);
+fleet_snapshot read(wire::FleetSnapshot::Reader in);
+
+} // namespace oleandergrade
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -1,5 +1,7 @@
 #include <oleandergrade/connection/http_client.hpp>
 
+#include <oleandergrade/connection/socket_options.hpp>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -85,7 +87,7 @@
     if (failure)
         co_return error{error_kind::unreachable, "connect", address_,
                         failure.message()};
-    stream.socket().set_option(tcp::no_delay(true), failure);
+    watch_for_silence(stream.socket());
     state_->open = true;
     co_return true;
 }
@@ -106,6 +108,8 @@
     message.set(http::field::content_type, "application/json");
     if (!request.key.empty())
         message.set("Oleander-Key", request.key);
+    for (const auto& [name, value] : request.headers)
+        message.set(name, value);
     message.body() = std::move(request.body);
     message.prepare_payload();
 
--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -1,6 +1,7 @@
 #include <oleandergrade/connection/peer_link.hpp>
 
 #include <oleandergrade/connection/http_client.hpp>
+#include <oleandergrade/connection/socket_options.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -45,7 +46,10 @@
            std::holds_alternative<token_grant>(body) ||
            std::holds_alternative<heartbeat_reply>(body) ||
            std::holds_alternative<configuration_reply>(body) ||
-           std::holds_alternative<trace_reply>(body);
+           std::holds_alternative<trace_reply>(body) ||
+           std::holds_alternative<fleet_grant>(body) ||
+           std::holds_alternative<notice_receipt>(body) ||
+           std::holds_alternative<fleet_snapshot>(body);
 }
 
 } // namespace
@@ -122,7 +126,7 @@
     {
         is_open = true;
         ++generation;
-        socket.set_option(tcp::no_delay(true), failure);
+        watch_for_silence(socket);
         asio::co_spawn(socket.get_executor(), read_loop(generation),
                        asio::detached);
     }
--- a/src/connection/peer_message.capnp
+++ b/src/connection/peer_message.capnp
@@ -19,9 +19,100 @@
     configuration @9 :ConfigurationRecord;
     traceRequest @10 :Text;
     traceReply @11 :Text;
+    fleetReport @12 :FleetReport;
+    fleetGrant @13 :FleetGrant;
+    primaryNotice @14 :PrimaryNotice;
+    noticeReceipt @15 :NoticeReceipt;
+    snapshotRequest @16 :UInt64;
+    snapshot @17 :FleetSnapshot;
   }
 }
 
+# What a VM cannot use at the moment, and since how long.
+struct TargetTrouble {
+  target @0 :Text;
+  since @1 :UInt64;
+}
+
+# A VM's demand for an account, and the rate that it holds. Operations per
+# second.
+struct AccountDemand {
+  account @0 :Text;
+  wanted @1 :Float64;
+  held @2 :Float64;
+}
+
+# An account's rate and burst for one VM.
+struct AccountShare {
+  account @0 :Text;
+  rate @1 :Float64;
+  burst @2 :Float64;
+}
+
+struct FleetReport {
+  vm @0 :Text;
+  incarnation @1 :UInt64;
+  # The store has acknowledged this VM's membership.
+  isRegistered @2 :Bool;
+  token @3 :UInt64;
+  configurationVersion @4 :UInt64;
+  troubles @5 :List(TargetTrouble);
+  demands @6 :List(AccountDemand);
+}
+
+# The newest known position of a primary has the age that it had when this
+# message was written.
+struct PrimaryState {
+  group @0 :Text;
+  term @1 :UInt64;
+  target @2 :Text;
+  isOpen @3 :Bool;
+  isPlanned @4 :Bool;
+  revision @5 :UInt64;
+  position @6 :UInt64;
+  positionAge @7 :UInt64;
+  hasPosition @8 :Bool;
+}
+
+struct FleetGrant {
+  accepted @0 :Bool;
+  token @1 :UInt64;
+  # How long the grant holds, from the sending of the report.
+  validity @2 :UInt64;
+  members @3 :UInt32;
+  configurationVersion @4 :UInt64;
+  primaries @5 :List(PrimaryState);
+  shares @6 :List(AccountShare);
+  # Address of the duty's holder as the sender knows it.
+  holder @7 :Text;
+}
+
+struct PrimaryNotice {
+  token @0 :UInt64;
+  holder @1 :Text;
+  primaries @2 :List(PrimaryState);
+}
+
+struct NoticeReceipt {
+  vm @0 :Text;
+  incarnation @1 :UInt64;
+  token @2 :UInt64;
+  accepted @3 :Bool;
+}
+
+struct SnapshotItem {
+  key @0 :Text;
+  value @1 :Data;
+}
+
+# Copies of what the store holds, for VMs that it turns away.
+struct FleetSnapshot {
+  configurationVersion @0 :UInt64;
+  configuration @1 :Data;
+  targets @2 :List(SnapshotItem);
+  members @3 :List(SnapshotItem);
+}
+
 # Times are in milliseconds, positions count log entries from 1.
 struct Statement {
   requestNumber @0 :Text;
--- a/src/connection/peer_message.capnp.h
+++ b/src/connection/peer_message.capnp.h
@@ -17,6 +17,16 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(e04d7f0ba9080d9a);
+CAPNP_DECLARE_SCHEMA(90897d57281d92c6);
+CAPNP_DECLARE_SCHEMA(d0d7fc25a1d08ccd);
+CAPNP_DECLARE_SCHEMA(b1b6170e1155b4f1);
+CAPNP_DECLARE_SCHEMA(c0b5d968c807550f);
+CAPNP_DECLARE_SCHEMA(ad9a6e04ecbb9685);
+CAPNP_DECLARE_SCHEMA(d24114f6741fb05c);
+CAPNP_DECLARE_SCHEMA(91857391c186969c);
+CAPNP_DECLARE_SCHEMA(ecbecdc9d0055e41);
+CAPNP_DECLARE_SCHEMA(90c1c83ad7399fa3);
+CAPNP_DECLARE_SCHEMA(dbc360e86625f662);
 CAPNP_DECLARE_SCHEMA(de84d8e98bb6f342);
 CAPNP_DECLARE_SCHEMA(ec171a9fc4c536f5);
 CAPNP_DECLARE_SCHEMA(afddb41c1096193a);
@@ -51,6 +61,12 @@
     CONFIGURATION,
     TRACE_REQUEST,
     TRACE_REPLY,
+    FLEET_REPORT,
+    FLEET_GRANT,
+    PRIMARY_NOTICE,
+    NOTICE_RECEIPT,
+    SNAPSHOT_REQUEST,
+    SNAPSHOT,
   };
 
   struct _capnpPrivate {
@@ -61,6 +77,156 @@
   };
 };
 
+struct TargetTrouble {
+  TargetTrouble() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(90897d57281d92c6, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AccountDemand {
+  AccountDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d0d7fc25a1d08ccd, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AccountShare {
+  AccountShare() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b1b6170e1155b4f1, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FleetReport {
+  FleetReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c0b5d968c807550f, 4, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PrimaryState {
+  PrimaryState() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ad9a6e04ecbb9685, 5, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FleetGrant {
+  FleetGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d24114f6741fb05c, 4, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PrimaryNotice {
+  PrimaryNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(91857391c186969c, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct NoticeReceipt {
+  NoticeReceipt() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ecbecdc9d0055e41, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SnapshotItem {
+  SnapshotItem() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(90c1c83ad7399fa3, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FleetSnapshot {
+  FleetSnapshot() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dbc360e86625f662, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Statement {
   Statement() = delete;
 
@@ -261,6 +427,29 @@
   inline bool hasTraceReply() const;
   inline  ::capnp::Text::Reader getTraceReply() const;
 
+  inline bool isFleetReport() const;
+  inline bool hasFleetReport() const;
+  inline  ::oleandergrade::wire::FleetReport::Reader getFleetReport() const;
+
+  inline bool isFleetGrant() const;
+  inline bool hasFleetGrant() const;
+  inline  ::oleandergrade::wire::FleetGrant::Reader getFleetGrant() const;
+
+  inline bool isPrimaryNotice() const;
+  inline bool hasPrimaryNotice() const;
+  inline  ::oleandergrade::wire::PrimaryNotice::Reader getPrimaryNotice() const;
+
+  inline bool isNoticeReceipt() const;
+  inline bool hasNoticeReceipt() const;
+  inline  ::oleandergrade::wire::NoticeReceipt::Reader getNoticeReceipt() const;
+
+  inline bool isSnapshotRequest() const;
+  inline  ::uint64_t getSnapshotRequest() const;
+
+  inline bool isSnapshot() const;
+  inline bool hasSnapshot() const;
+  inline  ::oleandergrade::wire::FleetSnapshot::Reader getSnapshot() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -377,6 +566,50 @@
   inline void adoptTraceReply(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownTraceReply();
 
+  inline bool isFleetReport();
+  inline bool hasFleetReport();
+  inline  ::oleandergrade::wire::FleetReport::Builder getFleetReport();
+  inline void setFleetReport( ::oleandergrade::wire::FleetReport::Reader value);
+  inline  ::oleandergrade::wire::FleetReport::Builder initFleetReport();
+  inline void adoptFleetReport(::capnp::Orphan< ::oleandergrade::wire::FleetReport>&& value);
+  inline ::capnp::Orphan< ::oleandergrade::wire::FleetReport> disownFleetReport();
+
+  inline bool isFleetGrant();
+  inline bool hasFleetGrant();
+  inline  ::oleandergrade::wire::FleetGrant::Builder getFleetGrant();
+  inline void setFleetGrant( ::oleandergrade::wire::FleetGrant::Reader value);
+  inline  ::oleandergrade::wire::FleetGrant::Builder initFleetGrant();
+  inline void adoptFleetGrant(::capnp::Orphan< ::oleandergrade::wire::FleetGrant>&& value);
+  inline ::capnp::Orphan< ::oleandergrade::wire::FleetGrant> disownFleetGrant();
+
+  inline bool isPrimaryNotice();
+  inline bool hasPrimaryNotice();
+  inline  ::oleandergrade::wire::PrimaryNotice::Builder getPrimaryNotice();
+  inline void setPrimaryNotice( ::oleandergrade::wire::PrimaryNotice::Reader value);
+  inline  ::oleandergrade::wire::PrimaryNotice::Builder initPrimaryNotice();
+  inline void adoptPrimaryNotice(::capnp::Orphan< ::oleandergrade::wire::PrimaryNotice>&& value);
+  inline ::capnp::Orphan< ::oleandergrade::wire::PrimaryNotice> disownPrimaryNotice();
+
+  inline bool isNoticeReceipt();
+  inline bool hasNoticeReceipt();
+  inline  ::oleandergrade::wire::NoticeReceipt::Builder getNoticeReceipt();
+  inline void setNoticeReceipt( ::oleandergrade::wire::NoticeReceipt::Reader value);
+  inline  ::oleandergrade::wire::NoticeReceipt::Builder initNoticeReceipt();
+  inline void adoptNoticeReceipt(::capnp::Orphan< ::oleandergrade::wire::NoticeReceipt>&& value);
+  inline ::capnp::Orphan< ::oleandergrade::wire::NoticeReceipt> disownNoticeReceipt();
+
+  inline bool isSnapshotRequest();
+  inline  ::uint64_t getSnapshotRequest();
+  inline void setSnapshotRequest( ::uint64_t value);
+
+  inline bool isSnapshot();
+  inline bool hasSnapshot();
+  inline  ::oleandergrade::wire::FleetSnapshot::Builder getSnapshot();
+  inline void setSnapshot( ::oleandergrade::wire::FleetSnapshot::Reader value);
+  inline  ::oleandergrade::wire::FleetSnapshot::Builder initSnapshot();
+  inline void adoptSnapshot(::capnp::Orphan< ::oleandergrade::wire::FleetSnapshot>&& value);
+  inline ::capnp::Orphan< ::oleandergrade::wire::FleetSnapshot> disownSnapshot();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -403,9 +636,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Statement::Reader {
+class TargetTrouble::Reader {
 public:
-  typedef Statement Reads;
+  typedef TargetTrouble Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -420,39 +653,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestNumber() const;
-  inline  ::capnp::Text::Reader getRequestNumber() const;
-
-  inline bool hasAccount() const;
-  inline  ::capnp::Text::Reader getAccount() const;
-
-  inline bool hasDatabase() const;
-  inline  ::capnp::Text::Reader getDatabase() const;
-
   inline bool hasTarget() const;
   inline  ::capnp::Text::Reader getTarget() const;
 
-  inline  ::uint8_t getKind() const;
-
-  inline bool hasText() const;
-  inline  ::capnp::Text::Reader getText() const;
-
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
-
-  inline  ::uint64_t getTerm() const;
-
-  inline  ::uint64_t getMinPosition() const;
-
-  inline  ::uint64_t getMaxAge() const;
-
-  inline  ::uint64_t getBudget() const;
-
-  inline bool hasTransaction() const;
-  inline  ::capnp::Text::Reader getTransaction() const;
-
-  inline bool hasKeyId() const;
-  inline  ::capnp::Text::Reader getKeyId() const;
+  inline  ::uint64_t getSince() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -466,9 +670,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Statement::Builder {
+class TargetTrouble::Builder {
 public:
-  typedef Statement Builds;
+  typedef TargetTrouble Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -482,27 +686,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestNumber();
-  inline  ::capnp::Text::Builder getRequestNumber();
-  inline void setRequestNumber( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestNumber(unsigned int size);
-  inline void adoptRequestNumber(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestNumber();
-
-  inline bool hasAccount();
-  inline  ::capnp::Text::Builder getAccount();
-  inline void setAccount( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
-
-  inline bool hasDatabase();
-  inline  ::capnp::Text::Builder getDatabase();
-  inline void setDatabase( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDatabase(unsigned int size);
-  inline void adoptDatabase(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDatabase();
-
   inline bool hasTarget();
   inline  ::capnp::Text::Builder getTarget();
   inline void setTarget( ::capnp::Text::Reader value);
@@ -510,48 +693,8 @@
   inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
-  inline  ::uint8_t getKind();
-  inline void setKind( ::uint8_t value);
-
-  inline bool hasText();
-  inline  ::capnp::Text::Builder getText();
-  inline void setText( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownText();
-
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
-
-  inline  ::uint64_t getTerm();
-  inline void setTerm( ::uint64_t value);
-
-  inline  ::uint64_t getMinPosition();
-  inline void setMinPosition( ::uint64_t value);
-
-  inline  ::uint64_t getMaxAge();
-  inline void setMaxAge( ::uint64_t value);
-
-  inline  ::uint64_t getBudget();
-  inline void setBudget( ::uint64_t value);
-
-  inline bool hasTransaction();
-  inline  ::capnp::Text::Builder getTransaction();
-  inline void setTransaction( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTransaction(unsigned int size);
-  inline void adoptTransaction(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTransaction();
-
-  inline bool hasKeyId();
-  inline  ::capnp::Text::Builder getKeyId();
-  inline void setKeyId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKeyId(unsigned int size);
-  inline void adoptKeyId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKeyId();
+  inline  ::uint64_t getSince();
+  inline void setSince( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -563,9 +706,9 @@
 };
 
 #if !CAPNP_LITE
-class Statement::Pipeline {
+class TargetTrouble::Pipeline {
 public:
-  typedef Statement Pipelines;
+  typedef TargetTrouble Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -579,9 +722,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Answer::Reader {
+class AccountDemand::Reader {
 public:
-  typedef Answer Reads;
+  typedef AccountDemand Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -596,128 +739,53 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getRun() const;
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
-  inline  ::uint8_t getCode() const;
+  inline double getWanted() const;
 
-  inline bool hasValue() const;
-  inline  ::capnp::Text::Reader getValue() const;
+  inline double getHeld() const;
 
-  inline  ::uint64_t getTerm() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline  ::uint64_t getPosition() const;
+class AccountDemand::Builder {
+public:
+  typedef AccountDemand Builds;
 
-  inline bool hasStep() const;
-  inline  ::capnp::Text::Reader getStep() const;
-
-  inline bool hasPeer() const;
-  inline  ::capnp::Text::Reader getPeer() const;
-
-  inline bool hasMessage() const;
-  inline  ::capnp::Text::Reader getMessage() const;
-
-  inline  ::uint64_t getRetryAfter() const;
-
-  inline bool hasTransaction() const;
-  inline  ::capnp::Text::Reader getTransaction() const;
-
-  inline bool getRepeated() const;
-
-  inline bool hasServedBy() const;
-  inline  ::capnp::Text::Reader getServedBy() const;
-
-  inline  ::uint64_t getQueued() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Answer::Builder {
-public:
-  typedef Answer Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getRun();
-  inline void setRun( ::uint8_t value);
-
-  inline  ::uint8_t getCode();
-  inline void setCode( ::uint8_t value);
-
-  inline bool hasValue();
-  inline  ::capnp::Text::Builder getValue();
-  inline void setValue( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownValue();
-
-  inline  ::uint64_t getTerm();
-  inline void setTerm( ::uint64_t value);
-
-  inline  ::uint64_t getPosition();
-  inline void setPosition( ::uint64_t value);
-
-  inline bool hasStep();
-  inline  ::capnp::Text::Builder getStep();
-  inline void setStep( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initStep(unsigned int size);
-  inline void adoptStep(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownStep();
-
-  inline bool hasPeer();
-  inline  ::capnp::Text::Builder getPeer();
-  inline void setPeer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPeer(unsigned int size);
-  inline void adoptPeer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPeer();
-
-  inline bool hasMessage();
-  inline  ::capnp::Text::Builder getMessage();
-  inline void setMessage( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMessage(unsigned int size);
-  inline void adoptMessage(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMessage();
-
-  inline  ::uint64_t getRetryAfter();
-  inline void setRetryAfter( ::uint64_t value);
-
-  inline bool hasTransaction();
-  inline  ::capnp::Text::Builder getTransaction();
-  inline void setTransaction( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTransaction(unsigned int size);
-  inline void adoptTransaction(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTransaction();
-
-  inline bool getRepeated();
-  inline void setRepeated(bool value);
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
-  inline bool hasServedBy();
-  inline  ::capnp::Text::Builder getServedBy();
-  inline void setServedBy( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initServedBy(unsigned int size);
-  inline void adoptServedBy(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownServedBy();
+  inline double getWanted();
+  inline void setWanted(double value);
 
-  inline  ::uint64_t getQueued();
-  inline void setQueued( ::uint64_t value);
+  inline double getHeld();
+  inline void setHeld(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -729,9 +797,9 @@
 };
 
 #if !CAPNP_LITE
-class Answer::Pipeline {
+class AccountDemand::Pipeline {
 public:
-  typedef Answer Pipelines;
+  typedef AccountDemand Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -745,9 +813,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TokenReport::Reader {
+class AccountShare::Reader {
 public:
-  typedef TokenReport Reads;
+  typedef AccountShare Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -762,11 +830,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getBatch() const;
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
-  inline  ::uint32_t getSpent() const;
+  inline double getRate() const;
 
-  inline  ::uint32_t getReturned() const;
+  inline double getBurst() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -780,9 +849,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TokenReport::Builder {
+class AccountShare::Builder {
 public:
-  typedef TokenReport Builds;
+  typedef AccountShare Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -796,14 +865,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getBatch();
-  inline void setBatch( ::uint64_t value);
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
-  inline  ::uint32_t getSpent();
-  inline void setSpent( ::uint32_t value);
+  inline double getRate();
+  inline void setRate(double value);
 
-  inline  ::uint32_t getReturned();
-  inline void setReturned( ::uint32_t value);
+  inline double getBurst();
+  inline void setBurst(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -815,9 +888,9 @@
 };
 
 #if !CAPNP_LITE
-class TokenReport::Pipeline {
+class AccountShare::Pipeline {
 public:
-  typedef TokenReport Pipelines;
+  typedef AccountShare Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -831,9 +904,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TokenRequest::Reader {
+class FleetReport::Reader {
 public:
-  typedef TokenRequest Reads;
+  typedef FleetReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -848,16 +921,22 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower() const;
-  inline  ::capnp::Text::Reader getBorrower() const;
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
 
-  inline bool hasAccount() const;
-  inline  ::capnp::Text::Reader getAccount() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline  ::uint32_t getWanted() const;
+  inline bool getIsRegistered() const;
 
-  inline bool hasReports() const;
-  inline  ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Reader getReports() const;
+  inline  ::uint64_t getToken() const;
+
+  inline  ::uint64_t getConfigurationVersion() const;
+
+  inline bool hasTroubles() const;
+  inline  ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Reader getTroubles() const;
+
+  inline bool hasDemands() const;
+  inline  ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -871,9 +950,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TokenRequest::Builder {
+class FleetReport::Builder {
 public:
-  typedef TokenRequest Builds;
+  typedef FleetReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -887,29 +966,38 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower();
-  inline  ::capnp::Text::Builder getBorrower();
-  inline void setBorrower( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBorrower(unsigned int size);
-  inline void adoptBorrower(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBorrower();
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
 
-  inline bool hasAccount();
-  inline  ::capnp::Text::Builder getAccount();
-  inline void setAccount( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline  ::uint32_t getWanted();
-  inline void setWanted( ::uint32_t value);
+  inline bool getIsRegistered();
+  inline void setIsRegistered(bool value);
 
-  inline bool hasReports();
-  inline  ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Builder getReports();
-  inline void setReports( ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
-  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>> disownReports();
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
+
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
+
+  inline bool hasTroubles();
+  inline  ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Builder getTroubles();
+  inline void setTroubles( ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Builder initTroubles(unsigned int size);
+  inline void adoptTroubles(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>> disownTroubles();
+
+  inline bool hasDemands();
+  inline  ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>> disownDemands();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -921,9 +1009,9 @@
 };
 
 #if !CAPNP_LITE
-class TokenRequest::Pipeline {
+class FleetReport::Pipeline {
 public:
-  typedef TokenRequest Pipelines;
+  typedef FleetReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -937,9 +1025,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TokenGrant::Reader {
+class PrimaryState::Reader {
 public:
-  typedef TokenGrant Reads;
+  typedef PrimaryState Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -954,18 +1042,25 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount() const;
-  inline  ::capnp::Text::Reader getAccount() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::uint64_t getBatch() const;
+  inline  ::uint64_t getTerm() const;
 
-  inline  ::uint32_t getUnits() const;
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
 
-  inline  ::uint64_t getValidity() const;
+  inline bool getIsOpen() const;
 
-  inline  ::uint64_t getRetryAfter() const;
+  inline bool getIsPlanned() const;
 
-  inline bool getAccepted() const;
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getPosition() const;
+
+  inline  ::uint64_t getPositionAge() const;
+
+  inline bool getHasPosition() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -979,9 +1074,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TokenGrant::Builder {
+class PrimaryState::Builder {
 public:
-  typedef TokenGrant Builds;
+  typedef PrimaryState Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -995,27 +1090,40 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount();
-  inline  ::capnp::Text::Builder getAccount();
-  inline void setAccount( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline  ::uint64_t getBatch();
-  inline void setBatch( ::uint64_t value);
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
-  inline  ::uint32_t getUnits();
-  inline void setUnits( ::uint32_t value);
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
-  inline  ::uint64_t getValidity();
-  inline void setValidity( ::uint64_t value);
+  inline bool getIsOpen();
+  inline void setIsOpen(bool value);
 
-  inline  ::uint64_t getRetryAfter();
-  inline void setRetryAfter( ::uint64_t value);
+  inline bool getIsPlanned();
+  inline void setIsPlanned(bool value);
 
-  inline bool getAccepted();
-  inline void setAccepted(bool value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getPosition();
+  inline void setPosition( ::uint64_t value);
+
+  inline  ::uint64_t getPositionAge();
+  inline void setPositionAge( ::uint64_t value);
+
+  inline bool getHasPosition();
+  inline void setHasPosition(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1027,9 +1135,9 @@
 };
 
 #if !CAPNP_LITE
-class TokenGrant::Pipeline {
+class PrimaryState::Pipeline {
 public:
-  typedef TokenGrant Pipelines;
+  typedef PrimaryState Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1043,9 +1151,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GroupRecord::Reader {
+class FleetGrant::Reader {
 public:
-  typedef GroupRecord Reads;
+  typedef FleetGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1060,15 +1168,24 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDatabase() const;
-  inline  ::capnp::Text::Reader getDatabase() const;
+  inline bool getAccepted() const;
 
-  inline  ::uint64_t getTerm() const;
+  inline  ::uint64_t getToken() const;
 
-  inline bool hasPrimary() const;
-  inline  ::capnp::Text::Reader getPrimary() const;
+  inline  ::uint64_t getValidity() const;
 
-  inline bool getSteady() const;
+  inline  ::uint32_t getMembers() const;
+
+  inline  ::uint64_t getConfigurationVersion() const;
+
+  inline bool hasPrimaries() const;
+  inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader getPrimaries() const;
+
+  inline bool hasShares() const;
+  inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader getShares() const;
+
+  inline bool hasHolder() const;
+  inline  ::capnp::Text::Reader getHolder() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1082,9 +1199,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GroupRecord::Builder {
+class FleetGrant::Builder {
 public:
-  typedef GroupRecord Builds;
+  typedef FleetGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1098,25 +1215,41 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDatabase();
-  inline  ::capnp::Text::Builder getDatabase();
-  inline void setDatabase( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDatabase(unsigned int size);
-  inline void adoptDatabase(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDatabase();
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
 
-  inline  ::uint64_t getTerm();
-  inline void setTerm( ::uint64_t value);
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
 
-  inline bool hasPrimary();
-  inline  ::capnp::Text::Builder getPrimary();
-  inline void setPrimary( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPrimary(unsigned int size);
-  inline void adoptPrimary(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPrimary();
+  inline  ::uint64_t getValidity();
+  inline void setValidity( ::uint64_t value);
 
-  inline bool getSteady();
-  inline void setSteady(bool value);
+  inline  ::uint32_t getMembers();
+  inline void setMembers( ::uint32_t value);
+
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
+
+  inline bool hasPrimaries();
+  inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder getPrimaries();
+  inline void setPrimaries( ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder initPrimaries(unsigned int size);
+  inline void adoptPrimaries(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>> disownPrimaries();
+
+  inline bool hasShares();
+  inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder getShares();
+  inline void setShares( ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder initShares(unsigned int size);
+  inline void adoptShares(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>> disownShares();
+
+  inline bool hasHolder();
+  inline  ::capnp::Text::Builder getHolder();
+  inline void setHolder( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHolder(unsigned int size);
+  inline void adoptHolder(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHolder();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1128,9 +1261,9 @@
 };
 
 #if !CAPNP_LITE
-class GroupRecord::Pipeline {
+class FleetGrant::Pipeline {
 public:
-  typedef GroupRecord Pipelines;
+  typedef FleetGrant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1144,9 +1277,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class DomainLead::Reader {
+class PrimaryNotice::Reader {
 public:
-  typedef DomainLead Reads;
+  typedef PrimaryNotice Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1161,11 +1294,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
+  inline  ::uint64_t getToken() const;
 
-  inline bool hasVm() const;
-  inline  ::capnp::Text::Reader getVm() const;
+  inline bool hasHolder() const;
+  inline  ::capnp::Text::Reader getHolder() const;
+
+  inline bool hasPrimaries() const;
+  inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader getPrimaries() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1179,9 +1314,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class DomainLead::Builder {
+class PrimaryNotice::Builder {
 public:
-  typedef DomainLead Builds;
+  typedef PrimaryNotice Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1195,19 +1330,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
 
-  inline bool hasVm();
-  inline  ::capnp::Text::Builder getVm();
-  inline void setVm( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVm(unsigned int size);
-  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+  inline bool hasHolder();
+  inline  ::capnp::Text::Builder getHolder();
+  inline void setHolder( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHolder(unsigned int size);
+  inline void adoptHolder(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHolder();
+
+  inline bool hasPrimaries();
+  inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder getPrimaries();
+  inline void setPrimaries( ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder initPrimaries(unsigned int size);
+  inline void adoptPrimaries(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>> disownPrimaries();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1219,9 +1357,9 @@
 };
 
 #if !CAPNP_LITE
-class DomainLead::Pipeline {
+class PrimaryNotice::Pipeline {
 public:
-  typedef DomainLead Pipelines;
+  typedef PrimaryNotice Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1235,9 +1373,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Heartbeat::Reader {
+class NoticeReceipt::Reader {
 public:
-  typedef Heartbeat Reads;
+  typedef NoticeReceipt Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1252,45 +1390,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode() const;
-  inline  ::capnp::Text::Reader getNode() const;
-
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
 
   inline  ::uint64_t getIncarnation() const;
 
-  inline  ::uint64_t getConfigurationVersion() const;
-
-  inline  ::uint64_t getConfirmationAge() const;
-
-  inline  ::uint64_t getPlatformAge() const;
-
-  inline  ::uint64_t getMajorityAge() const;
-
-  inline bool hasLead() const;
-  inline  ::capnp::Text::Reader getLead() const;
-
-  inline  ::uint64_t getEpoch() const;
-
-  inline  ::uint64_t getClock() const;
-
-  inline  ::uint64_t getEcho() const;
-
-  inline bool hasVms() const;
-  inline  ::capnp::Text::Reader getVms() const;
-
-  inline bool hasLeads() const;
-  inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Reader getLeads() const;
-
-  inline bool hasGroups() const;
-  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
-
-  inline  ::uint64_t getVmsDigest() const;
-
-  inline  ::uint64_t getLeadsDigest() const;
+  inline  ::uint64_t getToken() const;
 
-  inline  ::uint64_t getGroupsDigest() const;
+  inline bool getAccepted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1304,9 +1411,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Heartbeat::Builder {
+class NoticeReceipt::Builder {
 public:
-  typedef Heartbeat Builds;
+  typedef NoticeReceipt Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1320,80 +1427,112 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode();
-  inline  ::capnp::Text::Builder getNode();
-  inline void setNode( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initNode(unsigned int size);
-  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownNode();
-
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
 
   inline  ::uint64_t getIncarnation();
   inline void setIncarnation( ::uint64_t value);
 
-  inline  ::uint64_t getConfigurationVersion();
-  inline void setConfigurationVersion( ::uint64_t value);
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
 
-  inline  ::uint64_t getConfirmationAge();
-  inline void setConfirmationAge( ::uint64_t value);
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
 
-  inline  ::uint64_t getPlatformAge();
-  inline void setPlatformAge( ::uint64_t value);
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline  ::uint64_t getMajorityAge();
-  inline void setMajorityAge( ::uint64_t value);
+#if !CAPNP_LITE
+class NoticeReceipt::Pipeline {
+public:
+  typedef NoticeReceipt Pipelines;
 
-  inline bool hasLead();
-  inline  ::capnp::Text::Builder getLead();
-  inline void setLead( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initLead(unsigned int size);
-  inline void adoptLead(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownLead();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getClock();
-  inline void setClock( ::uint64_t value);
+class SnapshotItem::Reader {
+public:
+  typedef SnapshotItem Reads;
 
-  inline  ::uint64_t getEcho();
-  inline void setEcho( ::uint64_t value);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline bool hasVms();
-  inline  ::capnp::Text::Builder getVms();
-  inline void setVms( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVms(unsigned int size);
-  inline void adoptVms(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVms();
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-  inline bool hasLeads();
-  inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Builder getLeads();
-  inline void setLeads( ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Builder initLeads(unsigned int size);
-  inline void adoptLeads(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>> disownLeads();
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-  inline bool hasGroups();
-  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder getGroups();
-  inline void setGroups( ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
-  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>> disownGroups();
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline  ::uint64_t getVmsDigest();
-  inline void setVmsDigest( ::uint64_t value);
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
 
-  inline  ::uint64_t getLeadsDigest();
-  inline void setLeadsDigest( ::uint64_t value);
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline  ::uint64_t getGroupsDigest();
-  inline void setGroupsDigest( ::uint64_t value);
+class SnapshotItem::Builder {
+public:
+  typedef SnapshotItem Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1405,9 +1544,9 @@
 };
 
 #if !CAPNP_LITE
-class Heartbeat::Pipeline {
+class SnapshotItem::Pipeline {
 public:
-  typedef Heartbeat Pipelines;
+  typedef SnapshotItem Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1421,9 +1560,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfigurationRecord::Reader {
+class FleetSnapshot::Reader {
 public:
-  typedef ConfigurationRecord Reads;
+  typedef FleetSnapshot Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1438,10 +1577,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
+  inline  ::uint64_t getConfigurationVersion() const;
 
-  inline bool hasValue() const;
-  inline  ::capnp::Text::Reader getValue() const;
+  inline bool hasConfiguration() const;
+  inline  ::capnp::Data::Reader getConfiguration() const;
+
+  inline bool hasTargets() const;
+  inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader getTargets() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1455,9 +1600,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfigurationRecord::Builder {
+class FleetSnapshot::Builder {
 public:
-  typedef ConfigurationRecord Builds;
+  typedef FleetSnapshot Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1471,15 +1616,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
 
-  inline bool hasValue();
-  inline  ::capnp::Text::Builder getValue();
-  inline void setValue( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+  inline bool hasConfiguration();
+  inline  ::capnp::Data::Builder getConfiguration();
+  inline void setConfiguration( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initConfiguration(unsigned int size);
+  inline void adoptConfiguration(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownConfiguration();
+
+  inline bool hasTargets();
+  inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder getTargets();
+  inline void setTargets( ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder initTargets(unsigned int size);
+  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>> disownTargets();
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>> disownMembers();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1491,9 +1650,9 @@
 };
 
 #if !CAPNP_LITE
-class ConfigurationRecord::Pipeline {
+class FleetSnapshot::Pipeline {
 public:
-  typedef ConfigurationRecord Pipelines;
+  typedef FleetSnapshot Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1507,595 +1666,3005 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
-
-inline  ::oleandergrade::wire::PeerMessage::Which PeerMessage::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline  ::oleandergrade::wire::PeerMessage::Which PeerMessage::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
+class Statement::Reader {
+public:
+  typedef Statement Reads;
 
-inline  ::uint64_t PeerMessage::Reader::getId() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequestNumber() const;
+  inline  ::capnp::Text::Reader getRequestNumber() const;
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline bool hasDatabase() const;
+  inline  ::capnp::Text::Reader getDatabase() const;
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::uint8_t getKind() const;
+
+  inline bool hasText() const;
+  inline  ::capnp::Text::Reader getText() const;
+
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
+
+  inline  ::uint64_t getTerm() const;
+
+  inline  ::uint64_t getMinPosition() const;
+
+  inline  ::uint64_t getMaxAge() const;
+
+  inline  ::uint64_t getBudget() const;
+
+  inline bool hasTransaction() const;
+  inline  ::capnp::Text::Reader getTransaction() const;
+
+  inline bool hasKeyId() const;
+  inline  ::capnp::Text::Reader getKeyId() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Statement::Builder {
+public:
+  typedef Statement Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequestNumber();
+  inline  ::capnp::Text::Builder getRequestNumber();
+  inline void setRequestNumber( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestNumber(unsigned int size);
+  inline void adoptRequestNumber(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestNumber();
+
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline bool hasDatabase();
+  inline  ::capnp::Text::Builder getDatabase();
+  inline void setDatabase( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDatabase(unsigned int size);
+  inline void adoptDatabase(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDatabase();
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline bool hasText();
+  inline  ::capnp::Text::Builder getText();
+  inline void setText( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownText();
+
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline  ::uint64_t getMinPosition();
+  inline void setMinPosition( ::uint64_t value);
+
+  inline  ::uint64_t getMaxAge();
+  inline void setMaxAge( ::uint64_t value);
+
+  inline  ::uint64_t getBudget();
+  inline void setBudget( ::uint64_t value);
+
+  inline bool hasTransaction();
+  inline  ::capnp::Text::Builder getTransaction();
+  inline void setTransaction( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTransaction(unsigned int size);
+  inline void adoptTransaction(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTransaction();
+
+  inline bool hasKeyId();
+  inline  ::capnp::Text::Builder getKeyId();
+  inline void setKeyId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKeyId(unsigned int size);
+  inline void adoptKeyId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKeyId();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Statement::Pipeline {
+public:
+  typedef Statement Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Answer::Reader {
+public:
+  typedef Answer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getRun() const;
+
+  inline  ::uint8_t getCode() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
+
+  inline  ::uint64_t getTerm() const;
+
+  inline  ::uint64_t getPosition() const;
+
+  inline bool hasStep() const;
+  inline  ::capnp::Text::Reader getStep() const;
+
+  inline bool hasPeer() const;
+  inline  ::capnp::Text::Reader getPeer() const;
+
+  inline bool hasMessage() const;
+  inline  ::capnp::Text::Reader getMessage() const;
+
+  inline  ::uint64_t getRetryAfter() const;
+
+  inline bool hasTransaction() const;
+  inline  ::capnp::Text::Reader getTransaction() const;
+
+  inline bool getRepeated() const;
+
+  inline bool hasServedBy() const;
+  inline  ::capnp::Text::Reader getServedBy() const;
+
+  inline  ::uint64_t getQueued() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Answer::Builder {
+public:
+  typedef Answer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getRun();
+  inline void setRun( ::uint8_t value);
+
+  inline  ::uint8_t getCode();
+  inline void setCode( ::uint8_t value);
+
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline  ::uint64_t getPosition();
+  inline void setPosition( ::uint64_t value);
+
+  inline bool hasStep();
+  inline  ::capnp::Text::Builder getStep();
+  inline void setStep( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initStep(unsigned int size);
+  inline void adoptStep(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownStep();
+
+  inline bool hasPeer();
+  inline  ::capnp::Text::Builder getPeer();
+  inline void setPeer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPeer(unsigned int size);
+  inline void adoptPeer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPeer();
+
+  inline bool hasMessage();
+  inline  ::capnp::Text::Builder getMessage();
+  inline void setMessage( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMessage(unsigned int size);
+  inline void adoptMessage(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMessage();
+
+  inline  ::uint64_t getRetryAfter();
+  inline void setRetryAfter( ::uint64_t value);
+
+  inline bool hasTransaction();
+  inline  ::capnp::Text::Builder getTransaction();
+  inline void setTransaction( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTransaction(unsigned int size);
+  inline void adoptTransaction(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTransaction();
+
+  inline bool getRepeated();
+  inline void setRepeated(bool value);
+
+  inline bool hasServedBy();
+  inline  ::capnp::Text::Builder getServedBy();
+  inline void setServedBy( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServedBy(unsigned int size);
+  inline void adoptServedBy(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServedBy();
+
+  inline  ::uint64_t getQueued();
+  inline void setQueued( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Answer::Pipeline {
+public:
+  typedef Answer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TokenReport::Reader {
+public:
+  typedef TokenReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBatch() const;
+
+  inline  ::uint32_t getSpent() const;
+
+  inline  ::uint32_t getReturned() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TokenReport::Builder {
+public:
+  typedef TokenReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBatch();
+  inline void setBatch( ::uint64_t value);
+
+  inline  ::uint32_t getSpent();
+  inline void setSpent( ::uint32_t value);
+
+  inline  ::uint32_t getReturned();
+  inline void setReturned( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TokenReport::Pipeline {
+public:
+  typedef TokenReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TokenRequest::Reader {
+public:
+  typedef TokenRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBorrower() const;
+  inline  ::capnp::Text::Reader getBorrower() const;
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline  ::uint32_t getWanted() const;
+
+  inline bool hasReports() const;
+  inline  ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Reader getReports() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TokenRequest::Builder {
+public:
+  typedef TokenRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBorrower();
+  inline  ::capnp::Text::Builder getBorrower();
+  inline void setBorrower( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBorrower(unsigned int size);
+  inline void adoptBorrower(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBorrower();
+
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline  ::uint32_t getWanted();
+  inline void setWanted( ::uint32_t value);
+
+  inline bool hasReports();
+  inline  ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Builder getReports();
+  inline void setReports( ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
+  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>> disownReports();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TokenRequest::Pipeline {
+public:
+  typedef TokenRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TokenGrant::Reader {
+public:
+  typedef TokenGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline  ::uint64_t getBatch() const;
+
+  inline  ::uint32_t getUnits() const;
+
+  inline  ::uint64_t getValidity() const;
+
+  inline  ::uint64_t getRetryAfter() const;
+
+  inline bool getAccepted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TokenGrant::Builder {
+public:
+  typedef TokenGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline  ::uint64_t getBatch();
+  inline void setBatch( ::uint64_t value);
+
+  inline  ::uint32_t getUnits();
+  inline void setUnits( ::uint32_t value);
+
+  inline  ::uint64_t getValidity();
+  inline void setValidity( ::uint64_t value);
+
+  inline  ::uint64_t getRetryAfter();
+  inline void setRetryAfter( ::uint64_t value);
+
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TokenGrant::Pipeline {
+public:
+  typedef TokenGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GroupRecord::Reader {
+public:
+  typedef GroupRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDatabase() const;
+  inline  ::capnp::Text::Reader getDatabase() const;
+
+  inline  ::uint64_t getTerm() const;
+
+  inline bool hasPrimary() const;
+  inline  ::capnp::Text::Reader getPrimary() const;
+
+  inline bool getSteady() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GroupRecord::Builder {
+public:
+  typedef GroupRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDatabase();
+  inline  ::capnp::Text::Builder getDatabase();
+  inline void setDatabase( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDatabase(unsigned int size);
+  inline void adoptDatabase(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDatabase();
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline bool hasPrimary();
+  inline  ::capnp::Text::Builder getPrimary();
+  inline void setPrimary( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPrimary(unsigned int size);
+  inline void adoptPrimary(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPrimary();
+
+  inline bool getSteady();
+  inline void setSteady(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GroupRecord::Pipeline {
+public:
+  typedef GroupRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class DomainLead::Reader {
+public:
+  typedef DomainLead Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class DomainLead::Builder {
+public:
+  typedef DomainLead Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class DomainLead::Pipeline {
+public:
+  typedef DomainLead Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Heartbeat::Reader {
+public:
+  typedef Heartbeat Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getConfigurationVersion() const;
+
+  inline  ::uint64_t getConfirmationAge() const;
+
+  inline  ::uint64_t getPlatformAge() const;
+
+  inline  ::uint64_t getMajorityAge() const;
+
+  inline bool hasLead() const;
+  inline  ::capnp::Text::Reader getLead() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getClock() const;
+
+  inline  ::uint64_t getEcho() const;
+
+  inline bool hasVms() const;
+  inline  ::capnp::Text::Reader getVms() const;
+
+  inline bool hasLeads() const;
+  inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Reader getLeads() const;
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
+  inline  ::uint64_t getVmsDigest() const;
+
+  inline  ::uint64_t getLeadsDigest() const;
+
+  inline  ::uint64_t getGroupsDigest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Heartbeat::Builder {
+public:
+  typedef Heartbeat Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
+
+  inline  ::uint64_t getConfirmationAge();
+  inline void setConfirmationAge( ::uint64_t value);
+
+  inline  ::uint64_t getPlatformAge();
+  inline void setPlatformAge( ::uint64_t value);
+
+  inline  ::uint64_t getMajorityAge();
+  inline void setMajorityAge( ::uint64_t value);
+
+  inline bool hasLead();
+  inline  ::capnp::Text::Builder getLead();
+  inline void setLead( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLead(unsigned int size);
+  inline void adoptLead(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLead();
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getClock();
+  inline void setClock( ::uint64_t value);
+
+  inline  ::uint64_t getEcho();
+  inline void setEcho( ::uint64_t value);
+
+  inline bool hasVms();
+  inline  ::capnp::Text::Builder getVms();
+  inline void setVms( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVms(unsigned int size);
+  inline void adoptVms(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVms();
+
+  inline bool hasLeads();
+  inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Builder getLeads();
+  inline void setLeads( ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Builder initLeads(unsigned int size);
+  inline void adoptLeads(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>> disownLeads();
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>> disownGroups();
+
+  inline  ::uint64_t getVmsDigest();
+  inline void setVmsDigest( ::uint64_t value);
+
+  inline  ::uint64_t getLeadsDigest();
+  inline void setLeadsDigest( ::uint64_t value);
+
+  inline  ::uint64_t getGroupsDigest();
+  inline void setGroupsDigest( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Heartbeat::Pipeline {
+public:
+  typedef Heartbeat Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ConfigurationRecord::Reader {
+public:
+  typedef ConfigurationRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfigurationRecord::Builder {
+public:
+  typedef ConfigurationRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigurationRecord::Pipeline {
+public:
+  typedef ConfigurationRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::oleandergrade::wire::PeerMessage::Which PeerMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline  ::oleandergrade::wire::PeerMessage::Which PeerMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
 
 inline  ::uint64_t PeerMessage::Builder::getId() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerMessage::Builder::setId( ::uint64_t value) {
+inline void PeerMessage::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::Reader::isStatement() const {
+  return which() == PeerMessage::STATEMENT;
+}
+inline bool PeerMessage::Builder::isStatement() {
+  return which() == PeerMessage::STATEMENT;
+}
+inline bool PeerMessage::Reader::hasStatement() const {
+  if (which() != PeerMessage::STATEMENT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasStatement() {
+  if (which() != PeerMessage::STATEMENT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::Statement::Reader PeerMessage::Reader::getStatement() const {
+  KJ_IREQUIRE((which() == PeerMessage::STATEMENT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::Statement::Builder PeerMessage::Builder::getStatement() {
+  KJ_IREQUIRE((which() == PeerMessage::STATEMENT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setStatement( ::oleandergrade::wire::Statement::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STATEMENT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::Statement::Builder PeerMessage::Builder::initStatement() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STATEMENT);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptStatement(
+    ::capnp::Orphan< ::oleandergrade::wire::Statement>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STATEMENT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::Statement> PeerMessage::Builder::disownStatement() {
+  KJ_IREQUIRE((which() == PeerMessage::STATEMENT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isAnswer() const {
+  return which() == PeerMessage::ANSWER;
+}
+inline bool PeerMessage::Builder::isAnswer() {
+  return which() == PeerMessage::ANSWER;
+}
+inline bool PeerMessage::Reader::hasAnswer() const {
+  if (which() != PeerMessage::ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasAnswer() {
+  if (which() != PeerMessage::ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::Answer::Reader PeerMessage::Reader::getAnswer() const {
+  KJ_IREQUIRE((which() == PeerMessage::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::Answer::Builder PeerMessage::Builder::getAnswer() {
+  KJ_IREQUIRE((which() == PeerMessage::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setAnswer( ::oleandergrade::wire::Answer::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::ANSWER);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::Answer::Builder PeerMessage::Builder::initAnswer() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::ANSWER);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptAnswer(
+    ::capnp::Orphan< ::oleandergrade::wire::Answer>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::ANSWER);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::Answer> PeerMessage::Builder::disownAnswer() {
+  KJ_IREQUIRE((which() == PeerMessage::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isTokenRequest() const {
+  return which() == PeerMessage::TOKEN_REQUEST;
+}
+inline bool PeerMessage::Builder::isTokenRequest() {
+  return which() == PeerMessage::TOKEN_REQUEST;
+}
+inline bool PeerMessage::Reader::hasTokenRequest() const {
+  if (which() != PeerMessage::TOKEN_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasTokenRequest() {
+  if (which() != PeerMessage::TOKEN_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::TokenRequest::Reader PeerMessage::Reader::getTokenRequest() const {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::TokenRequest::Builder PeerMessage::Builder::getTokenRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setTokenRequest( ::oleandergrade::wire::TokenRequest::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REQUEST);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::TokenRequest::Builder PeerMessage::Builder::initTokenRequest() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REQUEST);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptTokenRequest(
+    ::capnp::Orphan< ::oleandergrade::wire::TokenRequest>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REQUEST);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::TokenRequest> PeerMessage::Builder::disownTokenRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isTokenGrant() const {
+  return which() == PeerMessage::TOKEN_GRANT;
+}
+inline bool PeerMessage::Builder::isTokenGrant() {
+  return which() == PeerMessage::TOKEN_GRANT;
+}
+inline bool PeerMessage::Reader::hasTokenGrant() const {
+  if (which() != PeerMessage::TOKEN_GRANT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasTokenGrant() {
+  if (which() != PeerMessage::TOKEN_GRANT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::TokenGrant::Reader PeerMessage::Reader::getTokenGrant() const {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::TokenGrant::Builder PeerMessage::Builder::getTokenGrant() {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setTokenGrant( ::oleandergrade::wire::TokenGrant::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_GRANT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::TokenGrant::Builder PeerMessage::Builder::initTokenGrant() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_GRANT);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptTokenGrant(
+    ::capnp::Orphan< ::oleandergrade::wire::TokenGrant>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_GRANT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::TokenGrant> PeerMessage::Builder::disownTokenGrant() {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isHeartbeat() const {
+  return which() == PeerMessage::HEARTBEAT;
+}
+inline bool PeerMessage::Builder::isHeartbeat() {
+  return which() == PeerMessage::HEARTBEAT;
+}
+inline bool PeerMessage::Reader::hasHeartbeat() const {
+  if (which() != PeerMessage::HEARTBEAT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasHeartbeat() {
+  if (which() != PeerMessage::HEARTBEAT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::Heartbeat::Reader PeerMessage::Reader::getHeartbeat() const {
+  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::Heartbeat::Builder PeerMessage::Builder::getHeartbeat() {
+  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setHeartbeat( ::oleandergrade::wire::Heartbeat::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::Heartbeat::Builder PeerMessage::Builder::initHeartbeat() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptHeartbeat(
+    ::capnp::Orphan< ::oleandergrade::wire::Heartbeat>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::Heartbeat> PeerMessage::Builder::disownHeartbeat() {
+  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isHeartbeatReply() const {
+  return which() == PeerMessage::HEARTBEAT_REPLY;
+}
+inline bool PeerMessage::Builder::isHeartbeatReply() {
+  return which() == PeerMessage::HEARTBEAT_REPLY;
+}
+inline bool PeerMessage::Reader::hasHeartbeatReply() const {
+  if (which() != PeerMessage::HEARTBEAT_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasHeartbeatReply() {
+  if (which() != PeerMessage::HEARTBEAT_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::Heartbeat::Reader PeerMessage::Reader::getHeartbeatReply() const {
+  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::Heartbeat::Builder PeerMessage::Builder::getHeartbeatReply() {
+  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setHeartbeatReply( ::oleandergrade::wire::Heartbeat::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT_REPLY);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::Heartbeat::Builder PeerMessage::Builder::initHeartbeatReply() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT_REPLY);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptHeartbeatReply(
+    ::capnp::Orphan< ::oleandergrade::wire::Heartbeat>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT_REPLY);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::Heartbeat> PeerMessage::Builder::disownHeartbeatReply() {
+  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isGroupAnnouncement() const {
+  return which() == PeerMessage::GROUP_ANNOUNCEMENT;
+}
+inline bool PeerMessage::Builder::isGroupAnnouncement() {
+  return which() == PeerMessage::GROUP_ANNOUNCEMENT;
+}
+inline bool PeerMessage::Reader::hasGroupAnnouncement() const {
+  if (which() != PeerMessage::GROUP_ANNOUNCEMENT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasGroupAnnouncement() {
+  if (which() != PeerMessage::GROUP_ANNOUNCEMENT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::GroupRecord::Reader PeerMessage::Reader::getGroupAnnouncement() const {
+  KJ_IREQUIRE((which() == PeerMessage::GROUP_ANNOUNCEMENT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::GroupRecord::Builder PeerMessage::Builder::getGroupAnnouncement() {
+  KJ_IREQUIRE((which() == PeerMessage::GROUP_ANNOUNCEMENT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setGroupAnnouncement( ::oleandergrade::wire::GroupRecord::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::GROUP_ANNOUNCEMENT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::GroupRecord::Builder PeerMessage::Builder::initGroupAnnouncement() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::GROUP_ANNOUNCEMENT);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptGroupAnnouncement(
+    ::capnp::Orphan< ::oleandergrade::wire::GroupRecord>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::GROUP_ANNOUNCEMENT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::GroupRecord> PeerMessage::Builder::disownGroupAnnouncement() {
+  KJ_IREQUIRE((which() == PeerMessage::GROUP_ANNOUNCEMENT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isConfigurationRequest() const {
+  return which() == PeerMessage::CONFIGURATION_REQUEST;
+}
+inline bool PeerMessage::Builder::isConfigurationRequest() {
+  return which() == PeerMessage::CONFIGURATION_REQUEST;
+}
+inline  ::uint64_t PeerMessage::Reader::getConfigurationRequest() const {
+  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Builder::getConfigurationRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Builder::setConfigurationRequest( ::uint64_t value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION_REQUEST);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::Reader::isConfiguration() const {
+  return which() == PeerMessage::CONFIGURATION;
+}
+inline bool PeerMessage::Builder::isConfiguration() {
+  return which() == PeerMessage::CONFIGURATION;
+}
+inline bool PeerMessage::Reader::hasConfiguration() const {
+  if (which() != PeerMessage::CONFIGURATION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasConfiguration() {
+  if (which() != PeerMessage::CONFIGURATION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::ConfigurationRecord::Reader PeerMessage::Reader::getConfiguration() const {
+  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::ConfigurationRecord::Builder PeerMessage::Builder::getConfiguration() {
+  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setConfiguration( ::oleandergrade::wire::ConfigurationRecord::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::ConfigurationRecord::Builder PeerMessage::Builder::initConfiguration() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::oleandergrade::wire::ConfigurationRecord>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::ConfigurationRecord> PeerMessage::Builder::disownConfiguration() {
+  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isTraceRequest() const {
+  return which() == PeerMessage::TRACE_REQUEST;
+}
+inline bool PeerMessage::Builder::isTraceRequest() {
+  return which() == PeerMessage::TRACE_REQUEST;
+}
+inline bool PeerMessage::Reader::hasTraceRequest() const {
+  if (which() != PeerMessage::TRACE_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasTraceRequest() {
+  if (which() != PeerMessage::TRACE_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerMessage::Reader::getTraceRequest() const {
+  KJ_IREQUIRE((which() == PeerMessage::TRACE_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerMessage::Builder::getTraceRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::TRACE_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setTraceRequest( ::capnp::Text::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REQUEST);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerMessage::Builder::initTraceRequest(unsigned int size) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REQUEST);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Builder::adoptTraceRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REQUEST);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PeerMessage::Builder::disownTraceRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::TRACE_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isTraceReply() const {
+  return which() == PeerMessage::TRACE_REPLY;
+}
+inline bool PeerMessage::Builder::isTraceReply() {
+  return which() == PeerMessage::TRACE_REPLY;
+}
+inline bool PeerMessage::Reader::hasTraceReply() const {
+  if (which() != PeerMessage::TRACE_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasTraceReply() {
+  if (which() != PeerMessage::TRACE_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerMessage::Reader::getTraceReply() const {
+  KJ_IREQUIRE((which() == PeerMessage::TRACE_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerMessage::Builder::getTraceReply() {
+  KJ_IREQUIRE((which() == PeerMessage::TRACE_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setTraceReply( ::capnp::Text::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REPLY);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerMessage::Builder::initTraceReply(unsigned int size) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REPLY);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Builder::adoptTraceReply(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REPLY);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PeerMessage::Builder::disownTraceReply() {
+  KJ_IREQUIRE((which() == PeerMessage::TRACE_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isFleetReport() const {
+  return which() == PeerMessage::FLEET_REPORT;
+}
+inline bool PeerMessage::Builder::isFleetReport() {
+  return which() == PeerMessage::FLEET_REPORT;
+}
+inline bool PeerMessage::Reader::hasFleetReport() const {
+  if (which() != PeerMessage::FLEET_REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasFleetReport() {
+  if (which() != PeerMessage::FLEET_REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::FleetReport::Reader PeerMessage::Reader::getFleetReport() const {
+  KJ_IREQUIRE((which() == PeerMessage::FLEET_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::FleetReport::Builder PeerMessage::Builder::getFleetReport() {
+  KJ_IREQUIRE((which() == PeerMessage::FLEET_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setFleetReport( ::oleandergrade::wire::FleetReport::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_REPORT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::FleetReport::Builder PeerMessage::Builder::initFleetReport() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_REPORT);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptFleetReport(
+    ::capnp::Orphan< ::oleandergrade::wire::FleetReport>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_REPORT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::FleetReport> PeerMessage::Builder::disownFleetReport() {
+  KJ_IREQUIRE((which() == PeerMessage::FLEET_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isFleetGrant() const {
+  return which() == PeerMessage::FLEET_GRANT;
+}
+inline bool PeerMessage::Builder::isFleetGrant() {
+  return which() == PeerMessage::FLEET_GRANT;
+}
+inline bool PeerMessage::Reader::hasFleetGrant() const {
+  if (which() != PeerMessage::FLEET_GRANT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasFleetGrant() {
+  if (which() != PeerMessage::FLEET_GRANT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::FleetGrant::Reader PeerMessage::Reader::getFleetGrant() const {
+  KJ_IREQUIRE((which() == PeerMessage::FLEET_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::FleetGrant::Builder PeerMessage::Builder::getFleetGrant() {
+  KJ_IREQUIRE((which() == PeerMessage::FLEET_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setFleetGrant( ::oleandergrade::wire::FleetGrant::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_GRANT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::FleetGrant::Builder PeerMessage::Builder::initFleetGrant() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_GRANT);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptFleetGrant(
+    ::capnp::Orphan< ::oleandergrade::wire::FleetGrant>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_GRANT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::FleetGrant> PeerMessage::Builder::disownFleetGrant() {
+  KJ_IREQUIRE((which() == PeerMessage::FLEET_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isPrimaryNotice() const {
+  return which() == PeerMessage::PRIMARY_NOTICE;
+}
+inline bool PeerMessage::Builder::isPrimaryNotice() {
+  return which() == PeerMessage::PRIMARY_NOTICE;
+}
+inline bool PeerMessage::Reader::hasPrimaryNotice() const {
+  if (which() != PeerMessage::PRIMARY_NOTICE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasPrimaryNotice() {
+  if (which() != PeerMessage::PRIMARY_NOTICE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::PrimaryNotice::Reader PeerMessage::Reader::getPrimaryNotice() const {
+  KJ_IREQUIRE((which() == PeerMessage::PRIMARY_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::PrimaryNotice::Builder PeerMessage::Builder::getPrimaryNotice() {
+  KJ_IREQUIRE((which() == PeerMessage::PRIMARY_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setPrimaryNotice( ::oleandergrade::wire::PrimaryNotice::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::PRIMARY_NOTICE);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::PrimaryNotice::Builder PeerMessage::Builder::initPrimaryNotice() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::PRIMARY_NOTICE);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptPrimaryNotice(
+    ::capnp::Orphan< ::oleandergrade::wire::PrimaryNotice>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::PRIMARY_NOTICE);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::PrimaryNotice> PeerMessage::Builder::disownPrimaryNotice() {
+  KJ_IREQUIRE((which() == PeerMessage::PRIMARY_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isNoticeReceipt() const {
+  return which() == PeerMessage::NOTICE_RECEIPT;
+}
+inline bool PeerMessage::Builder::isNoticeReceipt() {
+  return which() == PeerMessage::NOTICE_RECEIPT;
+}
+inline bool PeerMessage::Reader::hasNoticeReceipt() const {
+  if (which() != PeerMessage::NOTICE_RECEIPT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasNoticeReceipt() {
+  if (which() != PeerMessage::NOTICE_RECEIPT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::NoticeReceipt::Reader PeerMessage::Reader::getNoticeReceipt() const {
+  KJ_IREQUIRE((which() == PeerMessage::NOTICE_RECEIPT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::NoticeReceipt::Builder PeerMessage::Builder::getNoticeReceipt() {
+  KJ_IREQUIRE((which() == PeerMessage::NOTICE_RECEIPT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setNoticeReceipt( ::oleandergrade::wire::NoticeReceipt::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::NOTICE_RECEIPT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::NoticeReceipt::Builder PeerMessage::Builder::initNoticeReceipt() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::NOTICE_RECEIPT);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptNoticeReceipt(
+    ::capnp::Orphan< ::oleandergrade::wire::NoticeReceipt>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::NOTICE_RECEIPT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::NoticeReceipt> PeerMessage::Builder::disownNoticeReceipt() {
+  KJ_IREQUIRE((which() == PeerMessage::NOTICE_RECEIPT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isSnapshotRequest() const {
+  return which() == PeerMessage::SNAPSHOT_REQUEST;
+}
+inline bool PeerMessage::Builder::isSnapshotRequest() {
+  return which() == PeerMessage::SNAPSHOT_REQUEST;
+}
+inline  ::uint64_t PeerMessage::Reader::getSnapshotRequest() const {
+  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Builder::getSnapshotRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Builder::setSnapshotRequest( ::uint64_t value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SNAPSHOT_REQUEST);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::Reader::isSnapshot() const {
+  return which() == PeerMessage::SNAPSHOT;
+}
+inline bool PeerMessage::Builder::isSnapshot() {
+  return which() == PeerMessage::SNAPSHOT;
+}
+inline bool PeerMessage::Reader::hasSnapshot() const {
+  if (which() != PeerMessage::SNAPSHOT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasSnapshot() {
+  if (which() != PeerMessage::SNAPSHOT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::FleetSnapshot::Reader PeerMessage::Reader::getSnapshot() const {
+  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::FleetSnapshot::Builder PeerMessage::Builder::getSnapshot() {
+  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setSnapshot( ::oleandergrade::wire::FleetSnapshot::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SNAPSHOT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::FleetSnapshot::Builder PeerMessage::Builder::initSnapshot() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SNAPSHOT);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptSnapshot(
+    ::capnp::Orphan< ::oleandergrade::wire::FleetSnapshot>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SNAPSHOT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::FleetSnapshot> PeerMessage::Builder::disownSnapshot() {
+  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool TargetTrouble::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetTrouble::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetTrouble::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetTrouble::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TargetTrouble::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetTrouble::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TargetTrouble::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetTrouble::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TargetTrouble::Reader::getSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetTrouble::Builder::getSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetTrouble::Builder::setSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AccountDemand::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AccountDemand::Builder::hasAccount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AccountDemand::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AccountDemand::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AccountDemand::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AccountDemand::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AccountDemand::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AccountDemand::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double AccountDemand::Reader::getWanted() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double AccountDemand::Builder::getWanted() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AccountDemand::Builder::setWanted(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double AccountDemand::Reader::getHeld() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double AccountDemand::Builder::getHeld() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AccountDemand::Builder::setHeld(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AccountShare::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AccountShare::Builder::hasAccount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AccountShare::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AccountShare::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AccountShare::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AccountShare::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AccountShare::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AccountShare::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double AccountShare::Reader::getRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double AccountShare::Builder::getRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AccountShare::Builder::setRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double AccountShare::Reader::getBurst() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double AccountShare::Builder::getBurst() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AccountShare::Builder::setBurst(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetReport::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetReport::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FleetReport::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FleetReport::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetReport::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FleetReport::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FleetReport::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FleetReport::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t FleetReport::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetReport::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FleetReport::Builder::setIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerMessage::Reader::isStatement() const {
-  return which() == PeerMessage::STATEMENT;
+inline bool FleetReport::Reader::getIsRegistered() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline bool PeerMessage::Builder::isStatement() {
-  return which() == PeerMessage::STATEMENT;
+
+inline bool FleetReport::Builder::getIsRegistered() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline bool PeerMessage::Reader::hasStatement() const {
-  if (which() != PeerMessage::STATEMENT) return false;
+inline void FleetReport::Builder::setIsRegistered(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FleetReport::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetReport::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FleetReport::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FleetReport::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetReport::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FleetReport::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetReport::Reader::hasTroubles() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetReport::Builder::hasTroubles() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Reader FleetReport::Reader::getTroubles() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Builder FleetReport::Builder::getTroubles() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FleetReport::Builder::setTroubles( ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Builder FleetReport::Builder::initTroubles(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FleetReport::Builder::adoptTroubles(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>> FleetReport::Builder::disownTroubles() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool FleetReport::Reader::hasDemands() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetReport::Builder::hasDemands() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Reader FleetReport::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Builder FleetReport::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void FleetReport::Builder::setDemands( ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Builder FleetReport::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void FleetReport::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>> FleetReport::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool PrimaryState::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasStatement() {
-  if (which() != PeerMessage::STATEMENT) return false;
+inline bool PrimaryState::Builder::hasGroup() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::oleandergrade::wire::Statement::Reader PeerMessage::Reader::getStatement() const {
-  KJ_IREQUIRE((which() == PeerMessage::STATEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader PrimaryState::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::oleandergrade::wire::Statement::Builder PeerMessage::Builder::getStatement() {
-  KJ_IREQUIRE((which() == PeerMessage::STATEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder PrimaryState::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setStatement( ::oleandergrade::wire::Statement::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STATEMENT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::set(_builder.getPointerField(
+inline void PrimaryState::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::oleandergrade::wire::Statement::Builder PeerMessage::Builder::initStatement() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STATEMENT);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder PrimaryState::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PeerMessage::Builder::adoptStatement(
-    ::capnp::Orphan< ::oleandergrade::wire::Statement>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STATEMENT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::adopt(_builder.getPointerField(
+inline void PrimaryState::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::oleandergrade::wire::Statement> PeerMessage::Builder::disownStatement() {
-  KJ_IREQUIRE((which() == PeerMessage::STATEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> PrimaryState::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PrimaryState::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrimaryState::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryState::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PrimaryState::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PrimaryState::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PrimaryState::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PrimaryState::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PrimaryState::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PrimaryState::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PrimaryState::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PrimaryState::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool PrimaryState::Reader::getIsOpen() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool PrimaryState::Builder::getIsOpen() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryState::Builder::setIsOpen(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PrimaryState::Reader::getIsPlanned() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool PrimaryState::Builder::getIsPlanned() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryState::Builder::setIsPlanned(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PrimaryState::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrimaryState::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryState::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PrimaryState::Reader::getPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrimaryState::Builder::getPosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryState::Builder::setPosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PrimaryState::Reader::getPositionAge() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrimaryState::Builder::getPositionAge() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryState::Builder::setPositionAge( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PrimaryState::Reader::getHasPosition() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool PrimaryState::Builder::getHasPosition() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryState::Builder::setHasPosition(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetGrant::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetGrant::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FleetGrant::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FleetGrant::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetGrant::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FleetGrant::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FleetGrant::Reader::getValidity() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetGrant::Builder::getValidity() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FleetGrant::Builder::setValidity( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FleetGrant::Reader::getMembers() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FleetGrant::Builder::getMembers() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FleetGrant::Builder::setMembers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerMessage::Reader::isAnswer() const {
-  return which() == PeerMessage::ANSWER;
+inline  ::uint64_t FleetGrant::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline bool PeerMessage::Builder::isAnswer() {
-  return which() == PeerMessage::ANSWER;
+
+inline  ::uint64_t FleetGrant::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline bool PeerMessage::Reader::hasAnswer() const {
-  if (which() != PeerMessage::ANSWER) return false;
+inline void FleetGrant::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetGrant::Reader::hasPrimaries() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasAnswer() {
-  if (which() != PeerMessage::ANSWER) return false;
+inline bool FleetGrant::Builder::hasPrimaries() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::oleandergrade::wire::Answer::Reader PeerMessage::Reader::getAnswer() const {
-  KJ_IREQUIRE((which() == PeerMessage::ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::get(_reader.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader FleetGrant::Reader::getPrimaries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::oleandergrade::wire::Answer::Builder PeerMessage::Builder::getAnswer() {
-  KJ_IREQUIRE((which() == PeerMessage::ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::get(_builder.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder FleetGrant::Builder::getPrimaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setAnswer( ::oleandergrade::wire::Answer::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::ANSWER);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::set(_builder.getPointerField(
+inline void FleetGrant::Builder::setPrimaries( ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::oleandergrade::wire::Answer::Builder PeerMessage::Builder::initAnswer() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::ANSWER);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder FleetGrant::Builder::initPrimaries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PeerMessage::Builder::adoptAnswer(
-    ::capnp::Orphan< ::oleandergrade::wire::Answer>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::ANSWER);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::adopt(_builder.getPointerField(
+inline void FleetGrant::Builder::adoptPrimaries(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::oleandergrade::wire::Answer> PeerMessage::Builder::disownAnswer() {
-  KJ_IREQUIRE((which() == PeerMessage::ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>> FleetGrant::Builder::disownPrimaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PeerMessage::Reader::isTokenRequest() const {
-  return which() == PeerMessage::TOKEN_REQUEST;
-}
-inline bool PeerMessage::Builder::isTokenRequest() {
-  return which() == PeerMessage::TOKEN_REQUEST;
-}
-inline bool PeerMessage::Reader::hasTokenRequest() const {
-  if (which() != PeerMessage::TOKEN_REQUEST) return false;
+inline bool FleetGrant::Reader::hasShares() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasTokenRequest() {
-  if (which() != PeerMessage::TOKEN_REQUEST) return false;
+inline bool FleetGrant::Builder::hasShares() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::oleandergrade::wire::TokenRequest::Reader PeerMessage::Reader::getTokenRequest() const {
-  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader FleetGrant::Reader::getShares() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::oleandergrade::wire::TokenRequest::Builder PeerMessage::Builder::getTokenRequest() {
-  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder FleetGrant::Builder::getShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setTokenRequest( ::oleandergrade::wire::TokenRequest::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REQUEST);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void FleetGrant::Builder::setShares( ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::oleandergrade::wire::TokenRequest::Builder PeerMessage::Builder::initTokenRequest() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REQUEST);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder FleetGrant::Builder::initShares(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void PeerMessage::Builder::adoptTokenRequest(
-    ::capnp::Orphan< ::oleandergrade::wire::TokenRequest>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REQUEST);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void FleetGrant::Builder::adoptShares(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
