+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::oleandergrade::wire::TokenRequest> PeerMessage::Builder::disownTokenRequest() {
-  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>> FleetGrant::Builder::disownShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool PeerMessage::Reader::isTokenGrant() const {
-  return which() == PeerMessage::TOKEN_GRANT;
-}
-inline bool PeerMessage::Builder::isTokenGrant() {
-  return which() == PeerMessage::TOKEN_GRANT;
-}
-inline bool PeerMessage::Reader::hasTokenGrant() const {
-  if (which() != PeerMessage::TOKEN_GRANT) return false;
+inline bool FleetGrant::Reader::hasHolder() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasTokenGrant() {
-  if (which() != PeerMessage::TOKEN_GRANT) return false;
+inline bool FleetGrant::Builder::hasHolder() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::oleandergrade::wire::TokenGrant::Reader PeerMessage::Reader::getTokenGrant() const {
-  KJ_IREQUIRE((which() == PeerMessage::TOKEN_GRANT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader FleetGrant::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::oleandergrade::wire::TokenGrant::Builder PeerMessage::Builder::getTokenGrant() {
-  KJ_IREQUIRE((which() == PeerMessage::TOKEN_GRANT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder FleetGrant::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setTokenGrant( ::oleandergrade::wire::TokenGrant::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_GRANT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void FleetGrant::Builder::setHolder( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::oleandergrade::wire::TokenGrant::Builder PeerMessage::Builder::initTokenGrant() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_GRANT);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder FleetGrant::Builder::initHolder(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void PeerMessage::Builder::adoptTokenGrant(
-    ::capnp::Orphan< ::oleandergrade::wire::TokenGrant>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_GRANT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void FleetGrant::Builder::adoptHolder(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::oleandergrade::wire::TokenGrant> PeerMessage::Builder::disownTokenGrant() {
-  KJ_IREQUIRE((which() == PeerMessage::TOKEN_GRANT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> FleetGrant::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool PeerMessage::Reader::isHeartbeat() const {
-  return which() == PeerMessage::HEARTBEAT;
+inline  ::uint64_t PrimaryNotice::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool PeerMessage::Builder::isHeartbeat() {
-  return which() == PeerMessage::HEARTBEAT;
+
+inline  ::uint64_t PrimaryNotice::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool PeerMessage::Reader::hasHeartbeat() const {
-  if (which() != PeerMessage::HEARTBEAT) return false;
+inline void PrimaryNotice::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PrimaryNotice::Reader::hasHolder() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasHeartbeat() {
-  if (which() != PeerMessage::HEARTBEAT) return false;
+inline bool PrimaryNotice::Builder::hasHolder() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::oleandergrade::wire::Heartbeat::Reader PeerMessage::Reader::getHeartbeat() const {
-  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader PrimaryNotice::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::oleandergrade::wire::Heartbeat::Builder PeerMessage::Builder::getHeartbeat() {
-  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder PrimaryNotice::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setHeartbeat( ::oleandergrade::wire::Heartbeat::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::set(_builder.getPointerField(
+inline void PrimaryNotice::Builder::setHolder( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::oleandergrade::wire::Heartbeat::Builder PeerMessage::Builder::initHeartbeat() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder PrimaryNotice::Builder::initHolder(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PeerMessage::Builder::adoptHeartbeat(
-    ::capnp::Orphan< ::oleandergrade::wire::Heartbeat>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::adopt(_builder.getPointerField(
+inline void PrimaryNotice::Builder::adoptHolder(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::oleandergrade::wire::Heartbeat> PeerMessage::Builder::disownHeartbeat() {
-  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> PrimaryNotice::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PeerMessage::Reader::isHeartbeatReply() const {
-  return which() == PeerMessage::HEARTBEAT_REPLY;
-}
-inline bool PeerMessage::Builder::isHeartbeatReply() {
-  return which() == PeerMessage::HEARTBEAT_REPLY;
-}
-inline bool PeerMessage::Reader::hasHeartbeatReply() const {
-  if (which() != PeerMessage::HEARTBEAT_REPLY) return false;
+inline bool PrimaryNotice::Reader::hasPrimaries() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasHeartbeatReply() {
-  if (which() != PeerMessage::HEARTBEAT_REPLY) return false;
+inline bool PrimaryNotice::Builder::hasPrimaries() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::Heartbeat::Reader PeerMessage::Reader::getHeartbeatReply() const {
-  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::Heartbeat::Builder PeerMessage::Builder::getHeartbeatReply() {
-  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void PeerMessage::Builder::setHeartbeatReply( ::oleandergrade::wire::Heartbeat::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT_REPLY);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader PrimaryNotice::Reader::getPrimaries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::oleandergrade::wire::Heartbeat::Builder PeerMessage::Builder::initHeartbeatReply() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT_REPLY);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder PrimaryNotice::Builder::getPrimaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::adoptHeartbeatReply(
-    ::capnp::Orphan< ::oleandergrade::wire::Heartbeat>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT_REPLY);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void PrimaryNotice::Builder::setPrimaries( ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Orphan< ::oleandergrade::wire::Heartbeat> PeerMessage::Builder::disownHeartbeatReply() {
-  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder PrimaryNotice::Builder::initPrimaries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline bool PeerMessage::Reader::isGroupAnnouncement() const {
-  return which() == PeerMessage::GROUP_ANNOUNCEMENT;
+inline void PrimaryNotice::Builder::adoptPrimaries(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline bool PeerMessage::Builder::isGroupAnnouncement() {
-  return which() == PeerMessage::GROUP_ANNOUNCEMENT;
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>> PrimaryNotice::Builder::disownPrimaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline bool PeerMessage::Reader::hasGroupAnnouncement() const {
-  if (which() != PeerMessage::GROUP_ANNOUNCEMENT) return false;
+
+inline bool NoticeReceipt::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasGroupAnnouncement() {
-  if (which() != PeerMessage::GROUP_ANNOUNCEMENT) return false;
+inline bool NoticeReceipt::Builder::hasVm() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::oleandergrade::wire::GroupRecord::Reader PeerMessage::Reader::getGroupAnnouncement() const {
-  KJ_IREQUIRE((which() == PeerMessage::GROUP_ANNOUNCEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader NoticeReceipt::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::oleandergrade::wire::GroupRecord::Builder PeerMessage::Builder::getGroupAnnouncement() {
-  KJ_IREQUIRE((which() == PeerMessage::GROUP_ANNOUNCEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder NoticeReceipt::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setGroupAnnouncement( ::oleandergrade::wire::GroupRecord::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::GROUP_ANNOUNCEMENT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::set(_builder.getPointerField(
+inline void NoticeReceipt::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::oleandergrade::wire::GroupRecord::Builder PeerMessage::Builder::initGroupAnnouncement() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::GROUP_ANNOUNCEMENT);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder NoticeReceipt::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PeerMessage::Builder::adoptGroupAnnouncement(
-    ::capnp::Orphan< ::oleandergrade::wire::GroupRecord>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::GROUP_ANNOUNCEMENT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::adopt(_builder.getPointerField(
+inline void NoticeReceipt::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::oleandergrade::wire::GroupRecord> PeerMessage::Builder::disownGroupAnnouncement() {
-  KJ_IREQUIRE((which() == PeerMessage::GROUP_ANNOUNCEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> NoticeReceipt::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PeerMessage::Reader::isConfigurationRequest() const {
-  return which() == PeerMessage::CONFIGURATION_REQUEST;
+inline  ::uint64_t NoticeReceipt::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool PeerMessage::Builder::isConfigurationRequest() {
-  return which() == PeerMessage::CONFIGURATION_REQUEST;
+
+inline  ::uint64_t NoticeReceipt::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::uint64_t PeerMessage::Reader::getConfigurationRequest() const {
-  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION_REQUEST),
-              "Must check which() before get()ing a union member.");
+inline void NoticeReceipt::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NoticeReceipt::Reader::getToken() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerMessage::Builder::getConfigurationRequest() {
-  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION_REQUEST),
-              "Must check which() before get()ing a union member.");
+inline  ::uint64_t NoticeReceipt::Builder::getToken() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PeerMessage::Builder::setConfigurationRequest( ::uint64_t value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION_REQUEST);
+inline void NoticeReceipt::Builder::setToken( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerMessage::Reader::isConfiguration() const {
-  return which() == PeerMessage::CONFIGURATION;
+inline bool NoticeReceipt::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline bool PeerMessage::Builder::isConfiguration() {
-  return which() == PeerMessage::CONFIGURATION;
+
+inline bool NoticeReceipt::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline bool PeerMessage::Reader::hasConfiguration() const {
-  if (which() != PeerMessage::CONFIGURATION) return false;
+inline void NoticeReceipt::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SnapshotItem::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasConfiguration() {
-  if (which() != PeerMessage::CONFIGURATION) return false;
+inline bool SnapshotItem::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::oleandergrade::wire::ConfigurationRecord::Reader PeerMessage::Reader::getConfiguration() const {
-  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader SnapshotItem::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::oleandergrade::wire::ConfigurationRecord::Builder PeerMessage::Builder::getConfiguration() {
-  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder SnapshotItem::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setConfiguration( ::oleandergrade::wire::ConfigurationRecord::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::set(_builder.getPointerField(
+inline void SnapshotItem::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::oleandergrade::wire::ConfigurationRecord::Builder PeerMessage::Builder::initConfiguration() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SnapshotItem::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PeerMessage::Builder::adoptConfiguration(
-    ::capnp::Orphan< ::oleandergrade::wire::ConfigurationRecord>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::adopt(_builder.getPointerField(
+inline void SnapshotItem::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::oleandergrade::wire::ConfigurationRecord> PeerMessage::Builder::disownConfiguration() {
-  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> SnapshotItem::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PeerMessage::Reader::isTraceRequest() const {
-  return which() == PeerMessage::TRACE_REQUEST;
+inline bool SnapshotItem::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::isTraceRequest() {
-  return which() == PeerMessage::TRACE_REQUEST;
+inline bool SnapshotItem::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Reader::hasTraceRequest() const {
-  if (which() != PeerMessage::TRACE_REQUEST) return false;
+inline  ::capnp::Data::Reader SnapshotItem::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder SnapshotItem::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SnapshotItem::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder SnapshotItem::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SnapshotItem::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> SnapshotItem::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t FleetSnapshot::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetSnapshot::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FleetSnapshot::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetSnapshot::Reader::hasConfiguration() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasTraceRequest() {
-  if (which() != PeerMessage::TRACE_REQUEST) return false;
+inline bool FleetSnapshot::Builder::hasConfiguration() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PeerMessage::Reader::getTraceRequest() const {
-  KJ_IREQUIRE((which() == PeerMessage::TRACE_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader FleetSnapshot::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PeerMessage::Builder::getTraceRequest() {
-  KJ_IREQUIRE((which() == PeerMessage::TRACE_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder FleetSnapshot::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setTraceRequest( ::capnp::Text::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REQUEST);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void FleetSnapshot::Builder::setConfiguration( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PeerMessage::Builder::initTraceRequest(unsigned int size) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REQUEST);
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder FleetSnapshot::Builder::initConfiguration(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PeerMessage::Builder::adoptTraceRequest(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REQUEST);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void FleetSnapshot::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PeerMessage::Builder::disownTraceRequest() {
-  KJ_IREQUIRE((which() == PeerMessage::TRACE_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> FleetSnapshot::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PeerMessage::Reader::isTraceReply() const {
-  return which() == PeerMessage::TRACE_REPLY;
+inline bool FleetSnapshot::Reader::hasTargets() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::isTraceReply() {
-  return which() == PeerMessage::TRACE_REPLY;
+inline bool FleetSnapshot::Builder::hasTargets() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Reader::hasTraceReply() const {
-  if (which() != PeerMessage::TRACE_REPLY) return false;
+inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader FleetSnapshot::Reader::getTargets() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::getTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FleetSnapshot::Builder::setTargets( ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::initTargets(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FleetSnapshot::Builder::adoptTargets(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>> FleetSnapshot::Builder::disownTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool FleetSnapshot::Reader::hasMembers() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasTraceReply() {
-  if (which() != PeerMessage::TRACE_REPLY) return false;
+inline bool FleetSnapshot::Builder::hasMembers() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PeerMessage::Reader::getTraceReply() const {
-  KJ_IREQUIRE((which() == PeerMessage::TRACE_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader FleetSnapshot::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PeerMessage::Builder::getTraceReply() {
-  KJ_IREQUIRE((which() == PeerMessage::TRACE_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setTraceReply( ::capnp::Text::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REPLY);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void FleetSnapshot::Builder::setMembers( ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PeerMessage::Builder::initTraceReply(unsigned int size) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REPLY);
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void PeerMessage::Builder::adoptTraceReply(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REPLY);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void FleetSnapshot::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PeerMessage::Builder::disownTraceReply() {
-  KJ_IREQUIRE((which() == PeerMessage::TRACE_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>> FleetSnapshot::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Statement::Reader::hasRequestNumber() const {
--- a/src/connection/peer_message.cpp
+++ b/src/connection/peer_message.cpp
@@ -1,6 +1,8 @@
 #include <oleandergrade/connection/peer_message.hpp>
 
+#include "fleet_message_codec.hpp"
 #include "peer_message.capnp.h"
+#include "wire_values.hpp"
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
@@ -15,25 +17,13 @@
 namespace
 {
 
+// The overloads below would hide those of the fleet's messages.
+using oleandergrade::read;
+using oleandergrade::write;
+
 constexpr std::size_t first_segment_words = 256;
 constexpr std::size_t first_buffer_bytes = 1024;
 
-std::string text(capnp::Text::Reader reader)
-{
-    return {reader.cStr(), reader.size()};
-}
-
-milliseconds ms(std::uint64_t value)
-{
-    constexpr std::uint64_t highest = 1'000'000'000'000;
-    return milliseconds(std::min(value, highest));
-}
-
-std::uint64_t count(milliseconds value)
-{
-    return value.count() < 0 ? 0 : static_cast<std::uint64_t>(value.count());
-}
-
 void write(wire::Statement::Builder out, const statement& in)
 {
     out.setRequestNumber(in.request_number);
@@ -261,6 +251,30 @@
         out.setTraceRequest(body.request_number);
     }
     void operator()(const trace_reply& body) { out.setTraceReply(body.events); }
+    void operator()(const fleet_report& body)
+    {
+        write(out.initFleetReport(), body);
+    }
+    void operator()(const fleet_grant& body)
+    {
+        write(out.initFleetGrant(), body);
+    }
+    void operator()(const primary_notice& body)
+    {
+        write(out.initPrimaryNotice(), body);
+    }
+    void operator()(const notice_receipt& body)
+    {
+        write(out.initNoticeReceipt(), body);
+    }
+    void operator()(const snapshot_request& body)
+    {
+        out.setSnapshotRequest(body.known_version);
+    }
+    void operator()(const fleet_snapshot& body)
+    {
+        write(out.initSnapshot(), body);
+    }
 };
 
 peer_body read_body(wire::PeerMessage::Reader in)
@@ -290,6 +304,18 @@
         return trace_request{text(in.getTraceRequest())};
     case wire::PeerMessage::TRACE_REPLY:
         return trace_reply{text(in.getTraceReply())};
+    case wire::PeerMessage::FLEET_REPORT:
+        return read(in.getFleetReport());
+    case wire::PeerMessage::FLEET_GRANT:
+        return read(in.getFleetGrant());
+    case wire::PeerMessage::PRIMARY_NOTICE:
+        return read(in.getPrimaryNotice());
+    case wire::PeerMessage::NOTICE_RECEIPT:
+        return read(in.getNoticeReceipt());
+    case wire::PeerMessage::SNAPSHOT_REQUEST:
+        return snapshot_request{in.getSnapshotRequest()};
+    case wire::PeerMessage::SNAPSHOT:
+        return read(in.getSnapshot());
     }
     throw std::runtime_error("unknown kind of message");
 }
--- /dev/null
+++ b/src/connection/target_session.cpp
@@ -0,0 +1,226 @@
+#include <oleandergrade/connection/target_session.hpp>
+
+#include <oleandergrade/connection/socket_options.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+constexpr std::size_t read_bytes = 4096;
+
+} // namespace
+
+target_session::target_session(const asio::any_io_executor& executor,
+                               const session_codec& codec,
+                               target_session_key key)
+    : codec_(codec), key_(std::move(key)), socket_(executor), timer_(executor)
+{
+}
+
+target_session::~target_session() = default;
+
+error target_session::broken(const char* step, const std::string& message) const
+{
+    return {timed_out_ ? error_kind::timeout : error_kind::broken, step,
+            key_.target, message};
+}
+
+// The timer is armed for the whole of an exchange and ends it by closing the
+// socket.
+void target_session::start_timer(milliseconds timeout)
+{
+    timed_out_ = false;
+    timer_.expires_after(timeout);
+    timer_.async_wait(
+        [weak = weak_from_this()](error_code cancelled)
+        {
+            const auto self = weak.lock();
+            // An expired timer's handler may run after the timer was armed
+            // anew.
+            if (cancelled || !self ||
+                self->timer_.expiry() > asio::steady_timer::clock_type::now())
+                return;
+            self->timed_out_ = true;
+            self->close();
+        });
+}
+
+void target_session::stop_timer()
+{
+    timer_.expires_at(asio::steady_timer::time_point::max());
+}
+
+void target_session::close()
+{
+    open_ = false;
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+bool target_session::is_quiet()
+{
+    if (!open_)
+        return false;
+    char byte = 0;
+    const auto read =
+        ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+asio::awaitable<result<bool>>
+target_session::open(const tcp::endpoint& endpoint, milliseconds timeout)
+{
+    start_timer(timeout);
+    error_code failure;
+    co_await socket_.async_connect(
+        endpoint, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+    {
+        stop_timer();
+        close();
+        co_return error{error_kind::unreachable, "connect", key_.target,
+                        timed_out_ ? "no answer" : failure.message()};
+    }
+    watch_for_silence(socket_);
+    open_ = true;
+    std::string greeting;
+    codec_.append_opening(greeting, key_.group, key_.account, key_.target);
+    co_await asio::async_write(
+        socket_, asio::buffer(greeting),
+        asio::redirect_error(asio::use_awaitable, failure));
+    auto answer = co_await read_answer();
+    stop_timer();
+    if (!succeeded(answer))
+    {
+        close();
+        co_return error{error_kind::unreachable, "greet", key_.target,
+                        error_of(answer).message};
+    }
+    const auto declined = value_of(answer).failure;
+    greeted_ = declined == session_error::none;
+    if (greeted_)
+        co_return true;
+    close();
+    co_return error{error_kind::refused, "greet", key_.target,
+                    to_string(declined)};
+}
+
+asio::awaitable<result<std::vector<target_answer>>>
+target_session::exchange(std::string statements, std::size_t count,
+                         milliseconds timeout)
+{
+    if (!open_)
+        co_return broken("exchange", "the session is closed");
+    start_timer(timeout);
+    error_code failure;
+    co_await asio::async_write(
+        socket_, asio::buffer(statements),
+        asio::redirect_error(asio::use_awaitable, failure));
+    std::vector<target_answer> answers;
+    answers.reserve(count);
+    while (!failure && answers.size() < count)
+    {
+        auto answer = co_await read_answer();
+        if (!succeeded(answer))
+        {
+            stop_timer();
+            close();
+            co_return broken("exchange", error_of(answer).message);
+        }
+        answers.push_back(std::move(value_of(answer)));
+    }
+    stop_timer();
+    if (failure)
+    {
+        close();
+        co_return broken("send", failure.message());
+    }
+    co_return answers;
+}
+
+asio::awaitable<result<target_answer>> target_session::read_answer()
+{
+    target_answer answer;
+    for (;;)
+    {
+        auto line = co_await read_line();
+        if (!succeeded(line))
+            co_return error_of(line);
+        auto parsed = codec_.parse_target_message(value_of(line));
+        if (!succeeded(parsed))
+            co_return error_of(parsed);
+        auto& message = value_of(parsed);
+        if (auto* row = std::get_if<target_row>(&message))
+        {
+            answer.rows.append(row->line).append(session_line_end);
+            if (answer.rows.size() > max_session_message_bytes * 4)
+                co_return broken("read answer", "the answer is too long");
+        }
+        else if (auto* done = std::get_if<target_completion>(&message))
+        {
+            answer.proof = std::move(done->proof);
+        }
+        else if (auto* failed = std::get_if<target_failure>(&message))
+        {
+            answer.failure = failed->code;
+            answer.failure_line = std::move(failed->line);
+            // A target that declines a session closes it without more.
+            if (!greeted_)
+                co_return answer;
+        }
+        else
+        {
+            const auto& ready = std::get<target_readiness>(message);
+            answer.state = ready.state;
+            answer.position = ready.position;
+            state_ = ready.state;
+            co_return answer;
+        }
+    }
+}
+
+asio::awaitable<result<std::string_view>> target_session::read_line()
+{
+    auto scanned = begin_;
+    for (;;)
+    {
+        const auto end = buffer_.find(session_line_end, scanned);
+        if (end != std::string::npos)
+        {
+            const std::string_view line(buffer_.data() + begin_, end - begin_);
+            begin_ = end + session_line_end.size();
+            co_return line;
+        }
+        if (begin_ > 0)
+        {
+            buffer_.erase(0, begin_);
+            begin_ = 0;
+        }
+        const auto kept = buffer_.size();
+        if (kept > max_session_message_bytes)
+            co_return broken("read line", "the line is too long");
+        scanned = kept > 0 ? kept - 1 : 0;
+        buffer_.resize(kept + read_bytes);
+        error_code failure;
+        const auto size = co_await socket_.async_read_some(
+            asio::buffer(buffer_.data() + kept, read_bytes),
+            asio::redirect_error(asio::use_awaitable, failure));
+        buffer_.resize(kept + size);
+        if (failure)
+            co_return broken("read line", failure.message());
+    }
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/configuration/configuration_holder.cpp
@@ -0,0 +1,22 @@
+#include <oleandergrade/process/configuration/configuration_holder.hpp>
+
+namespace oleandergrade
+{
+
+bool configuration_holder::use(route_table_ptr table)
+{
+    if (table == nullptr || table->version <= version())
+        return false;
+    current_ = std::move(table);
+    for (const auto& observer : observers_)
+        observer(*current_);
+    return true;
+}
+
+void configuration_holder::subscribe(
+    std::function<void(const route_table&)> observer)
+{
+    observers_.push_back(std::move(observer));
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/configuration/store_follower.cpp
@@ -0,0 +1,89 @@
+#include <oleandergrade/process/configuration/store_follower.hpp>
+
+#include <oleandergrade/connection/async_event.hpp>
+#include <oleandergrade/process/event_log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+
+store_follower::store_follower(asio::any_io_executor executor,
+                               metadata_store& store, std::string prefix,
+                               handlers behaviour)
+    : executor_(std::move(executor)), store_(store), prefix_(std::move(prefix)),
+      handlers_(std::move(behaviour))
+{
+}
+
+void store_follower::start()
+{
+    asio::co_spawn(executor_, run(), asio::detached);
+}
+
+asio::awaitable<void> store_follower::run()
+{
+    for (;;)
+    {
+        bool goes_on = co_await read();
+        while (goes_on)
+            goes_on = co_await watch();
+    }
+}
+
+asio::awaitable<bool> store_follower::read()
+{
+    auto outcome = co_await store_.read_all(prefix_);
+    if (!succeeded(outcome))
+    {
+        co_await on_failure(error_of(outcome));
+        co_return false;
+    }
+    on_answer();
+    has_read_ = true;
+    as_of_ = value_of(outcome).as_of;
+    handlers_.on_all(value_of(outcome));
+    co_return true;
+}
+
+// Returns false if the prefix must be read anew.
+asio::awaitable<bool> store_follower::watch()
+{
+    auto outcome = co_await store_.watch(prefix_, as_of_, watch_time);
+    if (!succeeded(outcome))
+    {
+        if (error_of(outcome).kind == error_kind::conflict)
+            co_return false;
+        co_await on_failure(error_of(outcome));
+        co_return true;
+    }
+    on_answer();
+    as_of_ = std::max(as_of_, value_of(outcome).as_of);
+    for (const auto& change : value_of(outcome).changes)
+        handlers_.on_change(change);
+    co_return true;
+}
+
+void store_follower::on_answer()
+{
+    pause_ = first_pause;
+    if (std::exchange(in_touch_, true))
+        return;
+    log_event(event_level::info, "store", "regained", {{"prefix", prefix_}});
+}
+
+asio::awaitable<void> store_follower::on_failure(const error& failure)
+{
+    if (std::exchange(in_touch_, false))
+        log_event(event_level::warning, "store", "lost",
+                  {{"prefix", prefix_}, {"error", to_string(failure)}});
+    co_await sleep_for(pause_);
+    pause_ = std::min(pause_ * 2, longest_pause);
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/event_log.cpp
@@ -0,0 +1,167 @@
+#include <oleandergrade/process/event_log.hpp>
+
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+
+#include <boost/make_shared.hpp>
+
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
+
+namespace oleandergrade
+{
+namespace logging = boost::log;
+
+namespace
+{
+
+/// A pipe that polls as writable takes this much without blocking.
+constexpr std::size_t longest_line = 4096;
+
+struct log_state
+{
+    std::mutex lock;
+    bool started = false;
+    std::string vm;
+    std::uint64_t dropped = 0;
+    std::uint64_t dropped_unreported = 0;
+    time_point window;
+    unsigned in_window = 0;
+};
+
+log_state& state()
+{
+    static log_state instance;
+    return instance;
+}
+
+bool write_without_blocking(const std::string& line)
+{
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0)
+        return false;
+    return ::write(STDOUT_FILENO, line.data(), line.size()) ==
+           static_cast<ssize_t>(line.size());
+}
+
+/// Hands formatted records to standard output, or counts them as dropped.
+class bounded_output : public logging::sinks::basic_formatted_sink_backend<
+                           char, logging::sinks::concurrent_feeding>
+{
+public:
+    void consume(const logging::record_view&, const string_type& text)
+    {
+        if (!write_without_blocking(text + "\n"))
+            ++state().dropped;
+    }
+};
+
+const char* name_of(event_level level)
+{
+    switch (level)
+    {
+    case event_level::info:
+        return "info";
+    case event_level::warning:
+        return "warning";
+    case event_level::error:
+        return "error";
+    }
+    return "info";
+}
+
+// Values with blanks or quotes are written in quotes.
+void append_value(std::string& line, std::string_view value)
+{
+    const bool is_plain = !value.empty() && value.find_first_of(" \"\\=\r\n") ==
+                                                std::string_view::npos;
+    if (is_plain)
+    {
+        line.append(value);
+        return;
+    }
+    line += '"';
+    for (const char c : value)
+    {
+        if (c == '"' || c == '\\')
+            line += '\\';
+        line += c == '\n' || c == '\r' ? ' ' : c;
+    }
+    line += '"';
+}
+
+void append_field(std::string& line, std::string_view name,
+                  std::string_view value)
+{
+    line.append(" ").append(name).append("=");
+    append_value(line, value);
+}
+
+bool take_budget(log_state& log)
+{
+    const auto now = current_time();
+    if (now - log.window >= seconds(1))
+    {
+        log.window = now;
+        log.in_window = 0;
+    }
+    if (log.in_window < event_lines_per_second)
+    {
+        ++log.in_window;
+        return true;
+    }
+    ++log.dropped;
+    ++log.dropped_unreported;
+    return false;
+}
+
+} // namespace
+
+void start_event_log(const std::string& vm)
+{
+    auto& log = state();
+    const std::lock_guard guard(log.lock);
+    log.vm = vm;
+    log.started = true;
+    using sink = logging::sinks::unlocked_sink<bounded_output>;
+    logging::core::get()->add_sink(boost::make_shared<sink>());
+}
+
+void log_event(event_level level, std::string_view part, std::string_view event,
+               std::initializer_list<event_field> fields)
+{
+    auto& log = state();
+    const std::lock_guard guard(log.lock);
+    if (!log.started || !take_budget(log))
+        return;
+    std::string line = "level=";
+    line.append(name_of(level));
+    append_field(line, "at_ms",
+                 std::to_string(to_milliseconds(
+                     std::chrono::system_clock::now().time_since_epoch())));
+    append_field(line, "vm", log.vm);
+    append_field(line, "part", part);
+    append_field(line, "event", event);
+    for (const auto& field : fields)
+        append_field(line, field.name, field.value);
+    if (log.dropped_unreported > 0)
+        append_field(line, "left_out",
+                     std::to_string(std::exchange(log.dropped_unreported, 0)));
+    if (line.size() >= longest_line)
+        line.resize(longest_line - 1);
+    static logging::sources::logger source;
+    BOOST_LOG(source) << line;
+}
+
+std::uint64_t dropped_event_lines()
+{
+    auto& log = state();
+    const std::lock_guard guard(log.lock);
+    return log.dropped;
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/failover/failover_driver.cpp
@@ -0,0 +1,440 @@
+#include <oleandergrade/process/failover/failover_driver.hpp>
+
+#include <oleandergrade/connection/endpoint.hpp>
+#include <oleandergrade/process/event_log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// The account under which the holder talks to targets.
+const std::string holder_account = "-";
+constexpr auto idle_interval = milliseconds(100);
+constexpr auto open_timeout = milliseconds(400);
+constexpr auto ask_timeout = milliseconds(300);
+/// A VM counts a target as failing once it failed this long.
+constexpr auto trouble_time = milliseconds(250);
+/// Clocks of VMs tell the time of a grant apart by less than this.
+constexpr auto bound_margin = milliseconds(100);
+
+} // namespace
+
+failover_driver::failover_driver(asio::any_io_executor executor,
+                                 fleet_state& state, duty_election& duty,
+                                 grant_ledger& ledger, peer_calls& peers)
+    : executor_(std::move(executor)), state_(state), duty_(duty),
+      ledger_(ledger), peers_(peers), timer_(executor_)
+{
+}
+
+void failover_driver::start()
+{
+    asio::co_spawn(executor_, run(), asio::detached);
+}
+
+void failover_driver::poke()
+{
+    timer_.cancel();
+}
+
+void failover_driver::on_duty_changed(bool holds)
+{
+    holds_ = holds;
+    vms_.clear();
+    for (auto& [name, group] : groups_)
+        group.abandon();
+    if (!holds)
+    {
+        for (auto& [id, contact] : targets_)
+            if (contact.session != nullptr)
+                contact.session->close();
+        targets_.clear();
+    }
+    poke();
+}
+
+void failover_driver::on_report(const fleet_report& report, time_point now)
+{
+    auto& contact = vms_[report.vm];
+    contact.reported_at = now;
+    contact.troubles = report.troubles;
+}
+
+void failover_driver::on_record(const primary_record& record)
+{
+    groups_.try_emplace(record.group, record.group)
+        .first->second.on_record(record);
+}
+
+std::vector<primary_state> failover_driver::primary_states(time_point now) const
+{
+    std::vector<primary_state> states;
+    for (const auto& [group, record] : state_.view.authority.records())
+    {
+        primary_state state;
+        state.record = record;
+        const auto found = state_.view.positions.find(group);
+        if (found != state_.view.positions.end())
+        {
+            const auto newest = found->second.newest();
+            if (newest && newest->term == record.term)
+            {
+                state.has_position = true;
+                state.position = newest->position;
+                state.position_age = std::chrono::duration_cast<milliseconds>(
+                                         now - found->second.newest_at()) +
+                                     milliseconds(1);
+            }
+        }
+        states.push_back(std::move(state));
+    }
+    return states;
+}
+
+asio::awaitable<void> failover_driver::run()
+{
+    for (;;)
+    {
+        const auto pause = holds_ ? step(current_time()) : seconds(1);
+        timer_.expires_after(pause);
+        boost::system::error_code ignored;
+        co_await timer_.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void failover_driver::add_groups()
+{
+    for (const auto& [id, target] : state_.view.registry.all())
+        groups_.try_emplace(target.group, target.group);
+}
+
+// Returns when to look again.
+milliseconds failover_driver::step(time_point now)
+{
+    add_groups();
+    bool is_active = false;
+    for (auto& [name, group] : groups_)
+    {
+        const auto& primary = group.record().target;
+        auto& contact = targets_[primary];
+        if (group.record().is_open && !contact.busy && now >= contact.next_ping)
+        {
+            contact.next_ping = now + ping_interval;
+            asio::co_spawn(executor_, ping(name, primary), asio::detached);
+        }
+        // Orders are given only while the lease surely lasts.
+        if (!duty_.holds(now))
+            continue;
+        const std::string before = group.step_name();
+        for (const auto& action : group.tick(sight_of(name, now), now))
+            carry_out(name, action);
+        if (before != group.step_name())
+            log_event(event_level::info, "failover", "step",
+                      {{"group", name},
+                       {"from", before},
+                       {"to", group.step_name()},
+                       {"term", group.record().term},
+                       {"primary", group.record().target},
+                       {"record", group.record().revision},
+                       {"token", duty_.token()}});
+        is_active = is_active || std::string("watching") != group.step_name();
+        if (!group.record().is_open && group.record().revision != 0)
+            is_active = true;
+    }
+    notify_all(now);
+    return is_active ? step_interval : idle_interval;
+}
+
+group_sight failover_driver::sight_of(const std::string& group, time_point now)
+{
+    group_sight sight;
+    for (const auto& [vm, contact] : vms_)
+        if (now - contact.reported_at < report_validity)
+            ++sight.vms_in_touch;
+    for (const auto* target : state_.view.registry.in_group(group))
+    {
+        target_sight seen;
+        seen.record = *target;
+        const auto known = targets_.find(target->id);
+        if (known != targets_.end() && known->second.failing_since)
+            seen.holder_fails = std::chrono::duration_cast<milliseconds>(
+                now - *known->second.failing_since);
+        for (const auto& [vm, contact] : vms_)
+        {
+            if (now - contact.reported_at >= report_validity)
+                continue;
+            seen.vms_failing += static_cast<std::size_t>(
+                std::count_if(contact.troubles.begin(), contact.troubles.end(),
+                              [&](const target_trouble& trouble) {
+                                  return trouble.target == target->id &&
+                                         trouble.lasting >= trouble_time;
+                              }));
+        }
+        sight.targets.push_back(std::move(seen));
+    }
+    const auto& table = state_.configuration.current();
+    const auto* limits = table == nullptr ? nullptr : table->find_group(group);
+    sight.synchronous_replicas =
+        limits == nullptr ? 0 : limits->synchronous_replicas;
+    const auto found = groups_.find(group);
+    sight.is_binding =
+        found != groups_.end() && is_binding(found->second.record(), now);
+    return sight;
+}
+
+bool failover_driver::is_binding(const primary_record& record, time_point now)
+{
+    for (const auto& [vm, member] : state_.members.all())
+    {
+        const auto found = vms_.find(vm);
+        if (found != vms_.end())
+        {
+            const auto confirmed = found->second.confirmed.find(record.group);
+            if (confirmed != found->second.confirmed.end() &&
+                confirmed->second >= record.revision)
+                continue;
+        }
+        if (now < ledger_.bound_of(vm) + bound_margin)
+            return false;
+    }
+    return true;
+}
+
+void failover_driver::carry_out(const std::string& group,
+                                const group_action& action)
+{
+    if (const auto* order = std::get_if<write_primary_record>(&action))
+        asio::co_spawn(executor_, write(group, *order), asio::detached);
+    else if (std::holds_alternative<announce_primary>(action))
+        poke();
+    else if (const auto* asked = std::get_if<ask_target>(&action))
+        asio::co_spawn(
+            executor_,
+            ask(group, asked->target, state_.platform.codec->report_text()),
+            asio::detached);
+    else if (const auto* fenced = std::get_if<fence_target>(&action))
+        asio::co_spawn(executor_,
+                       ask(group, fenced->target,
+                           state_.platform.codec->fence_text(fenced->term)),
+                       asio::detached);
+    else if (const auto* demoted = std::get_if<demote_target>(&action))
+        asio::co_spawn(executor_,
+                       ask(group, demoted->target,
+                           state_.platform.codec->demote_text(demoted->term)),
+                       asio::detached);
+    else
+        asio::co_spawn(executor_,
+                       promote(group, std::get<promote_target>(action).target),
+                       asio::detached);
+}
+
+// Every VM that has not confirmed the newest records is told again.
+void failover_driver::notify_all(time_point now)
+{
+    if (!duty_.holds(now))
+        return;
+    for (const auto& [vm, member] : state_.members.all())
+    {
+        auto& contact = vms_[vm];
+        if (contact.notifying || now < contact.next_notice)
+            continue;
+        const bool lacks_any =
+            std::any_of(groups_.begin(), groups_.end(),
+                        [&](const auto& entry)
+                        {
+                            const auto& record = entry.second.record();
+                            const auto known =
+                                contact.confirmed.find(entry.first);
+                            return record.revision != 0 &&
+                                   (known == contact.confirmed.end() ||
+                                    known->second < record.revision);
+                        });
+        if (!lacks_any)
+            continue;
+        contact.notifying = true;
+        contact.next_notice = now + notice_interval;
+        asio::co_spawn(executor_, notify(vm, member.address), asio::detached);
+    }
+}
+
+asio::awaitable<void> failover_driver::notify(std::string vm,
+                                              std::string address)
+{
+    primary_notice notice;
+    notice.token = duty_.token();
+    notice.holder = state_.settings.peer_address;
+    for (const auto& [name, group] : groups_)
+        if (group.record().revision != 0)
+            notice.primaries.push_back({group.record(), false, 0, {}});
+    std::optional<notice_receipt> receipt;
+    if (vm == state_.settings.name)
+    {
+        receipt = co_await on_own_notice(notice);
+    }
+    else
+    {
+        peer_body body = notice;
+        auto outcome =
+            co_await peers_.call(address, std::move(body), notice_timeout);
+        if (succeeded(outcome))
+            if (const auto* reply =
+                    std::get_if<notice_receipt>(&value_of(outcome)))
+                receipt = *reply;
+    }
+    auto& contact = vms_[vm];
+    contact.notifying = false;
+    if (!receipt || !receipt->accepted || notice.token != duty_.token())
+        co_return;
+    if (vm != state_.settings.name)
+        ledger_.on_contact(vm, receipt->incarnation, current_time());
+    for (const auto& state : notice.primaries)
+    {
+        auto& confirmed = contact.confirmed[state.record.group];
+        confirmed = std::max(confirmed, state.record.revision);
+    }
+    poke();
+}
+
+asio::awaitable<void> failover_driver::write(std::string group,
+                                             write_primary_record order)
+{
+    conditional_write change;
+    change.key = primaries_prefix + group;
+    change.value = serialize_primary_record(order.record);
+    // A record is written only by the VM that holds the duty then.
+    change.expected = {{change.key, "", order.expected},
+                       {duty_key, "", duty_.token()}};
+    auto outcome = co_await state_.platform.store->write(std::move(change));
+    if (!succeeded(outcome))
+        log_event(event_level::warning, "failover", "record not written",
+                  {{"group", group}, {"error", to_string(error_of(outcome))}});
+    groups_.at(group).on_written(outcome, current_time());
+    poke();
+}
+
+asio::awaitable<void> failover_driver::promote(std::string group,
+                                               std::string target)
+{
+    const auto started = current_time();
+    ++promotions_;
+    result<bool> outcome =
+        error{error_kind::unreachable, "promote", target, "the duty was lost"};
+    promotion_order order{group, target, state_.settings.name, duty_.token()};
+    if (duty_.holds(started))
+        outcome = co_await state_.platform.promotions->promote(order);
+    log_event(event_level::info, "failover", "promotion ordered",
+              {{"group", group},
+               {"target", target},
+               {"token", duty_.token()},
+               {"took", std::chrono::duration_cast<milliseconds>(
+                            current_time() - started)},
+               {"outcome", succeeded(outcome) ? "accepted"
+                                              : to_string(error_of(outcome))}});
+    groups_.at(group).on_promoted(target, outcome, current_time());
+    poke();
+}
+
+asio::awaitable<void> failover_driver::ask(std::string group,
+                                           std::string target, std::string text)
+{
+    auto outcome = co_await exchange(target, std::move(text), ask_timeout);
+    result<target_report> report =
+        error{error_kind::refused, "report", target, "no report"};
+    if (!succeeded(outcome))
+        report = error_of(outcome);
+    else if (value_of(outcome).succeeded())
+        report = state_.platform.codec->parse_target_report(
+            value_of(outcome).rows.substr(
+                0, value_of(outcome).rows.find(session_line_end)));
+    groups_.at(group).on_report(target, report, current_time());
+    poke();
+}
+
+// A statement that takes no slot shows that the primary answers, and how far
+// its log is.
+asio::awaitable<void> failover_driver::ping(std::string group,
+                                            std::string target)
+{
+    const auto sent_at = current_time();
+    const auto* record = state_.view.authority.usable(group, sent_at);
+    const auto term =
+        record != nullptr && record->target == target ? record->term : 0;
+    auto outcome = co_await exchange(
+        target, state_.platform.codec->reset_text(), ping_timeout);
+    auto& contact = targets_[target];
+    if (!succeeded(outcome))
+    {
+        if (!contact.failing_since)
+        {
+            contact.failing_since = sent_at;
+            log_event(event_level::warning, "failover", "primary lost",
+                      {{"group", group},
+                       {"target", target},
+                       {"error", to_string(error_of(outcome))}});
+        }
+        contact.next_ping = current_time() + milliseconds(50);
+        poke();
+        co_return;
+    }
+    if (contact.failing_since)
+        log_event(event_level::info, "failover", "primary regained",
+                  {{"group", group}, {"target", target}});
+    contact.failing_since.reset();
+    const auto& position = value_of(outcome).position;
+    if (term != 0 && position && position->term == term)
+        state_.view.positions[group].observe(*position, sent_at);
+}
+
+asio::awaitable<result<target_answer>>
+failover_driver::exchange(std::string target, std::string text,
+                          milliseconds timeout)
+{
+    const auto* record = state_.view.registry.find(target);
+    if (record == nullptr)
+        co_return error{error_kind::unreachable, "exchange", target,
+                        "not registered"};
+    if (targets_[target].busy)
+        co_return error{error_kind::refused, "exchange", target,
+                        "another question is under way"};
+    targets_[target].busy = true;
+    auto session = targets_[target].session;
+    if (session == nullptr || !session->is_quiet())
+    {
+        session = std::make_shared<target_session>(
+            executor_, *state_.platform.codec,
+            target_session_key{target, record->group, holder_account});
+        targets_[target].session = session;
+        const auto endpoint = parse_endpoint(record->address);
+        result<bool> opened = true;
+        if (succeeded(endpoint))
+            opened = co_await session->open(value_of(endpoint), open_timeout);
+        else
+            opened = error_of(endpoint);
+        if (!succeeded(opened))
+        {
+            targets_[target].busy = false;
+            co_return error_of(opened);
+        }
+    }
+    std::string bytes;
+    state_.platform.codec->append_statement(
+        bytes, state_.platform.codec->own_statement_id(), text, std::nullopt);
+    auto outcome = co_await session->exchange(std::move(bytes), 1, timeout);
+    targets_[target].busy = false;
+    if (!succeeded(outcome))
+        co_return error_of(outcome);
+    co_return std::move(value_of(outcome).front());
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/failover/group_failover.cpp
@@ -0,0 +1,352 @@
+#include <oleandergrade/process/failover/group_failover.hpp>
+
+#include <oleandergrade/invariant.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace oleandergrade
+{
+
+namespace
+{
+
+/// The share of VMs that fail to reach a primary before it counts as lost.
+constexpr std::size_t lost_share = 3;
+/// A target that refused its promotion is passed over for this long.
+constexpr auto refusal_time = seconds(2);
+
+const target_sight* find(const group_sight& sight, const std::string& id)
+{
+    const auto found = std::find_if(sight.targets.begin(), sight.targets.end(),
+                                    [&](const target_sight& target)
+                                    { return target.record.id == id; });
+    return found == sight.targets.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+group_failover::group_failover(std::string group) : group_(std::move(group)) {}
+
+const char* group_failover::step_name() const
+{
+    static constexpr std::array<const char*, 7> names{
+        "watching",    "writing",   "binding",  "reporting",
+        "catching up", "promoting", "verifying"};
+    return names[static_cast<std::size_t>(step_)];
+}
+
+void group_failover::on_record(const primary_record& record)
+{
+    if (record.revision > record_.revision)
+        record_ = record;
+}
+
+void group_failover::abandon()
+{
+    step_ = step::watching;
+    reports_.clear();
+    actions_.clear();
+}
+
+void group_failover::enter(step next, time_point now)
+{
+    step_ = next;
+    step_since_ = now;
+    next_ask_ = now;
+}
+
+std::vector<group_action> group_failover::tick(const group_sight& sight,
+                                               time_point now)
+{
+    switch (step_)
+    {
+    case step::watching:
+        watch(sight, now);
+        break;
+    case step::writing:
+    case step::promoting:
+        break;
+    case step::binding:
+        ask_all(sight, now);
+        if (sight.is_binding)
+            enter(step::reporting, now);
+        break;
+    case step::reporting:
+        ask_all(sight, now);
+        choose(sight, now);
+        break;
+    case step::catching_up:
+        catch_up(sight, now);
+        break;
+    case step::verifying:
+        verify(now);
+        break;
+    }
+    return std::exchange(actions_, {});
+}
+
+void group_failover::watch(const group_sight& sight, time_point now)
+{
+    if (record_.revision == 0)
+        return find_first_primary(sight, now);
+    if (!record_.is_open)
+    {
+        // An earlier holder closed it and went no further.
+        reports_.clear();
+        actions_.push_back(announce_primary{});
+        return enter(step::binding, now);
+    }
+    const auto* primary = find(sight, record_.target);
+    if (primary == nullptr)
+        return close_record(false, now);
+    // A primary that only some VMs cannot reach still tells how long its log
+    // is.
+    if (is_lost(*primary, sight))
+        return close_record(!primary->holder_fails, now);
+    if (primary->record.is_draining)
+        return close_record(true, now);
+    // A promotion whose answer was lost may have taken effect late.
+    const bool is_deposed =
+        std::any_of(sight.targets.begin(), sight.targets.end(),
+                    [&](const target_sight& other)
+                    {
+                        return other.record.claims_primary &&
+                               other.record.id != record_.target &&
+                               !primary->record.claims_primary;
+                    });
+    if (is_deposed)
+        close_record(false, now);
+}
+
+bool group_failover::is_lost(const target_sight& primary,
+                             const group_sight& sight) const
+{
+    const bool fails_here =
+        primary.holder_fails && *primary.holder_fails >= loss_time;
+    const auto failing = primary.vms_failing + (fails_here ? 1 : 0);
+    if (failing * lost_share >= sight.vms_in_touch + 1 &&
+        (fails_here || primary.vms_failing > 1))
+        return true;
+    return primary.holder_fails && *primary.holder_fails >= lone_loss_time;
+}
+
+// Without a record, the target that leads its group already is recorded.
+void group_failover::find_first_primary(const group_sight& sight,
+                                        time_point now)
+{
+    ask_all(sight, now);
+    for (const auto& [id, report] : reports_)
+        if (report.is_primary && report.term == highest_term())
+            return open_record(id, report.term, now);
+}
+
+void group_failover::close_record(bool is_planned, time_point now)
+{
+    auto closed = record_;
+    closed.is_open = false;
+    closed.is_planned = is_planned;
+    reports_.clear();
+    write(closed, now);
+}
+
+void group_failover::open_record(const std::string& target, std::uint64_t term,
+                                 time_point now)
+{
+    check_invariant(term >= record_.term, "a new term is not lower", group_);
+    check_invariant(record_.revision == 0 || !record_.is_open,
+                    "a record is closed before another one opens", group_);
+    primary_record opened;
+    opened.group = group_;
+    opened.term = term;
+    opened.target = target;
+    opened.is_open = true;
+    write(opened, now);
+}
+
+void group_failover::write(const primary_record& record, time_point now)
+{
+    pending_ = record;
+    actions_.push_back(write_primary_record{record, record_.revision});
+    enter(step::writing, now);
+}
+
+void group_failover::on_written(const result<std::uint64_t>& outcome,
+                                time_point now)
+{
+    if (step_ != step::writing)
+        return;
+    if (!succeeded(outcome))
+        // The store's watch shows what became of it; the next tick goes on
+        // from there.
+        return enter(step::watching, now);
+    pending_.revision = value_of(outcome);
+    on_record(pending_);
+    actions_.push_back(announce_primary{});
+    enter(pending_.is_open ? step::watching : step::binding, now);
+}
+
+void group_failover::ask_all(const group_sight& sight, time_point now)
+{
+    if (now < next_ask_)
+        return;
+    next_ask_ = now + ask_interval;
+    for (const auto& target : sight.targets)
+    {
+        const auto& id = target.record.id;
+        const bool is_old_primary = id == record_.target;
+        if (reports_.contains(id) && !(record_.is_planned && is_old_primary))
+            continue;
+        // Only replicas of a synchronous group can hold up a commit.
+        if (sight.synchronous_replicas > 0 && !is_old_primary &&
+            record_.revision != 0)
+            actions_.push_back(fence_target{id, record_.term + 1});
+        else
+            actions_.push_back(ask_target{id});
+    }
+}
+
+void group_failover::on_report(const std::string& target,
+                               const result<target_report>& outcome,
+                               time_point now)
+{
+    if (!succeeded(outcome))
+        return;
+    const auto& report = value_of(outcome);
+    reports_[target] = report;
+    if (step_ == step::verifying && target == candidate_ && report.is_primary &&
+        report.term > record_.term)
+    {
+        if (!record_.target.empty() && record_.target != target)
+            actions_.push_back(demote_target{record_.target, report.term});
+        open_record(target, report.term, now);
+    }
+}
+
+void group_failover::choose(const group_sight& sight, time_point now)
+{
+    std::size_t expected = 0;
+    std::size_t reported = 0;
+    std::string best;
+    bool best_drains = true;
+    log_position longest;
+    for (const auto& target : sight.targets)
+    {
+        const auto& id = target.record.id;
+        const auto found = reports_.find(id);
+        if (found != reports_.end() && found->second.is_primary &&
+            found->second.term > record_.term)
+            return open_record(id, found->second.term, now);
+        const bool is_old_primary = id == record_.target;
+        if (is_old_primary && target.record.is_draining)
+            continue;
+        if (!is_old_primary)
+            ++expected;
+        if (found == reports_.end())
+            continue;
+        if (!is_old_primary)
+            ++reported;
+        const auto refusal = refused_.find(id);
+        if (refusal != refused_.end() && now - refusal->second < refusal_time)
+            continue;
+        // The old primary is taken again only if no other target answers.
+        const auto length =
+            is_old_primary ? log_position{1, 0} : found->second.received;
+        const bool drains = target.record.is_draining;
+        if (best.empty() || (best_drains && !drains) ||
+            (best_drains == drains && longest < length))
+        {
+            best = id;
+            best_drains = drains;
+            longest = length;
+        }
+    }
+    const bool is_complete = reported == expected && expected > 0;
+    if (!is_complete && now - step_since_ < report_time)
+        return;
+    if (best.empty())
+        return;
+    const auto& old_primary = reports_.find(record_.target);
+    if (!record_.is_planned && old_primary != reports_.end() &&
+        old_primary->second.is_primary &&
+        (best == record_.target ||
+         old_primary->second.received >= reports_[best].received))
+        // It is back with its whole log; its term goes on.
+        return open_record(record_.target, record_.term, now);
+    candidate_ = best;
+    if (record_.is_planned && reports_.contains(record_.target))
+    {
+        reports_.erase(record_.target);
+        reports_.erase(candidate_);
+        return enter(step::catching_up, now);
+    }
+    promote(best, now);
+}
+
+// Statements at the old primary have ended; its log grows no more.
+void group_failover::catch_up(const group_sight& sight, time_point now)
+{
+    const auto primary = reports_.find(record_.target);
+    const auto successor = reports_.find(candidate_);
+    const bool has_all = primary != reports_.end() &&
+                         successor != reports_.end() &&
+                         successor->second.received >= primary->second.received;
+    if (has_all || now - step_since_ >= catch_up_time)
+        return promote(candidate_, now);
+    if (now < next_ask_)
+        return;
+    next_ask_ = now + ask_interval;
+    if (primary == reports_.end() && find(sight, record_.target) != nullptr)
+        actions_.push_back(ask_target{record_.target});
+    actions_.push_back(ask_target{candidate_});
+}
+
+void group_failover::promote(const std::string& target, time_point now)
+{
+    candidate_ = target;
+    reports_.erase(target);
+    actions_.push_back(promote_target{target});
+    enter(step::promoting, now);
+}
+
+void group_failover::on_promoted(const std::string& target,
+                                 const result<bool>& outcome, time_point now)
+{
+    if (step_ != step::promoting || target != candidate_)
+        return;
+    const bool is_refused =
+        !succeeded(outcome) && error_of(outcome).kind == error_kind::refused;
+    if (is_refused || (!succeeded(outcome) &&
+                       error_of(outcome).kind == error_kind::unreachable))
+    {
+        refused_[target] = now;
+        reports_.clear();
+        return enter(step::reporting, now);
+    }
+    // If the answer was lost, the target's report tells the outcome.
+    enter(step::verifying, now);
+}
+
+void group_failover::verify(time_point now)
+{
+    if (now - step_since_ >= promotion_time)
+    {
+        reports_.clear();
+        return enter(step::reporting, now);
+    }
+    if (now < next_ask_)
+        return;
+    next_ask_ = now + ask_interval;
+    actions_.push_back(ask_target{candidate_});
+}
+
+std::uint64_t group_failover::highest_term() const
+{
+    std::uint64_t highest = 0;
+    for (const auto& [id, report] : reports_)
+        highest = std::max(highest, report.term);
+    return highest;
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/failover/primary_record.cpp
@@ -0,0 +1,39 @@
+#include <oleandergrade/process/failover/primary_record.hpp>
+
+#include <oleandergrade/connection/json_fields.hpp>
+
+namespace oleandergrade
+{
+namespace json = boost::json;
+
+std::string serialize_primary_record(const primary_record& record)
+{
+    return json::serialize(json::object{{"group", record.group},
+                                        {"term", record.term},
+                                        {"target", record.target},
+                                        {"open", record.is_open},
+                                        {"planned", record.is_planned}});
+}
+
+result<primary_record> parse_primary_record(const std::string& value,
+                                            std::uint64_t revision)
+{
+    const auto parsed = parse_json_object(value);
+    if (!succeeded(parsed))
+        return error{error_kind::invalid, "parse primary record", "",
+                     error_of(parsed).message};
+    const auto& fields = value_of(parsed);
+    primary_record record;
+    record.group = text_field(fields, "group");
+    record.term = number_field(fields, "term");
+    record.target = text_field(fields, "target");
+    record.is_open = flag_field(fields, "open");
+    record.is_planned = flag_field(fields, "planned");
+    record.revision = revision;
+    if (record.group.empty() || record.target.empty() || record.term == 0)
+        return error{error_kind::invalid, "parse primary record", "",
+                     "the group, target or term is missing"};
+    return record;
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/fleet_state.cpp
@@ -0,0 +1,51 @@
+#include <oleandergrade/process/fleet_state.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace oleandergrade
+{
+
+namespace
+{
+
+/// Connections of each target that are kept for the duty's holder.
+constexpr std::uint32_t holder_connections = 1;
+
+std::uint64_t random_number()
+{
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>(1)(device);
+}
+
+} // namespace
+
+fleet_state::fleet_state(boost::asio::any_io_executor executor,
+                         vm_settings given, platform_parts& parts)
+    : settings(std::move(given)), platform(parts), incarnation(random_number()),
+      pool(std::move(executor), *parts.codec, view),
+      limiter(settings.first_start)
+{
+}
+
+void fleet_state::share_limits()
+{
+    const auto& table = configuration.current();
+    if (table == nullptr)
+        return;
+    const auto count = std::max(members.size(), 1U);
+    std::map<std::string, std::uint32_t> connections;
+    for (const auto& [name, group] : table->groups)
+    {
+        const auto usable =
+            group.connections_per_target > holder_connections
+                ? group.connections_per_target - holder_connections
+                : 1;
+        connections[name] = std::max(usable / count, 1U);
+    }
+    pool.use_shares(std::move(connections));
+    limiter.use_limits({table->accounts.begin(), table->accounts.end()}, count,
+                       current_time());
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/limits/operation_limiter.cpp
@@ -0,0 +1,141 @@
+#include <oleandergrade/process/limits/operation_limiter.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace oleandergrade
+{
+
+namespace
+{
+
+constexpr auto shortest_retry = milliseconds(20);
+constexpr auto longest_retry = milliseconds(2000);
+/// The smallest bucket: an account with a tiny share must be able to send.
+constexpr double least_burst = 1.0;
+/// Less demand than this counts as none.
+constexpr double least_demand = 0.05;
+
+double in_seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+operation_limiter::operation_limiter(bool starts_full)
+    : starts_full_(starts_full)
+{
+}
+
+void operation_limiter::use_limits(
+    const std::map<std::string, route_account>& accounts, std::uint32_t members,
+    time_point now)
+{
+    members_ = std::max<std::uint32_t>(members, 1);
+    std::erase_if(buckets_, [&](const auto& entry)
+                  { return !accounts.contains(entry.first); });
+    for (const auto& [name, account] : accounts)
+    {
+        const auto [found, is_new] = buckets_.try_emplace(name);
+        auto& state = found->second;
+        if (!is_new)
+            fill(state, now);
+        state.limit_rate = account.rate;
+        state.limit_burst = account.burst * burst_part;
+        // A share of a higher limit must not outlive that limit.
+        state.share_rate = std::min(state.share_rate, account.rate);
+        state.share_burst = std::min(state.share_burst, state.limit_burst);
+        if (!is_new)
+            continue;
+        state.filled_at = now;
+        state.recent_at = now;
+        if (starts_full_)
+            state.tokens = burst_of(state, now);
+    }
+    starts_full_ = starts_full_ && buckets_.empty();
+}
+
+void operation_limiter::use_shares(const std::vector<account_share>& shares,
+                                   time_point asked_at, time_point now)
+{
+    for (const auto& share : shares)
+    {
+        const auto found = buckets_.find(share.account);
+        if (found == buckets_.end())
+            continue;
+        auto& state = found->second;
+        fill(state, now);
+        state.share_rate = std::min(share.rate, state.limit_rate);
+        state.share_burst = std::min(share.burst, state.limit_burst);
+        state.share_until = asked_at + share_validity;
+    }
+}
+
+admission operation_limiter::admit(const std::string& account, time_point now)
+{
+    const auto found = buckets_.find(account);
+    if (found == buckets_.end())
+        return {false, longest_retry};
+    auto& state = found->second;
+    decay(state, now);
+    state.recent += 1;
+    fill(state, now);
+    if (state.tokens >= 1)
+    {
+        state.tokens -= 1;
+        return {true, milliseconds(0)};
+    }
+    const auto rate = std::max(rate_of(state, now), 1e-3);
+    const auto wait = milliseconds(
+        static_cast<std::int64_t>(std::ceil(1000 * (1 - state.tokens) / rate)));
+    return {false, std::clamp(wait, shortest_retry, longest_retry)};
+}
+
+std::vector<account_demand> operation_limiter::demands(time_point now)
+{
+    std::vector<account_demand> result;
+    for (auto& [name, state] : buckets_)
+    {
+        decay(state, now);
+        const auto wanted = state.recent / in_seconds(demand_time);
+        const bool holds_share = now < state.share_until;
+        if (wanted < least_demand && !holds_share)
+            continue;
+        result.push_back({name, wanted, holds_share ? state.share_rate : 0.0});
+    }
+    return result;
+}
+
+double operation_limiter::rate_of(const bucket& account, time_point now) const
+{
+    if (now < account.share_until)
+        return account.share_rate;
+    return account.limit_rate / members_;
+}
+
+double operation_limiter::burst_of(const bucket& account, time_point now) const
+{
+    const auto burst = now < account.share_until
+                           ? account.share_burst
+                           : account.limit_burst / members_;
+    return std::max(burst, least_burst);
+}
+
+void operation_limiter::fill(bucket& account, time_point now) const
+{
+    const auto elapsed = in_seconds(now - account.filled_at);
+    account.filled_at = now;
+    account.tokens = std::min(account.tokens + elapsed * rate_of(account, now),
+                              burst_of(account, now));
+}
+
+// Demand fades exponentially, so that one pass per use keeps it up to date.
+void operation_limiter::decay(bucket& account, time_point now)
+{
+    const auto elapsed = in_seconds(now - account.recent_at);
+    account.recent_at = now;
+    account.recent *= std::exp(-elapsed / in_seconds(demand_time));
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/membership/duty_election.cpp
@@ -0,0 +1,164 @@
+#include <oleandergrade/process/membership/duty_election.hpp>
+
+#include <oleandergrade/connection/json_fields.hpp>
+
+#include <algorithm>
+
+namespace oleandergrade
+{
+namespace json = boost::json;
+
+std::string serialize_duty_holder(const duty_holder& holder)
+{
+    return json::serialize(json::object{{"vm", holder.vm},
+                                        {"incarnation", holder.incarnation},
+                                        {"address", holder.address}});
+}
+
+result<duty_holder> parse_duty_holder(const std::string& value)
+{
+    const auto parsed = parse_json_object(value);
+    if (!succeeded(parsed))
+        return error{error_kind::invalid, "parse duty holder", "",
+                     error_of(parsed).message};
+    const auto& fields = value_of(parsed);
+    duty_holder holder{text_field(fields, "vm"),
+                       number_field(fields, "incarnation"),
+                       text_field(fields, "address")};
+    if (holder.vm.empty() || holder.address.empty())
+        return error{error_kind::invalid, "parse duty holder", "",
+                     "the VM or its address is missing"};
+    return holder;
+}
+
+duty_election::duty_election(duty_holder self) : self_(std::move(self)) {}
+
+void duty_election::on_seen(const stored_item& item, std::uint64_t as_of,
+                            time_point now)
+{
+    // A watch may repeat what a read has overtaken.
+    if (as_of < seen_as_of_)
+        return;
+    seen_as_of_ = as_of;
+    if (item.revision == 0)
+    {
+        known_holder_ = {};
+        known_revision_ = 0;
+        // The key of this VM's own duty is gone: its lease has ended.
+        if (is_holder())
+            lose();
+        wait(rank_delay * static_cast<int>(rank_), now);
+        return;
+    }
+    const auto parsed = parse_duty_holder(item.value);
+    known_revision_ = item.revision;
+    known_holder_ = succeeded(parsed) ? value_of(parsed) : duty_holder{};
+    if (known_holder_ == self_ && lease_.id != 0 && !in_flight_)
+    {
+        token_ = item.revision;
+        verifying_ = false;
+    }
+    else if (is_holder() && item.revision > token_)
+        lose();
+}
+
+duty_call duty_election::due(time_point now)
+{
+    if (in_flight_ || now < next_call_)
+        return duty_call::none;
+    if (is_holder())
+    {
+        in_flight_ = true;
+        return duty_call::renew;
+    }
+    if (verifying_)
+    {
+        in_flight_ = true;
+        return duty_call::read;
+    }
+    const bool is_free = seen_as_of_ != 0 && known_revision_ == 0;
+    if (retiring_ || !is_free)
+        return duty_call::none;
+    in_flight_ = true;
+    const bool has_lease =
+        lease_.id != 0 && now < lease_sent_at_ + lease_.lifetime - lease_margin;
+    return has_lease ? duty_call::acquire : duty_call::create_lease;
+}
+
+void duty_election::on_lease_created(const result<store_lease>& outcome,
+                                     time_point sent_at, time_point now)
+{
+    in_flight_ = false;
+    if (!succeeded(outcome))
+    {
+        lease_ = {};
+        return wait(retry_delay, now);
+    }
+    lease_ = value_of(outcome);
+    lease_sent_at_ = sent_at;
+    confirmed_at_ = sent_at;
+}
+
+void duty_election::on_acquired(const result<std::uint64_t>& outcome,
+                                time_point now)
+{
+    in_flight_ = false;
+    if (succeeded(outcome))
+    {
+        token_ = value_of(outcome);
+        known_holder_ = self_;
+        known_revision_ = token_;
+        seen_as_of_ = token_;
+        return wait(renewal_interval, now);
+    }
+    // Whether it was refused, or done and the answer lost, a read tells.
+    verifying_ = true;
+    wait(error_of(outcome).kind == error_kind::conflict ? milliseconds(0)
+                                                        : retry_delay,
+         now);
+}
+
+void duty_election::on_renewed(const result<bool>& outcome, time_point sent_at,
+                               time_point now)
+{
+    in_flight_ = false;
+    wait(renewal_interval, now);
+    if (succeeded(outcome))
+    {
+        confirmed_at_ = sent_at;
+        return;
+    }
+    if (error_of(outcome).kind != error_kind::conflict)
+        return;
+    lose();
+    verifying_ = true;
+    wait(milliseconds(0), now);
+}
+
+void duty_election::on_read(const result<stored_item>& outcome, time_point now)
+{
+    in_flight_ = false;
+    if (!succeeded(outcome))
+        return wait(retry_delay, now);
+    verifying_ = false;
+    const auto& item = value_of(outcome);
+    on_seen(item, std::max(item.revision, seen_as_of_), now);
+}
+
+bool duty_election::holds(time_point now) const
+{
+    return is_holder() && now < confirmed_at_ + lease_.lifetime - lease_margin;
+}
+
+void duty_election::lose()
+{
+    token_ = 0;
+    lease_ = {};
+}
+
+void duty_election::wait(milliseconds delay, time_point now)
+{
+    next_call_ = now + delay;
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/membership/fleet_service.cpp
@@ -0,0 +1,681 @@
+#include <oleandergrade/process/membership/fleet_service.hpp>
+
+#include <oleandergrade/connection/async_event.hpp>
+#include <oleandergrade/connection/endpoint.hpp>
+#include <oleandergrade/connection/listener.hpp>
+#include <oleandergrade/connection/socket_options.hpp>
+#include <oleandergrade/process/event_log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+/// A VM that waits for nothing looks at the election this often.
+constexpr auto election_interval = milliseconds(250);
+/// After this many lost reports another VM is asked who holds the duty.
+constexpr unsigned patience_with_holder = 2;
+/// Members beyond this rank do not compete for the duty at different times.
+constexpr std::size_t highest_rank = 20;
+/// Longest wait for statements at a primary whose replacement is planned.
+constexpr auto planned_wait = milliseconds(250);
+constexpr auto planned_poll = milliseconds(10);
+constexpr auto register_pause = milliseconds(300);
+constexpr auto snapshot_timeout = milliseconds(1500);
+
+} // namespace
+
+fleet_service::fleet_service(asio::io_context& context, fleet_state& state)
+    : context_(context), state_(state),
+      duty_({state.settings.name, state.incarnation,
+             state.settings.peer_address}),
+      peers_(context.get_executor()),
+      failover_(context.get_executor(), state, duty_, ledger_, peers_),
+      configuration_follower_(
+          context.get_executor(), *state.platform.store,
+          state.platform.layout.configuration_prefix,
+          {[this](const stored_range& range)
+           {
+               for (const auto& item : range.items)
+                   if (item.key == state_.platform.layout.configuration_key)
+                       use_configuration(item.value, "store");
+           },
+           [this](const stored_change& change)
+           {
+               if (change.key == state_.platform.layout.configuration_key &&
+                   change.value)
+                   use_configuration(*change.value, "store");
+           }}),
+      target_follower_(context.get_executor(), *state.platform.store,
+                       state.platform.layout.targets_prefix,
+                       {[this](const stored_range& range)
+                        { use_all_targets(range); },
+                        [this](const stored_change& change)
+                        {
+                            use_target(change.key, change.value);
+                            on_targets_changed();
+                        }}),
+      own_follower_(
+          context.get_executor(), *state.platform.store, own_prefix,
+          {[this](const stored_range& range) { use_all_own_keys(range); },
+           [this](const stored_change& change) { use_own_key(change); }}),
+      acceptor_(context), election_poke_(context), report_poke_(context)
+{
+    failover_.on_own_notice = [this](primary_notice notice)
+    { return take_notice(std::move(notice)); };
+    state_.configuration.subscribe(
+        [this](const route_table& table)
+        {
+            state_.share_limits();
+            shares_.use_limits({table.accounts.begin(), table.accounts.end()});
+        });
+}
+
+fleet_service::~fleet_service() = default;
+
+void fleet_service::start()
+{
+    const auto endpoint = parse_endpoint(state_.settings.peer_address);
+    if (!succeeded(endpoint))
+        throw boost::system::system_error(
+            asio::error::make_error_code(asio::error::invalid_argument),
+            state_.settings.peer_address);
+    listen_shared(acceptor_, value_of(endpoint));
+    const auto executor = context_.get_executor();
+    asio::co_spawn(executor, accept_loop(), asio::detached);
+    configuration_follower_.start();
+    target_follower_.start();
+    own_follower_.start();
+    asio::co_spawn(executor, register_member(), asio::detached);
+    asio::co_spawn(executor, elect(), asio::detached);
+    asio::co_spawn(executor, report_to_holder(), asio::detached);
+    failover_.start();
+}
+
+asio::awaitable<void> fleet_service::retire()
+{
+    duty_.retire();
+    const auto lease = duty_.lease();
+    if (!duty_.is_holder() || lease == 0)
+        co_return;
+    log_event(event_level::info, "duty", "given up",
+              {{"token", duty_.token()}});
+    duty_.on_renewed(error{error_kind::conflict, "retire", "", "stopping"},
+                     current_time(), current_time());
+    on_duty_changed();
+    co_await state_.platform.store->end_lease(lease);
+}
+
+void fleet_service::use_configuration(const std::string& record,
+                                      const char* source)
+{
+    auto decoded = state_.platform.layout.decode_configuration(record);
+    if (!succeeded(decoded))
+        return log_event(event_level::error, "configuration", "not understood",
+                         {{"error", to_string(error_of(decoded))},
+                          {"in_force", state_.configuration.version()}});
+    const auto before = state_.configuration.version();
+    if (!state_.configuration.use(value_of(decoded)))
+        return;
+    behind_since_.reset();
+    log_event(event_level::info, "configuration", "in force",
+              {{"version", state_.configuration.version()},
+               {"before", before},
+               {"source", source}});
+}
+
+void fleet_service::use_all_targets(const stored_range& range)
+{
+    const auto prefix = state_.platform.layout.targets_prefix;
+    std::vector<std::string> gone;
+    for (const auto& [key, value] : state_.target_values)
+        if (std::none_of(range.items.begin(), range.items.end(),
+                         [&](const stored_item& item)
+                         { return item.key == key; }))
+            gone.push_back(key);
+    for (const auto& key : gone)
+        use_target(key, std::nullopt);
+    for (const auto& item : range.items)
+        use_target(item.key, item.value);
+    on_targets_changed();
+}
+
+void fleet_service::use_target(const std::string& key,
+                               const std::optional<std::string>& value)
+{
+    const auto id = key.substr(state_.platform.layout.targets_prefix.size());
+    const auto now = current_time();
+    if (!value)
+    {
+        state_.target_values.erase(key);
+        state_.view.registry.remove(id, now);
+        return log_event(event_level::info, "targets", "gone",
+                         {{"target", id}});
+    }
+    state_.target_values[key] = *value;
+    auto decoded = state_.platform.layout.decode_target(id, *value);
+    if (!succeeded(decoded))
+    {
+        state_.view.registry.remove(id, now);
+        return log_event(
+            event_level::warning, "targets", "not understood",
+            {{"target", id}, {"error", to_string(error_of(decoded))}});
+    }
+    const auto& target = value_of(decoded);
+    const auto* known = state_.view.registry.find(id);
+    if (known == nullptr || !(*known == target))
+        log_event(event_level::info, "targets", "registered",
+                  {{"target", id},
+                   {"group", target.group},
+                   {"address", target.address},
+                   {"draining", target.is_draining ? "yes" : "no"},
+                   {"primary", target.claims_primary ? "yes" : "no"}});
+    state_.view.registry.put(target);
+}
+
+void fleet_service::on_targets_changed()
+{
+    state_.pool.drop_stale();
+    state_.pool.retry_all();
+}
+
+void fleet_service::use_all_own_keys(const stored_range& range)
+{
+    stored_item duty{duty_key, "", 0};
+    std::vector<std::string> missing = state_.members.names();
+    for (const auto& item : range.items)
+    {
+        if (item.key == duty_key)
+            duty = item;
+        else
+            use_own_key({item.key, item.value, item.revision});
+        std::erase(missing,
+                   item.key.substr(std::min(
+                       item.key.size(), std::string(members_prefix).size())));
+    }
+    for (const auto& name : missing)
+        if (name != state_.settings.name)
+            state_.members.remove(name);
+    duty_.on_seen(duty, range.as_of, current_time());
+    on_duty_changed();
+    on_members_changed();
+}
+
+void fleet_service::use_own_key(const stored_change& change)
+{
+    const auto now = current_time();
+    if (change.key == duty_key)
+    {
+        const stored_item item{change.key, change.value.value_or(""),
+                               change.value ? change.revision : 0};
+        duty_.on_seen(item, change.revision, now);
+        on_duty_changed();
+        return;
+    }
+    const std::string members(members_prefix);
+    if (change.key.starts_with(members))
+    {
+        const auto name = change.key.substr(members.size());
+        if (!change.value)
+            state_.members.remove(name);
+        else if (auto member = parse_fleet_member(*change.value);
+                 succeeded(member))
+            state_.members.put(value_of(member));
+        on_members_changed();
+        return;
+    }
+    if (!change.key.starts_with(primaries_prefix) || !change.value)
+        return;
+    auto record = parse_primary_record(*change.value, change.revision);
+    if (!succeeded(record))
+        return log_event(
+            event_level::error, "failover", "record unreadable",
+            {{"key", change.key}, {"error", to_string(error_of(record))}});
+    use_record(value_of(record), "store");
+    failover_.on_record(value_of(record));
+}
+
+void fleet_service::use_record(const primary_record& record, const char* source)
+{
+    if (!state_.view.authority.on_record(record))
+        return;
+    log_event(event_level::info, "failover", "record",
+              {{"group", record.group},
+               {"term", record.term},
+               {"target", record.target},
+               {"open", record.is_open ? "yes" : "no"},
+               {"revision", record.revision},
+               {"source", source}});
+    state_.pool.retry(record.group);
+}
+
+void fleet_service::on_members_changed()
+{
+    const auto rank = state_.members.rank_of(state_.settings.name);
+    duty_.use_rank(std::min(rank, highest_rank));
+    state_.limiter.use_members(std::max(state_.members.size(), 1U));
+    shares_.use_members(state_.members.size());
+    ledger_.use_members(state_.members.names());
+    state_.share_limits();
+}
+
+// The membership stays when the VM goes: whoever holds the duty must know
+// every VM that may hold a grant.
+asio::awaitable<void> fleet_service::register_member()
+{
+    const fleet_member self{state_.settings.name, state_.settings.peer_address,
+                            state_.incarnation};
+    for (;;)
+    {
+        conditional_write change;
+        change.key = members_prefix + self.name;
+        change.value = serialize_fleet_member(self);
+        auto outcome = co_await state_.platform.store->write(change);
+        if (succeeded(outcome))
+            break;
+        co_await sleep_for(register_pause);
+    }
+    registered_ = true;
+    log_event(event_level::info, "membership", "registered",
+              {{"address", self.address}});
+}
+
+asio::awaitable<void> fleet_service::elect()
+{
+    for (;;)
+    {
+        const auto now = current_time();
+        const auto call = registered_ ? duty_.due(now) : duty_call::none;
+        if (call != duty_call::none)
+        {
+            co_await run_duty_call(call);
+            on_duty_changed();
+            continue;
+        }
+        const auto wait = std::clamp<duration>(
+            duty_.next_call() - now, milliseconds(1), election_interval);
+        election_poke_.expires_after(wait);
+        error_code ignored;
+        co_await election_poke_.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+asio::awaitable<void> fleet_service::run_duty_call(duty_call call)
+{
+    auto& store = *state_.platform.store;
+    const auto sent_at = current_time();
+    if (call == duty_call::create_lease)
+    {
+        const auto lifetime = std::max(duty_election::lease_lifetime,
+                                       state_.settings.shortest_lease);
+        auto outcome = co_await store.create_lease(lifetime);
+        duty_.on_lease_created(outcome, sent_at, current_time());
+    }
+    else if (call == duty_call::acquire)
+    {
+        conditional_write change;
+        change.expected = {{duty_key, "", 0}};
+        change.key = duty_key;
+        change.value = serialize_duty_holder(duty_.self());
+        change.lease = duty_.lease();
+        auto outcome = co_await store.write(std::move(change));
+        duty_.on_acquired(outcome, current_time());
+    }
+    else if (call == duty_call::renew)
+    {
+        auto outcome = co_await store.renew_lease(duty_.lease());
+        duty_.on_renewed(outcome, sent_at, current_time());
+    }
+    else
+    {
+        auto outcome = co_await store.read(duty_key);
+        duty_.on_read(outcome, current_time());
+    }
+}
+
+void fleet_service::on_duty_changed()
+{
+    const auto now = current_time();
+    const bool holds = duty_.is_holder();
+    if (duty_.known_revision() != 0)
+        state_.view.authority.on_token(duty_.known_revision());
+    election_poke_.cancel();
+    if (holds == held_duty_)
+        return;
+    held_duty_ = holds;
+    log_event(event_level::info, "duty", holds ? "taken over" : "lost",
+              {{"token", duty_.token()},
+               {"holder", duty_.known_holder().vm},
+               {"members", state_.members.size()}});
+    if (holds)
+    {
+        ledger_.take_over(now);
+        ledger_.use_members(state_.members.names());
+        shares_.take_over(now);
+        state_.view.authority.on_token(duty_.token());
+        grant_to_self(now);
+    }
+    failover_.on_duty_changed(holds);
+    report_poke_.cancel();
+}
+
+bool fleet_service::may_grant(time_point now) const
+{
+    return duty_.is_holder() &&
+           now < duty_.confirmed_at() + grant_ledger::grant_without_store;
+}
+
+void fleet_service::grant_to_self(time_point now)
+{
+    if (!may_grant(now))
+        return;
+    state_.view.authority.on_grant(duty_.token(), now,
+                                   grant_ledger::grant_validity);
+    ledger_.on_granted(state_.settings.name, now);
+    state_.limiter.use_shares(
+        shares_.divide(state_.settings.name, state_.limiter.demands(now), now),
+        now, now);
+}
+
+asio::awaitable<void> fleet_service::report_to_holder()
+{
+    for (;;)
+    {
+        const auto now = current_time();
+        if (state_.view.registry.drop_lapsed(now))
+            on_targets_changed();
+        if (duty_.is_holder())
+            grant_to_self(now);
+        else
+            co_await report_once();
+        const bool has_grant = state_.view.authority.has_grant(current_time());
+        if (has_grant != had_grant_)
+        {
+            had_grant_ = has_grant;
+            log_event(has_grant ? event_level::info : event_level::warning,
+                      "grant", has_grant ? "regained" : "lost",
+                      {{"token", state_.view.authority.token()},
+                       {"holder", duty_.known_holder().vm}});
+            state_.pool.retry_all();
+        }
+        report_poke_.expires_after(report_interval);
+        error_code ignored;
+        co_await report_poke_.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+// The holder as the store shows it, else as other VMs name it, else any VM
+// that may know.
+std::string fleet_service::report_address()
+{
+    const auto& known = duty_.known_holder();
+    if (failed_reports_ < patience_with_holder)
+    {
+        if (!hinted_holder_.empty())
+            return hinted_holder_;
+        if (!known.address.empty())
+            return known.address;
+    }
+    hinted_holder_.clear();
+    std::vector<std::string> addresses = state_.settings.seeds;
+    for (const auto& [name, member] : state_.members.all())
+        addresses.push_back(member.address);
+    if (!known.address.empty())
+        addresses.push_back(known.address);
+    std::erase(addresses, state_.settings.peer_address);
+    if (addresses.empty())
+        return {};
+    return addresses[next_peer_++ % addresses.size()];
+}
+
+fleet_report fleet_service::make_report()
+{
+    const auto now = current_time();
+    fleet_report report;
+    report.vm = state_.settings.name;
+    report.incarnation = state_.incarnation;
+    report.is_registered = registered_;
+    report.token = state_.view.authority.token();
+    report.configuration_version = state_.configuration.version();
+    report.troubles = state_.view.health.troubles(now);
+    report.demands = state_.limiter.demands(now);
+    return report;
+}
+
+asio::awaitable<void> fleet_service::report_once()
+{
+    const auto address = report_address();
+    if (address.empty())
+        co_return;
+    const auto sent_at = current_time();
+    peer_body body = make_report();
+    auto outcome = co_await peers_.call(address, std::move(body), call_timeout);
+    if (!succeeded(outcome))
+    {
+        ++failed_reports_;
+        if (failed_reports_ == patience_with_holder)
+            log_event(event_level::warning, "grant", "holder does not answer",
+                      {{"address", address},
+                       {"error", to_string(error_of(outcome))}});
+        co_return;
+    }
+    if (const auto* grant = std::get_if<fleet_grant>(&value_of(outcome)))
+        use_grant(*grant, address, sent_at);
+}
+
+void fleet_service::use_grant(const fleet_grant& grant,
+                              const std::string& address, time_point sent_at)
+{
+    const auto now = current_time();
+    if (grant.configuration_version > state_.configuration.version())
+    {
+        if (!behind_since_)
+            behind_since_ = now;
+        if (!fetching_ && now - *behind_since_ >= configuration_patience)
+            asio::co_spawn(context_, fetch_snapshot(address), asio::detached);
+    }
+    else
+    {
+        behind_since_.reset();
+    }
+    if (!target_follower_.has_read() && !fetching_)
+        asio::co_spawn(context_, fetch_snapshot(address), asio::detached);
+    if (!grant.accepted)
+    {
+        if (!grant.holder.empty() &&
+            grant.token >= state_.view.authority.token())
+        {
+            hinted_holder_ = grant.holder;
+            failed_reports_ = 0;
+        }
+        else
+        {
+            ++failed_reports_;
+        }
+        return;
+    }
+    failed_reports_ = 0;
+    if (!state_.view.authority.on_token(grant.token))
+        return;
+    for (const auto& state : grant.primaries)
+    {
+        // A closed record is acted on when a notice asks for it to be
+        // confirmed, or at once if that can wait no longer.
+        use_record(state.record, "holder");
+        if (state.has_position)
+            state_.view.positions[state.record.group].observe(
+                {state.record.term, state.position},
+                sent_at - state.position_age);
+    }
+    const bool had_grant = state_.view.authority.has_grant(now);
+    state_.view.authority.on_grant(grant.token, sent_at, grant.validity);
+    state_.limiter.use_shares(grant.shares, sent_at, now);
+    if (!had_grant)
+        state_.pool.retry_all();
+}
+
+asio::awaitable<void> fleet_service::fetch_snapshot(std::string address)
+{
+    fetching_ = true;
+    peer_body body = snapshot_request{state_.configuration.version()};
+    auto outcome = co_await peers_.call(std::move(address), std::move(body),
+                                        snapshot_timeout);
+    fetching_ = false;
+    if (!succeeded(outcome))
+        co_return;
+    if (const auto* snapshot = std::get_if<fleet_snapshot>(&value_of(outcome)))
+        use_snapshot(*snapshot);
+}
+
+void fleet_service::use_snapshot(const fleet_snapshot& snapshot)
+{
+    if (snapshot.configuration_version > state_.configuration.version())
+        use_configuration(snapshot.configuration, "peer");
+    // What the store shows goes first.
+    if (!target_follower_.has_read() || !target_follower_.is_in_touch())
+    {
+        for (const auto& item : snapshot.targets)
+            use_target(item.key, item.value);
+        on_targets_changed();
+    }
+    if (own_follower_.has_read())
+        return;
+    for (const auto& item : snapshot.members)
+        if (auto member = parse_fleet_member(item.value); succeeded(member))
+            state_.members.put(value_of(member));
+    on_members_changed();
+}
+
+fleet_snapshot fleet_service::make_snapshot(std::uint64_t known_version) const
+{
+    fleet_snapshot snapshot;
+    const auto& table = state_.configuration.current();
+    if (table != nullptr && table->version > known_version)
+    {
+        snapshot.configuration_version = table->version;
+        snapshot.configuration = table->record;
+    }
+    for (const auto& [key, value] : state_.target_values)
+        snapshot.targets.push_back({key, value});
+    for (const auto& [name, member] : state_.members.all())
+        snapshot.members.push_back({name, serialize_fleet_member(member)});
+    return snapshot;
+}
+
+asio::awaitable<void> fleet_service::accept_loop()
+{
+    for (;;)
+    {
+        error_code failure;
+        auto socket = co_await acceptor_.async_accept(
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure == asio::error::operation_aborted)
+            co_return;
+        if (failure)
+        {
+            co_await sleep_for(milliseconds(50));
+            continue;
+        }
+        watch_for_silence(socket);
+        const auto link = std::make_shared<peer_link>(
+            std::move(socket),
+            [this](peer_body body) { return serve(std::move(body)); });
+        link->start();
+    }
+}
+
+asio::awaitable<peer_body> fleet_service::serve(peer_body body)
+{
+    if (const auto* report = std::get_if<fleet_report>(&body))
+        co_return answer_report(*report);
+    if (auto* notice = std::get_if<primary_notice>(&body))
+    {
+        auto receipt = co_await take_notice(std::move(*notice));
+        co_return peer_body(std::move(receipt));
+    }
+    if (const auto* request = std::get_if<snapshot_request>(&body))
+        co_return make_snapshot(request->known_version);
+    co_return fleet_grant{};
+}
+
+fleet_grant fleet_service::answer_report(const fleet_report& report)
+{
+    const auto now = current_time();
+    fleet_grant grant;
+    grant.configuration_version = state_.configuration.version();
+    grant.members = state_.members.size();
+    grant.token = state_.view.authority.token();
+    grant.holder = duty_.is_holder() ? state_.settings.peer_address
+                                     : duty_.known_holder().address;
+    const auto* member = state_.members.find(report.vm);
+    if (member != nullptr && !fetching_ &&
+        report.configuration_version > state_.configuration.version())
+        asio::co_spawn(context_, fetch_snapshot(member->address),
+                       asio::detached);
+    // A VM that the store does not know would be unknown to the next holder.
+    if (!may_grant(now) || !report.is_registered ||
+        report.token > duty_.token())
+        return grant;
+    grant.accepted = true;
+    grant.token = duty_.token();
+    grant.validity = grant_ledger::grant_validity;
+    grant.primaries = failover_.primary_states(now);
+    grant.shares = shares_.divide(report.vm, report.demands, now);
+    ledger_.on_contact(report.vm, report.incarnation, now);
+    ledger_.on_granted(report.vm, now);
+    failover_.on_report(report, now);
+    return grant;
+}
+
+// Acts on what the duty's holder says of primaries. The receipt promises that
+// nothing is sent under a closed record any more, and that no answer to what
+// was sent before is passed on as a success.
+asio::awaitable<notice_receipt>
+fleet_service::take_notice(primary_notice notice)
+{
+    notice_receipt receipt;
+    receipt.vm = state_.settings.name;
+    receipt.incarnation = state_.incarnation;
+    if (!state_.view.authority.on_token(notice.token))
+    {
+        receipt.token = state_.view.authority.token();
+        co_return receipt;
+    }
+    bool has_planned = false;
+    for (const auto& state : notice.primaries)
+    {
+        use_record(state.record, "notice");
+        has_planned =
+            has_planned || (!state.record.is_open && state.record.is_planned);
+    }
+    const auto deadline = current_time() + planned_wait;
+    while (has_planned && current_time() < deadline &&
+           std::any_of(notice.primaries.begin(), notice.primaries.end(),
+                       [&](const primary_state& state)
+                       {
+                           return !state.record.is_open &&
+                                  state_.pool.busy_at(state.record.target) > 0;
+                       }))
+        co_await sleep_for(planned_poll);
+    for (const auto& state : notice.primaries)
+        if (!state.record.is_open)
+            state_.view.authority.confirm_closed(state.record.group);
+    receipt.token = notice.token;
+    receipt.accepted = state_.view.authority.on_token(notice.token);
+    co_return receipt;
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/membership/peer_calls.cpp
@@ -0,0 +1,30 @@
+#include <oleandergrade/process/membership/peer_calls.hpp>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+
+peer_calls::peer_calls(asio::any_io_executor executor)
+    : executor_(std::move(executor))
+{
+}
+
+asio::awaitable<result<peer_body>>
+peer_calls::call(std::string address, peer_body body, duration timeout)
+{
+    auto& known = links_[address];
+    if (known == nullptr)
+        known = std::make_shared<peer_link>(executor_, address);
+    const auto link = known;
+    auto outcome = co_await link->call(std::move(body), timeout);
+    if (!succeeded(outcome))
+    {
+        link->close();
+        const auto found = links_.find(address);
+        if (found != links_.end() && found->second == link)
+            links_.erase(found);
+    }
+    co_return outcome;
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/serving/serving_metrics.cpp
@@ -0,0 +1,119 @@
+#include <oleandergrade/process/serving/serving_metrics.hpp>
+
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/indexed.hpp>
+#include <boost/histogram/make_histogram.hpp>
+
+#include <sstream>
+
+namespace oleandergrade
+{
+namespace histogram = boost::histogram;
+
+namespace
+{
+
+/// A bin is a fifth wider than the one before it.
+constexpr unsigned bins = 64;
+constexpr double lowest_seconds = 0.0002;
+constexpr double highest_seconds = 20;
+
+using log_axis =
+    histogram::axis::regular<double, histogram::axis::transform::log>;
+
+auto make_latency_histogram()
+{
+    return histogram::make_histogram(
+        log_axis(bins, lowest_seconds, highest_seconds));
+}
+
+const char* name_of(read_consistency kind)
+{
+    switch (kind)
+    {
+    case read_consistency::current:
+        return "current";
+    case read_consistency::own_writes:
+        return "own_writes";
+    case read_consistency::bounded_age:
+        return "bounded_age";
+    }
+    return "current";
+}
+
+} // namespace
+
+struct serving_metrics::histograms
+{
+    std::array<decltype(make_latency_histogram()), kinds> by_kind{
+        make_latency_histogram(), make_latency_histogram(),
+        make_latency_histogram()};
+    std::array<double, kinds> sums{};
+};
+
+serving_metrics::serving_metrics() : histograms_(std::make_unique<histograms>())
+{
+}
+
+serving_metrics::~serving_metrics() = default;
+
+void serving_metrics::on_answer(read_consistency kind, session_error failure,
+                                duration latency)
+{
+    const auto index = static_cast<std::size_t>(kind);
+    ++answers_[index][static_cast<std::size_t>(failure)];
+    const auto seconds = std::chrono::duration<double>(latency).count();
+    histograms_->by_kind[index](seconds);
+    histograms_->sums[index] += seconds;
+}
+
+std::uint64_t serving_metrics::answers(read_consistency kind,
+                                       session_error failure) const
+{
+    return answers_[static_cast<std::size_t>(kind)]
+                   [static_cast<std::size_t>(failure)];
+}
+
+std::string serving_metrics::to_text() const
+{
+    std::ostringstream out;
+    out << "# TYPE oleander_answers_total counter\n";
+    for (std::size_t kind = 0; kind < kinds; ++kind)
+        for (std::size_t code = 0; code < session_error_count; ++code)
+            if (answers_[kind][code] > 0)
+                out << "oleander_answers_total{route=\""
+                    << name_of(static_cast<read_consistency>(kind))
+                    << "\",outcome=\""
+                    << to_string(static_cast<session_error>(code)) << "\"} "
+                    << answers_[kind][code] << "\n";
+    out << "# TYPE oleander_retries_total counter\n"
+        << "oleander_retries_total " << retries_ << "\n"
+        << "# TYPE oleander_reads_total counter\n"
+        << "oleander_reads_total{at=\"replica\"} " << replica_reads_ << "\n"
+        << "oleander_reads_total{at=\"primary\"} " << primary_reads_ << "\n"
+        << "# TYPE oleander_latency_seconds histogram\n";
+    for (std::size_t kind = 0; kind < kinds; ++kind)
+    {
+        const std::string label = std::string("route=\"") +
+                                  name_of(static_cast<read_consistency>(kind)) +
+                                  "\"";
+        double seen = 0;
+        for (const auto& bin : histogram::indexed(histograms_->by_kind[kind],
+                                                  histogram::coverage::all))
+        {
+            seen += *bin;
+            if (*bin > 0 && bin.index() < static_cast<int>(bins))
+                out << "oleander_latency_seconds_bucket{" << label << ",le=\""
+                    << bin.bin().upper() << "\"} " << seen << "\n";
+        }
+        out << "oleander_latency_seconds_bucket{" << label << ",le=\"+Inf\"} "
+            << seen << "\n"
+            << "oleander_latency_seconds_sum{" << label << "} "
+            << histograms_->sums[kind] << "\n"
+            << "oleander_latency_seconds_count{" << label << "} " << seen
+            << "\n";
+    }
+    return out.str();
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/serving/session_server.cpp
@@ -0,0 +1,319 @@
+#include <oleandergrade/process/serving/session_server.hpp>
+
+#include <oleandergrade/connection/async_event.hpp>
+#include <oleandergrade/connection/listener.hpp>
+#include <oleandergrade/connection/socket_options.hpp>
+#include <oleandergrade/process/event_log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <vector>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+constexpr std::size_t read_bytes = 4096;
+/// How long a closing session may go on sending before it is dropped.
+constexpr auto linger_time = milliseconds(500);
+constexpr auto start_poll = milliseconds(25);
+
+} // namespace
+
+struct session_server::live_session : std::enable_shared_from_this<live_session>
+{
+    explicit live_session(tcp::socket accepted)
+        : socket(std::move(accepted)), timer(socket.get_executor())
+    {
+    }
+
+    asio::awaitable<std::optional<std::string>> read_line();
+    /// Closes the session after a time, unless the timer is cancelled.
+    void close_after(milliseconds time)
+    {
+        timer.expires_after(time);
+        timer.async_wait(
+            [weak = weak_from_this()](error_code cancelled)
+            {
+                const auto self = weak.lock();
+                if (!cancelled && self)
+                    self->close();
+            });
+    }
+    void close()
+    {
+        error_code ignored;
+        socket.close(ignored);
+    }
+
+    tcp::socket socket;
+    /// Bounds the opening, or the pause inside a transaction.
+    asio::steady_timer timer;
+    served_session served;
+    std::string buffer;
+    std::size_t begin = 0;
+    /// A statement is under way.
+    bool busy = false;
+    bool too_long = false;
+    /// The configuration under which the key was found good last.
+    std::uint64_t checked_version = 0;
+};
+
+asio::awaitable<std::optional<std::string>>
+session_server::live_session::read_line()
+{
+    auto scanned = begin;
+    for (;;)
+    {
+        const auto end = buffer.find(session_line_end, scanned);
+        if (end != std::string::npos)
+        {
+            auto line = buffer.substr(begin, end - begin);
+            begin = end + session_line_end.size();
+            co_return line;
+        }
+        buffer.erase(0, begin);
+        begin = 0;
+        const auto kept = buffer.size();
+        if (kept > max_session_message_bytes)
+        {
+            too_long = true;
+            co_return std::nullopt;
+        }
+        scanned = kept > 0 ? kept - 1 : 0;
+        buffer.resize(kept + read_bytes);
+        error_code failure;
+        const auto size = co_await socket.async_read_some(
+            asio::buffer(buffer.data() + kept, read_bytes),
+            asio::redirect_error(asio::use_awaitable, failure));
+        buffer.resize(kept + size);
+        if (failure)
+            co_return std::nullopt;
+    }
+}
+
+session_server::session_server(asio::io_context& context,
+                               const tcp::endpoint& endpoint,
+                               const session_codec& codec,
+                               statement_runner& runner,
+                               const configuration_holder& configuration,
+                               session_limits limits)
+    : acceptor_(context), codec_(codec), runner_(runner),
+      configuration_(configuration), limits_(limits)
+{
+    listen_shared(acceptor_, endpoint);
+}
+
+session_server::~session_server() = default;
+
+void session_server::start()
+{
+    asio::co_spawn(acceptor_.get_executor(), accept_loop(), asio::detached);
+}
+
+asio::awaitable<void> session_server::accept_loop()
+{
+    for (;;)
+    {
+        error_code failure;
+        auto socket = co_await acceptor_.async_accept(
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure == asio::error::operation_aborted)
+            co_return;
+        if (failure)
+        {
+            // Out of descriptors: connections that end free some.
+            co_await sleep_for(start_poll);
+            continue;
+        }
+        if (sessions_.size() >= limits_.sessions)
+        {
+            log_event(event_level::warning, "sessions", "too many sessions",
+                      {{"open", sessions_.size()}});
+            continue;
+        }
+        watch_for_silence(socket);
+        auto live = std::make_shared<live_session>(std::move(socket));
+        sessions_.insert(live);
+        asio::co_spawn(acceptor_.get_executor(), serve(std::move(live)),
+                       asio::detached);
+    }
+}
+
+asio::awaitable<void> session_server::serve(std::shared_ptr<live_session> live)
+{
+    bool goes_on = co_await greet(*live);
+    while (goes_on)
+    {
+        watch_idle_transaction(live);
+        goes_on = co_await answer_next(*live);
+    }
+    live->timer.cancel();
+    co_await runner_.abandon(live->served);
+    co_await linger(*live);
+    live->close();
+    sessions_.erase(live);
+}
+
+asio::awaitable<bool> session_server::greet(live_session& live)
+{
+    live.close_after(limits_.opening_time);
+    const auto line = co_await live.read_line();
+    live.timer.cancel();
+    if (!line)
+        co_return false;
+    const auto message = codec_.parse_caller_message(*line);
+    const auto* opening = succeeded(message)
+                              ? std::get_if<session_opening>(&value_of(message))
+                              : nullptr;
+    if (opening == nullptr)
+    {
+        co_await refuse(live, session_error::malformed,
+                        "the first message must open a session");
+        co_return false;
+    }
+    const auto deadline = clock::now() + limits_.start_wait;
+    while (configuration_.current() == nullptr && clock::now() < deadline)
+        co_await sleep_for(start_poll);
+    const auto failure = runner_.check_opening(*opening);
+    if (failure != session_error::none)
+    {
+        co_await refuse(live, failure, "the session was not opened");
+        co_return false;
+    }
+    live.served.database = opening->database;
+    live.served.key = opening->key;
+    live.checked_version = configuration_.version();
+    std::string reply;
+    codec_.append_readiness(reply, transaction_state::none);
+    co_return co_await write(live, std::move(reply));
+}
+
+asio::awaitable<bool> session_server::answer_next(live_session& live)
+{
+    const auto line = co_await live.read_line();
+    if (!line)
+    {
+        if (live.too_long)
+            co_await refuse(live, session_error::malformed,
+                            "the message is too long");
+        co_return false;
+    }
+    const auto message = codec_.parse_caller_message(*line);
+    if (!succeeded(message) ||
+        std::holds_alternative<session_opening>(value_of(message)))
+    {
+        co_await refuse(live, session_error::malformed,
+                        "the message is not understood");
+        co_return false;
+    }
+    const auto* call = std::get_if<session_statement>(&value_of(message));
+    if (call == nullptr)
+        co_return false;
+    live.busy = true;
+    auto reply = co_await runner_.run(live.served, *call);
+    const bool written = co_await write(live, std::move(reply));
+    live.busy = false;
+    if (!written)
+        co_return false;
+    if (live.served.agreed.state() != transaction_state::none)
+        co_return true;
+    if (live.checked_version != configuration_.version())
+    {
+        live.checked_version = configuration_.version();
+        const session_opening opening{live.served.database, live.served.key};
+        if (runner_.check_opening(opening) == session_error::unauthorized)
+            co_return false;
+    }
+    co_return !draining_;
+}
+
+asio::awaitable<bool> session_server::write(live_session& live,
+                                            std::string bytes)
+{
+    error_code failure;
+    co_await asio::async_write(
+        live.socket, asio::buffer(bytes),
+        asio::redirect_error(asio::use_awaitable, failure));
+    co_return !failure;
+}
+
+asio::awaitable<void>
+session_server::refuse(live_session& live, session_error code, const char* text)
+{
+    std::string reply;
+    codec_.append_failure(reply, code, text);
+    log_event(event_level::warning, "sessions", "refused",
+              {{"outcome", to_string(code)},
+               {"reason", text},
+               {"configuration", configuration_.version()}});
+    co_await write(live, std::move(reply));
+}
+
+// Reads what the caller is still sending, so that closing does not reset the
+// connection before the caller has read the last answer.
+asio::awaitable<void> session_server::linger(live_session& live)
+{
+    error_code failure;
+    live.socket.shutdown(tcp::socket::shutdown_send, failure);
+    if (failure)
+        co_return;
+    live.close_after(linger_time);
+    std::array<char, 512> scratch{};
+    while (!failure)
+        co_await live.socket.async_read_some(
+            asio::buffer(scratch),
+            asio::redirect_error(asio::use_awaitable, failure));
+    live.timer.cancel();
+}
+
+// A transaction that rests too long gives its session at the target back.
+void session_server::watch_idle_transaction(
+    const std::shared_ptr<live_session>& live)
+{
+    if (!live->served.pinned)
+        return;
+    live->timer.expires_after(configuration_.current()->transaction_idle);
+    live->timer.async_wait(
+        [this, weak = std::weak_ptr(live)](error_code cancelled)
+        {
+            const auto self = weak.lock();
+            if (cancelled || !self || self->busy ||
+                self->timer.expiry() > asio::steady_timer::clock_type::now())
+                return;
+            runner_.fail_transaction(self->served);
+        });
+}
+
+void session_server::drain()
+{
+    draining_ = true;
+}
+
+void session_server::close_idle()
+{
+    for (const auto& live : sessions_)
+        if (!live->busy &&
+            live->served.agreed.state() == transaction_state::none)
+            live->socket.cancel();
+}
+
+void session_server::end_transactions()
+{
+    for (const auto& live : sessions_)
+        if (!live->busy)
+            runner_.fail_transaction(live->served);
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/serving/statement_runner.cpp
@@ -0,0 +1,750 @@
+#include <oleandergrade/process/serving/statement_runner.hpp>
+
+#include <oleandergrade/process/event_log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// The account that statements of open routes run for, if no key came.
+const std::string no_account = "-";
+/// Attempts for one statement, each at a place that did not decline it yet.
+constexpr unsigned most_attempts = 4;
+/// Before a declined statement is sent to a busy target again.
+constexpr auto busy_pause = milliseconds(15);
+/// The least time that an exchange with a target gets.
+constexpr auto least_exchange = milliseconds(5);
+/// Statements that the caller's route gives no latency objective for.
+constexpr auto fallback_objective = milliseconds(500);
+
+milliseconds left_until(time_point deadline)
+{
+    return std::max<milliseconds>(
+        std::chrono::duration_cast<milliseconds>(deadline - current_time()),
+        least_exchange);
+}
+
+bool is_plain_name(const std::string& text)
+{
+    constexpr std::size_t longest = 64;
+    return text.size() <= longest &&
+           std::all_of(text.begin(), text.end(),
+                       [](unsigned char c) { return std::isalnum(c) != 0; });
+}
+
+} // namespace
+
+/// What one statement needs while it is under way.
+struct statement_runner::run_state
+{
+    run_state(served_session& owner, const session_statement& statement)
+        : session(owner), call(statement), arrived(current_time())
+    {
+    }
+
+    served_session& session;
+    const session_statement& call;
+    time_point arrived;
+    time_point deadline;
+    const route* used_route = nullptr;
+    route_table_ptr table;
+    std::string account;
+    /// The statement prepared under the name that it executes.
+    const prepared_statement* prepared = nullptr;
+    bool writes = false;
+    std::set<std::string> excluded;
+    std::string reply;
+    statement_outcome outcome;
+    bool answered = false;
+};
+
+statement_runner::statement_runner(const session_codec& codec,
+                                   configuration_holder& configuration,
+                                   serving_view& view, target_pool& pool,
+                                   operation_limiter& limiter,
+                                   serving_metrics& measured)
+    : codec_(codec), configuration_(configuration), view_(view), pool_(pool),
+      limiter_(limiter), measured_(measured)
+{
+}
+
+session_error
+statement_runner::check_opening(const session_opening& opening) const
+{
+    const auto& table = configuration_.current();
+    if (table == nullptr)
+        return session_error::busy;
+    const auto* used = table->find_route(opening.database);
+    if (used == nullptr)
+        return session_error::unknown_database;
+    if (!used->open_to_all &&
+        table->find_account_by_key(opening.key) == nullptr)
+        return session_error::unauthorized;
+    return session_error::none;
+}
+
+asio::awaitable<std::string>
+statement_runner::run(served_session& session, const session_statement& call)
+{
+    run_state run(session, call);
+    if (find_route(run))
+    {
+        run.deadline = run.arrived + run.used_route->statement_timeout;
+        switch (call.verb)
+        {
+        case session_verb::begin:
+        case session_verb::begin_read_only:
+            begin(run);
+            break;
+        case session_verb::commit:
+            co_await commit(run);
+            break;
+        case session_verb::rollback:
+            if (session.agreed.state() == transaction_state::none)
+            {
+                fail(run, session_error::malformed, "no transaction is open");
+                break;
+            }
+            co_await abandon(session);
+            codec_.append_own_completion(run.reply);
+            break;
+        case session_verb::read:
+        case session_verb::write:
+        case session_verb::execute:
+            if (session.agreed.state() == transaction_state::none)
+                co_await run_alone(run);
+            else
+                co_await run_in_transaction(run);
+            break;
+        default:
+            apply_local(run);
+            break;
+        }
+    }
+    finish(run);
+    co_return std::move(run.reply);
+}
+
+// Looks up the route and the account anew for each statement, so that a
+// withdrawn key stops working within an open session.
+bool statement_runner::find_route(run_state& run)
+{
+    run.table = configuration_.current();
+    auto& session = run.session;
+    const bool in_transaction =
+        session.agreed.state() != transaction_state::none;
+    run.used_route = in_transaction ? &session.transaction_route
+                                    : run.table->find_route(session.database);
+    if (run.used_route == nullptr)
+    {
+        fail(run, session_error::unknown_database, "no route has this name");
+        return false;
+    }
+    const auto* account = run.table->find_account_by_key(session.key);
+    run.account = account != nullptr ? account->name : no_account;
+    const bool is_allowed = account != nullptr || run.used_route->open_to_all;
+    const bool is_same =
+        !in_transaction || run.account == session.transaction_account;
+    if (is_allowed && is_same)
+        return true;
+    if (in_transaction && run.call.verb == session_verb::rollback)
+        return true;
+    if (in_transaction)
+    {
+        release(session);
+        session.agreed.fail();
+    }
+    fail(run, session_error::unauthorized, "the key is not known");
+    return false;
+}
+
+bool statement_runner::admit(run_state& run)
+{
+    if (run.account == no_account)
+        return true;
+    const auto decision = limiter_.admit(run.account, run.arrived);
+    if (decision.admitted)
+        return true;
+    fail(run, session_error::busy, "over the account's rate",
+         decision.retry_after);
+    return false;
+}
+
+void statement_runner::begin(run_state& run)
+{
+    auto& session = run.session;
+    if (session.agreed.state() != transaction_state::none)
+        return fail(run, session_error::malformed,
+                    "a transaction is open already");
+    if (!admit(run))
+        return;
+    session.agreed.begin(run.call.verb == session_verb::begin_read_only);
+    session.has_written = false;
+    session.transaction_route = *run.used_route;
+    session.transaction_account = run.account;
+    codec_.append_own_completion(run.reply);
+}
+
+void statement_runner::apply_local(run_state& run)
+{
+    const auto failure = run.session.agreed.apply(run.call);
+    if (failure == session_error::none)
+        return codec_.append_own_completion(run.reply);
+    fail(run, failure, "the statement is not understood here");
+}
+
+placement_request statement_runner::request_for(const run_state& run) const
+{
+    const auto& agreed = run.session.agreed;
+    const bool in_transaction = agreed.state() == transaction_state::open;
+    placement_request request;
+    request.group = run.used_route->group;
+    request.account = run.account;
+    // A plain transaction may write later on.
+    request.needs_primary =
+        run.writes || (in_transaction && !agreed.is_read_only());
+    request.consistency = run.used_route->consistency;
+    request.max_age = run.used_route->max_age;
+    request.session_position = agreed.position();
+    request.priority = run.used_route->priority;
+    request.values = agreed.values();
+    request.excluded = run.excluded;
+    return request;
+}
+
+// Waits for a session at a target; on failure the statement is answered.
+asio::awaitable<bool>
+statement_runner::find_place(run_state& run, std::optional<placement>& place)
+{
+    const auto objective = run.used_route->latency_objective.count() > 0
+                               ? run.used_route->latency_objective
+                               : fallback_objective;
+    const auto wait_until = std::min(run.deadline, run.arrived + objective);
+    // A primary that is being replaced is worth waiting for: its callers are
+    // served late instead of not at all.
+    const auto wait_primary =
+        run.arrived + run.used_route->statement_timeout * 9 / 10;
+    auto request = request_for(run);
+    auto outcome =
+        co_await pool_.acquire(std::move(request), wait_until, wait_primary);
+    if (auto* found = std::get_if<placement>(&outcome))
+    {
+        ++run.outcome.attempts;
+        run.outcome.target = found->session->key().target;
+        place = std::move(*found);
+        co_return true;
+    }
+    const bool lacks_primary =
+        std::get<placement_refusal>(outcome).lacks_primary;
+    fail(run, session_error::busy,
+         lacks_primary ? "the primary is being replaced"
+                       : "all sessions at the targets are taken",
+         objective);
+    co_return false;
+}
+
+std::string statement_runner::prepared_name(const prepared_statement& statement)
+{
+    // Sessions share what is prepared for a shape, whatever their callers call
+    // it.
+    const std::string kind = statement.writes ? "w" : "r";
+    if (is_plain_name(statement.shape))
+        return kind + statement.shape;
+    std::string name = kind + "x";
+    constexpr char digits[] = "0123456789abcdef";
+    for (const unsigned char c : statement.shape)
+    {
+        name += digits[c >> 4];
+        name += digits[c & 15];
+    }
+    return name;
+}
+
+std::string
+statement_runner::statement_bytes(const run_state& run,
+                                  const std::optional<log_position>& minimum)
+{
+    std::string bytes;
+    const auto text =
+        run.prepared == nullptr
+            ? run.call.text
+            : codec_.execute_text(prepared_name(*run.prepared), run.call);
+    codec_.append_statement(bytes, run.call.id, text, minimum);
+    return bytes;
+}
+
+// Gives the target's session the caller's values and the prepared statement,
+// and begins the transaction if one is to begin. Returns false if the target
+// declined or the session broke; nothing of the caller's has run then.
+asio::awaitable<bool>
+statement_runner::prepare_session(run_state& run, placement& place, bool begins)
+{
+    auto& held = *place.session;
+    const auto& wanted = run.session.agreed.values();
+    std::string bytes;
+    std::size_t count = 0;
+    const auto add =
+        [&](const std::string& text, const std::optional<log_position>& minimum)
+    {
+        codec_.append_statement(bytes, codec_.own_statement_id(), text,
+                                minimum);
+        ++count;
+    };
+    const bool has_foreign = std::any_of(
+        held.values.begin(), held.values.end(),
+        [&](const auto& value) { return !wanted.contains(value.first); });
+    if (has_foreign)
+    {
+        add(codec_.reset_text(), std::nullopt);
+        held.values.clear();
+        held.prepared.clear();
+    }
+    for (const auto& [name, value] : wanted)
+    {
+        const auto found = held.values.find(name);
+        if (found != held.values.end() && found->second == value)
+            continue;
+        add(codec_.set_text(name, value), std::nullopt);
+        held.values[name] = value;
+    }
+    if (run.prepared != nullptr)
+    {
+        const auto name = prepared_name(*run.prepared);
+        if (held.prepared.insert(name).second)
+            add(codec_.prepare_text(name, run.prepared->writes,
+                                    run.prepared->shape),
+                std::nullopt);
+    }
+    if (begins)
+        add(codec_.begin_text(run.session.agreed.is_read_only()),
+            place.minimum);
+    if (count == 0)
+        co_return true;
+    const auto sent_at = current_time();
+    auto outcome = co_await held.exchange(std::move(bytes), count,
+                                          left_until(run.deadline));
+    if (!succeeded(outcome))
+    {
+        view_.health.on_failure(held.key().target, current_time());
+        run.excluded.insert(held.key().target);
+        run.outcome.reason = to_string(error_of(outcome));
+        co_return false;
+    }
+    for (const auto& answer : value_of(outcome))
+    {
+        if (answer.succeeded())
+            continue;
+        run.outcome.reason =
+            std::string("preparing: ") + to_string(answer.failure);
+        if (answer.failure == session_error::lagging)
+            view_.health.on_lagging(held.key().target, current_time());
+        run.excluded.insert(held.key().target);
+        // Whatever it holds now, another caller must not meet it.
+        held.close();
+        co_return false;
+    }
+    view_.health.on_success(held.key().target);
+    observe(place, value_of(outcome).back(), sent_at);
+    co_return true;
+}
+
+bool statement_runner::can_retry(const run_state& run) const
+{
+    return run.outcome.attempts < most_attempts &&
+           current_time() + least_exchange < run.deadline;
+}
+
+asio::awaitable<void> statement_runner::run_alone(run_state& run)
+{
+    if (run.call.verb == session_verb::execute)
+    {
+        run.prepared = run.session.agreed.find_prepared(run.call.name);
+        if (run.prepared == nullptr)
+            co_return fail(run, session_error::unknown_prepared,
+                           "the name was not prepared");
+    }
+    run.writes = run.prepared != nullptr ? run.prepared->writes
+                                         : run.call.verb == session_verb::write;
+    if (!admit(run))
+        co_return;
+    while (!run.answered)
+    {
+        std::optional<placement> place;
+        const bool has_place = co_await find_place(run, place);
+        if (!has_place)
+            co_return;
+        auto& held = *place->session;
+        const auto& target = held.key().target;
+        const bool is_prepared = co_await prepare_session(run, *place, false);
+        if (!is_prepared)
+        {
+            pool_.release(place->session);
+            if (can_retry(run))
+                continue;
+            co_return fail(run, session_error::busy, run.outcome.reason);
+        }
+        const auto sent_at = current_time();
+        if (place->is_primary &&
+            !view_.authority.still_holds(run.used_route->group,
+                                         place->record_revision, sent_at))
+        {
+            pool_.release(place->session);
+            continue;
+        }
+        auto bytes = statement_bytes(run, place->minimum);
+        auto outcome = co_await held.exchange(std::move(bytes), 1,
+                                              left_until(run.deadline));
+        if (succeeded(outcome))
+        {
+            view_.health.on_success(target);
+            answer_alone(run, *place, value_of(outcome).front(), sent_at);
+            pool_.release(place->session);
+            if (!run.answered)
+            {
+                measured_.on_retry();
+                co_await sleep_for(run.excluded.empty() ? busy_pause
+                                                        : milliseconds(0));
+            }
+            continue;
+        }
+        const auto& failure = error_of(outcome);
+        run.outcome.reason = to_string(failure);
+        const bool is_timeout = failure.kind == error_kind::timeout;
+        if (!is_timeout)
+            view_.health.on_failure(target, current_time());
+        pool_.release(place->session);
+        run.excluded.insert(target);
+        if (run.writes)
+            co_return fail(run, session_error::in_doubt, run.outcome.reason);
+        if (is_timeout || !can_retry(run))
+            co_return fail(run, session_error::timeout, run.outcome.reason);
+        measured_.on_retry();
+    }
+}
+
+// Passes an answer on, or leaves the statement unanswered for another attempt.
+void statement_runner::answer_alone(run_state& run, placement& place,
+                                    const target_answer& answer,
+                                    time_point sent_at)
+{
+    const auto& target = place.session->key().target;
+    if (answer.succeeded())
+    {
+        observe(place, answer, sent_at);
+        if (!run.writes)
+        {
+            measured_.on_read(place.is_primary);
+            return pass_on(run, answer);
+        }
+        // A write that a deposed primary confirmed may be lost.
+        if (!view_.authority.still_holds(run.used_route->group,
+                                         place.record_revision, current_time()))
+            return fail(run, session_error::in_doubt,
+                        "the primary was replaced meanwhile");
+        if (answer.position)
+            run.session.agreed.on_commit(*answer.position);
+        return pass_on(run, answer);
+    }
+    run.outcome.reason = to_string(answer.failure);
+    if (answer.state != transaction_state::none)
+        // The target takes the statement for part of a transaction.
+        place.session->close();
+    if (!can_retry(run))
+        return pass_on(run, answer);
+    switch (answer.failure)
+    {
+    case session_error::busy:
+        if (!run.writes)
+            run.excluded.insert(target);
+        return;
+    case session_error::lagging:
+        view_.health.on_lagging(target, current_time());
+        run.excluded.insert(target);
+        return;
+    case session_error::unknown_prepared:
+        place.session->prepared.clear();
+        return;
+    case session_error::read_only:
+        // The record of the new primary is on its way.
+        return;
+    case session_error::failed:
+        if (run.writes || !run.excluded.empty())
+            return pass_on(run, answer);
+        run.excluded.insert(target);
+        return;
+    default:
+        return pass_on(run, answer);
+    }
+}
+
+// Binds the open transaction to a session at a target, where it begins.
+asio::awaitable<void> statement_runner::pin(run_state& run)
+{
+    for (;;)
+    {
+        std::optional<placement> place;
+        const bool has_place = co_await find_place(run, place);
+        if (!has_place)
+        {
+            run.session.agreed.fail();
+            co_return;
+        }
+        bool is_usable =
+            !place->is_primary ||
+            view_.authority.still_holds(run.used_route->group,
+                                        place->record_revision, current_time());
+        if (is_usable)
+            is_usable = co_await prepare_session(run, *place, true);
+        if (is_usable)
+        {
+            run.session.pinned = std::move(place);
+            co_return;
+        }
+        pool_.release(place->session);
+        if (can_retry(run))
+            continue;
+        run.session.agreed.fail();
+        fail(run, session_error::busy, run.outcome.reason);
+        co_return;
+    }
+}
+
+asio::awaitable<void> statement_runner::run_in_transaction(run_state& run)
+{
+    auto& session = run.session;
+    if (session.agreed.state() == transaction_state::failed)
+        co_return fail(run, session_error::malformed,
+                       "the transaction has failed");
+    if (run.call.verb == session_verb::execute)
+    {
+        run.prepared = session.agreed.find_prepared(run.call.name);
+        if (run.prepared == nullptr)
+        {
+            release(session);
+            session.agreed.fail();
+            co_return fail(run, session_error::unknown_prepared,
+                           "the name was not prepared");
+        }
+    }
+    run.writes = run.prepared != nullptr ? run.prepared->writes
+                                         : run.call.verb == session_verb::write;
+    if (!session.pinned)
+        co_await pin(run);
+    if (!session.pinned)
+        co_return;
+    auto& place = *session.pinned;
+    auto& held = *place.session;
+    run.outcome.target = held.key().target;
+    const auto sent_at = current_time();
+    const bool is_usable =
+        !place.is_primary ||
+        view_.authority.still_holds(run.used_route->group,
+                                    place.record_revision, sent_at);
+    bool is_prepared = false;
+    if (is_usable)
+        is_prepared = co_await prepare_session(run, place, false);
+    if (!is_prepared)
+    {
+        held.close();
+        release(session);
+        session.agreed.fail();
+        co_return fail(run, session_error::aborted,
+                       is_usable ? run.outcome.reason
+                                 : "the primary was replaced");
+    }
+    session.has_written = session.has_written || run.writes;
+    auto bytes = statement_bytes(run, std::nullopt);
+    auto outcome =
+        co_await held.exchange(std::move(bytes), 1, left_until(run.deadline));
+    if (!succeeded(outcome))
+    {
+        const auto& failure = error_of(outcome);
+        if (failure.kind != error_kind::timeout)
+            view_.health.on_failure(held.key().target, current_time());
+        release(session);
+        session.agreed.fail();
+        // The target rolls back what a closed session left open.
+        co_return fail(run, session_error::aborted, to_string(failure));
+    }
+    const auto& answer = value_of(outcome).front();
+    if (answer.succeeded())
+    {
+        if (!run.writes)
+            measured_.on_read(place.is_primary);
+    }
+    else
+    {
+        run.outcome.reason = to_string(answer.failure);
+        if (answer.state != transaction_state::open)
+            session.agreed.fail();
+    }
+    pass_on(run, answer);
+}
+
+asio::awaitable<void> statement_runner::commit(run_state& run)
+{
+    auto& session = run.session;
+    if (session.agreed.state() == transaction_state::none)
+        co_return fail(run, session_error::malformed, "no transaction is open");
+    if (session.agreed.state() == transaction_state::failed)
+    {
+        co_await abandon(session);
+        co_return fail(run, session_error::aborted,
+                       "the transaction had failed");
+    }
+    if (!session.pinned)
+        co_await pin(run);
+    if (!session.pinned)
+    {
+        session.agreed.end();
+        co_return;
+    }
+    auto& place = *session.pinned;
+    auto& held = *place.session;
+    run.outcome.target = held.key().target;
+    const auto sent_at = current_time();
+    if (place.is_primary &&
+        !view_.authority.still_holds(run.used_route->group,
+                                     place.record_revision, sent_at))
+    {
+        held.close();
+        release(session);
+        session.agreed.end();
+        co_return fail(run, session_error::aborted, "the primary was replaced");
+    }
+    const bool has_written = session.has_written;
+    auto bytes = statement_bytes(run, std::nullopt);
+    auto outcome =
+        co_await held.exchange(std::move(bytes), 1, left_until(run.deadline));
+    session.agreed.end();
+    if (!succeeded(outcome))
+    {
+        const auto& failure = error_of(outcome);
+        if (failure.kind != error_kind::timeout)
+            view_.health.on_failure(held.key().target, current_time());
+        release(session);
+        co_return fail(
+            run, has_written ? session_error::in_doubt : session_error::aborted,
+            to_string(failure));
+    }
+    const auto& answer = value_of(outcome).front();
+    observe(place, answer, sent_at);
+    const bool holds =
+        !place.is_primary ||
+        view_.authority.still_holds(run.used_route->group,
+                                    place.record_revision, current_time());
+    if (answer.state != transaction_state::none)
+        held.close();
+    release(session);
+    if (!answer.succeeded())
+        run.outcome.reason = to_string(answer.failure);
+    else if (has_written && !holds)
+        co_return fail(run, session_error::in_doubt,
+                       "the primary was replaced meanwhile");
+    else if (has_written && answer.position)
+        session.agreed.on_commit(*answer.position);
+    pass_on(run, answer);
+}
+
+// Positions that a primary names tell every reader how far its log is.
+void statement_runner::observe(const placement& place,
+                               const target_answer& answer, time_point sent_at)
+{
+    const auto& group = place.session->key().group;
+    if (!place.is_primary || !answer.position ||
+        answer.position->term != place.term ||
+        !view_.authority.still_holds(group, place.record_revision, sent_at))
+        return;
+    view_.positions[group].observe(*answer.position, sent_at);
+}
+
+void statement_runner::fail(run_state& run, session_error code,
+                            const std::string& reason, milliseconds retry_after)
+{
+    run.answered = true;
+    run.outcome.failure = code;
+    run.outcome.reason = reason;
+    auto text = reason;
+    if (retry_after.count() > 0)
+        text += "; retry after " + std::to_string(retry_after.count()) + " ms";
+    codec_.append_failure(run.reply, code, text);
+}
+
+void statement_runner::pass_on(run_state& run, const target_answer& answer)
+{
+    run.answered = true;
+    run.outcome.failure = answer.failure;
+    run.reply.append(answer.rows);
+    if (answer.succeeded())
+        codec_.append_completion(run.reply, *answer.proof);
+    else
+        run.reply.append(answer.failure_line).append(session_line_end);
+}
+
+void statement_runner::finish(run_state& run)
+{
+    codec_.append_readiness(run.reply, run.session.agreed.state());
+    const auto latency = current_time() - run.arrived;
+    const auto kind = run.used_route == nullptr ? read_consistency::current
+                                                : run.used_route->consistency;
+    measured_.on_answer(kind, run.outcome.failure, latency);
+    if (run.outcome.failure == session_error::none)
+        return;
+    const auto* record = run.used_route == nullptr
+                             ? nullptr
+                             : view_.authority.find(run.used_route->group);
+    log_event(event_level::warning, "statement", "failed",
+              {{"request", run.call.id},
+               {"outcome", to_string(run.outcome.failure)},
+               {"reason", run.outcome.reason},
+               {"database", run.session.database},
+               {"account", run.account},
+               {"target", run.outcome.target},
+               {"attempts", run.outcome.attempts},
+               {"took", std::chrono::duration_cast<milliseconds>(latency)},
+               {"configuration", configuration_.version()},
+               {"term", record == nullptr ? 0 : record->term},
+               {"record", record == nullptr ? 0 : record->revision}});
+}
+
+void statement_runner::release(served_session& session)
+{
+    if (!session.pinned)
+        return;
+    pool_.release(session.pinned->session);
+    session.pinned.reset();
+}
+
+void statement_runner::fail_transaction(served_session& session)
+{
+    if (session.agreed.state() != transaction_state::open)
+        return;
+    if (session.pinned)
+        session.pinned->session->close();
+    release(session);
+    session.agreed.fail();
+}
+
+asio::awaitable<void> statement_runner::abandon(served_session& session)
+{
+    if (session.pinned &&
+        session.pinned->session->state() != transaction_state::none)
+    {
+        constexpr auto rollback_time = milliseconds(500);
+        auto& held = *session.pinned->session;
+        std::string bytes;
+        codec_.append_statement(bytes, codec_.own_statement_id(),
+                                codec_.rollback_text(), std::nullopt);
+        co_await held.exchange(std::move(bytes), 1, rollback_time);
+    }
+    release(session);
+    session.agreed.end();
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/serving/target_chooser.cpp
@@ -0,0 +1,68 @@
+#include <oleandergrade/process/serving/target_chooser.hpp>
+
+#include <algorithm>
+
+namespace oleandergrade
+{
+
+namespace
+{
+
+// The position that a replica must have, or none if no replica may serve.
+std::optional<log_position> replica_minimum(const serving_view& view,
+                                            const placement_request& request,
+                                            time_point now)
+{
+    if (request.needs_primary ||
+        request.consistency == read_consistency::current)
+        return std::nullopt;
+    const auto found = view.positions.find(request.group);
+    if (found == view.positions.end())
+        return std::nullopt;
+    const auto& tracker = found->second;
+    auto minimum = tracker.minimum_for(request.max_age, now);
+    if (!minimum || request.consistency != read_consistency::own_writes ||
+        !request.session_position)
+        return minimum;
+    const auto& own = *request.session_position;
+    const auto newest = tracker.newest();
+    // A later primary's log has the session's commits, unless they were rolled
+    // back by its promotion.
+    if (newest && own.term < newest->term)
+        return std::max(*minimum, *tracker.first_of_newest_term());
+    return std::max(*minimum, own);
+}
+
+} // namespace
+
+std::vector<placement_candidate>
+choose_candidates(const serving_view& view, const placement_request& request,
+                  time_point now)
+{
+    std::vector<placement_candidate> candidates;
+    const auto* record = view.authority.usable(request.group, now);
+    const auto minimum = replica_minimum(view, request, now);
+    const auto* known = view.authority.find(request.group);
+    for (const auto* target : view.registry.in_group(request.group))
+    {
+        if (request.excluded.contains(target->id) ||
+            view.health.is_avoided(target->id, now))
+            continue;
+        if (record != nullptr && record->target == target->id)
+        {
+            candidates.push_back(
+                {target, true, record->revision, record->term, std::nullopt});
+            continue;
+        }
+        // A closed primary is about to be deposed; its log may end anywhere.
+        const bool is_closed_primary =
+            known != nullptr && known->target == target->id;
+        if (!minimum || target->is_draining || is_closed_primary ||
+            view.health.is_lagging(target->id, now))
+            continue;
+        candidates.push_back({target, false, 0, 0, minimum});
+    }
+    return candidates;
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/serving/target_pool.cpp
@@ -0,0 +1,349 @@
+#include <oleandergrade/process/serving/target_pool.hpp>
+
+#include <oleandergrade/connection/endpoint.hpp>
+#include <oleandergrade/process/event_log.hpp>
+
+#include <algorithm>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// A new session costs a target about a third of a statement's time.
+constexpr double opening_cost = 0.35;
+/// Reads leave the primary's slots to writes while replicas are no busier.
+constexpr double primary_cost = 0.6;
+/// Between attempts when a target takes no further connections.
+constexpr auto limit_pause = milliseconds(25);
+
+} // namespace
+
+target_pool::target_pool(asio::any_io_executor executor,
+                         const session_codec& codec, serving_view& view)
+    : executor_(std::move(executor)), codec_(codec), view_(view)
+{
+}
+
+void target_pool::use_shares(std::map<std::string, std::uint32_t> connections)
+{
+    shares_ = std::move(connections);
+    retry_all();
+}
+
+std::uint32_t target_pool::limit_of(const std::string& group) const
+{
+    const auto found = shares_.find(group);
+    return found == shares_.end() ? 1 : std::max(found->second, 1U);
+}
+
+std::size_t target_pool::sessions() const
+{
+    std::size_t total = 0;
+    for (const auto& [id, entry] : targets_)
+        total += entry.idle.size() + entry.busy;
+    return total;
+}
+
+std::uint32_t target_pool::busy_at(const std::string& target) const
+{
+    const auto found = targets_.find(target);
+    return found == targets_.end() ? 0 : found->second.busy;
+}
+
+double target_pool::score(const placement_candidate& candidate,
+                          const placement_request& request)
+{
+    const auto& entry = targets_[candidate.target->id];
+    const bool has_idle =
+        std::any_of(entry.idle.begin(), entry.idle.end(),
+                    [&](const target_session_ptr& session)
+                    { return session->key().account == request.account; });
+    const bool is_spare_primary =
+        candidate.is_primary && !request.needs_primary &&
+        request.consistency != read_consistency::current;
+    const auto slots = std::max(candidate.target->slots, 1U);
+    return static_cast<double>(entry.busy) / slots +
+           (has_idle ? 0 : opening_cost) +
+           (is_spare_primary ? primary_cost : 0);
+}
+
+target_session_ptr target_pool::take_idle(target_entry& entry,
+                                          const placement_request& request)
+{
+    // The newest ones last: sessions that are not needed grow old and go.
+    auto best = entry.idle.end();
+    for (auto it = entry.idle.begin(); it != entry.idle.end(); ++it)
+    {
+        if ((*it)->key().account != request.account)
+            continue;
+        best = it;
+        if ((*it)->values == request.values)
+            break;
+    }
+    if (best == entry.idle.end())
+        return nullptr;
+    auto session = *best;
+    entry.idle.erase(best);
+    return session;
+}
+
+bool target_pool::make_room(const placement_candidate& candidate,
+                            target_entry& entry)
+{
+    if (entry.busy + entry.idle.size() < limit_of(candidate.target->group))
+        return true;
+    if (entry.idle.empty())
+        return false;
+    const auto oldest = std::min_element(
+        entry.idle.begin(), entry.idle.end(),
+        [](const target_session_ptr& a, const target_session_ptr& b)
+        { return a->idle_since < b->idle_since; });
+    (*oldest)->close();
+    entry.idle.erase(oldest);
+    ++counts_.evicted;
+    return true;
+}
+
+std::optional<target_pool::choice>
+target_pool::place(const placement_request& request, time_point now)
+{
+    auto candidates = choose_candidates(view_, request, now);
+    std::vector<std::pair<double, const placement_candidate*>> order;
+    order.reserve(candidates.size());
+    for (const auto& candidate : candidates)
+        order.emplace_back(score(candidate, request), &candidate);
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto& a, const auto& b)
+                     { return a.first < b.first; });
+    for (const auto& [cost, candidate] : order)
+    {
+        auto& entry = targets_[candidate->target->id];
+        choice chosen;
+        chosen.place = {nullptr, candidate->is_primary,
+                        candidate->record_revision, candidate->term,
+                        candidate->minimum};
+        while (auto session = take_idle(entry, request))
+        {
+            if (!session->is_quiet())
+            {
+                session->close();
+                continue;
+            }
+            ++entry.busy;
+            chosen.place.session = std::move(session);
+            return chosen;
+        }
+        if (!make_room(*candidate, entry))
+            continue;
+        ++entry.busy;
+        chosen.must_open = true;
+        chosen.place.session = std::make_shared<target_session>(
+            executor_, codec_,
+            target_session_key{candidate->target->id, request.group,
+                               request.account});
+        return chosen;
+    }
+    return std::nullopt;
+}
+
+asio::awaitable<placement_outcome>
+target_pool::acquire(placement_request request, time_point wait_until,
+                     time_point wait_primary)
+{
+    for (;;)
+    {
+        auto chosen =
+            co_await wait_for_place(request, wait_until, wait_primary);
+        if (!chosen)
+        {
+            ++counts_.gave_up;
+            const auto now = current_time();
+            co_return placement_refusal{
+                request.needs_primary &&
+                view_.authority.usable(request.group, now) == nullptr};
+        }
+        bool is_open = !chosen->must_open;
+        if (!is_open)
+            is_open = co_await open(chosen->place);
+        if (is_open)
+            co_return std::move(chosen->place);
+        if (current_time() >= std::max(wait_until, wait_primary))
+            co_return placement_refusal{};
+    }
+}
+
+asio::awaitable<std::optional<target_pool::choice>>
+target_pool::wait_for_place(const placement_request& request,
+                            time_point wait_until, time_point wait_primary)
+{
+    const bool must_queue = std::any_of(
+        waiters_.begin(), waiters_.end(),
+        [&](const waiter* other)
+        {
+            return other->request->group == request.group &&
+                   other->request->needs_primary == request.needs_primary &&
+                   other->request->priority <= request.priority;
+        });
+    if (!must_queue)
+        if (auto chosen = place(request, current_time()))
+            co_return chosen;
+    ++counts_.waited;
+    waiter self;
+    self.request = &request;
+    self.placed = std::make_unique<async_event>(executor_);
+    const auto behind =
+        std::find_if(waiters_.begin(), waiters_.end(),
+                     [&](const waiter* other)
+                     { return other->request->priority > request.priority; });
+    const auto position = waiters_.insert(behind, &self);
+    for (;;)
+    {
+        const auto now = current_time();
+        const bool lacks_primary =
+            request.needs_primary &&
+            view_.authority.usable(request.group, now) == nullptr;
+        const auto limit = lacks_primary ? wait_primary : wait_until;
+        if (now >= limit)
+            break;
+        // Targets that were avoided become usable by the passing of time
+        // alone.
+        constexpr auto longest_pause = milliseconds(50);
+        const auto pause = std::min<duration>(limit - now, longest_pause);
+        const bool is_placed =
+            co_await self.placed->wait_until(clock::now() + pause);
+        if (is_placed)
+            co_return choice{std::move(*self.result), self.must_open};
+        if (auto chosen = place(request, current_time()))
+        {
+            waiters_.erase(position);
+            co_return chosen;
+        }
+    }
+    waiters_.erase(position);
+    co_return std::nullopt;
+}
+
+asio::awaitable<bool> target_pool::open(placement& place)
+{
+    const auto session = place.session;
+    const auto& id = session->key().target;
+    const auto* target = view_.registry.find(id);
+    result<bool> outcome =
+        error{error_kind::unreachable, "connect", id, "not registered"};
+    if (target != nullptr)
+    {
+        const auto endpoint = parse_endpoint(target->address);
+        if (succeeded(endpoint))
+            outcome = co_await session->open(value_of(endpoint), open_timeout);
+        else
+            outcome = error_of(endpoint);
+    }
+    if (succeeded(outcome))
+    {
+        ++counts_.opened;
+        view_.health.on_success(id);
+        co_return true;
+    }
+    ++counts_.failed_to_open;
+    const auto& failure = error_of(outcome);
+    log_event(event_level::warning, "pool", "open failed",
+              {{"target", id},
+               {"account", session->key().account},
+               {"error", to_string(failure)}});
+    const bool is_full =
+        failure.kind == error_kind::refused &&
+        failure.message == to_string(session_error::connection_limit);
+    if (!is_full)
+        view_.health.on_failure(id, current_time());
+    release(session);
+    if (is_full)
+        co_await sleep_for(limit_pause);
+    co_return false;
+}
+
+void target_pool::release(const target_session_ptr& session)
+{
+    auto& entry = targets_[session->key().target];
+    --entry.busy;
+    const auto* target = view_.registry.find(session->key().target);
+    const bool is_whole = session->is_open() &&
+                          session->state() == transaction_state::none &&
+                          target != nullptr;
+    if (is_whole)
+    {
+        session->idle_since = current_time();
+        entry.idle.push_back(session);
+    }
+    else
+    {
+        session->close();
+    }
+    retry(session->key().group);
+}
+
+void target_pool::retry(const std::string& group)
+{
+    const auto now = current_time();
+    for (auto it = waiters_.begin(); it != waiters_.end();)
+    {
+        auto* waiting = *it;
+        if (waiting->request->group != group)
+        {
+            ++it;
+            continue;
+        }
+        auto chosen = place(*waiting->request, now);
+        if (!chosen)
+        {
+            ++it;
+            continue;
+        }
+        waiting->result = std::move(chosen->place);
+        waiting->must_open = chosen->must_open;
+        it = waiters_.erase(it);
+        waiting->placed->signal();
+    }
+}
+
+void target_pool::retry_all()
+{
+    std::set<std::string> groups;
+    for (const auto* waiting : waiters_)
+        groups.insert(waiting->request->group);
+    for (const auto& group : groups)
+        retry(group);
+}
+
+void target_pool::drop_stale()
+{
+    for (auto& [id, entry] : targets_)
+    {
+        const auto* target = view_.registry.find(id);
+        if (target != nullptr && !target->is_draining)
+            continue;
+        for (const auto& session : entry.idle)
+            session->close();
+        entry.idle.clear();
+    }
+    std::erase_if(targets_,
+                  [&](const auto& entry)
+                  {
+                      return entry.second.busy == 0 &&
+                             view_.registry.find(entry.first) == nullptr;
+                  });
+}
+
+void target_pool::close_all()
+{
+    for (auto& [id, entry] : targets_)
+    {
+        for (const auto& session : entry.idle)
+            session->close();
+        entry.idle.clear();
+    }
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/process/vm_daemon.cpp
@@ -0,0 +1,251 @@
+#include <oleandergrade/process/vm_daemon.hpp>
+
+#include <oleandergrade/connection/async_event.hpp>
+#include <oleandergrade/connection/endpoint.hpp>
+#include <oleandergrade/invariant.hpp>
+#include <oleandergrade/process/event_log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <csignal>
+#include <sstream>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+namespace json = boost::json;
+using boost::system::error_code;
+
+namespace
+{
+
+/// Part of the time to stop after which open transactions are ended, and after
+/// which idle sessions are.
+constexpr double transaction_part = 0.5;
+constexpr double session_part = 0.75;
+constexpr auto stop_poll = milliseconds(50);
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+
+asio::ip::tcp::endpoint endpoint_of(const std::string& address)
+{
+    const auto endpoint = parse_endpoint(address);
+    if (!succeeded(endpoint))
+        throw boost::system::system_error(
+            asio::error::make_error_code(asio::error::invalid_argument),
+            address);
+    return value_of(endpoint);
+}
+
+milliseconds part_of(milliseconds whole, double part)
+{
+    return milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(whole.count()) * part));
+}
+
+} // namespace
+
+vm_daemon::vm_daemon(asio::io_context& context, vm_settings settings,
+                     platform_parts& platform, settings_reader read_settings)
+    : context_(context), platform_(platform),
+      read_settings_(std::move(read_settings)),
+      state_(context.get_executor(), std::move(settings), platform),
+      runner_(*platform.codec, state_.configuration, state_.view, state_.pool,
+              state_.limiter, measured_),
+      fleet_(context, state_),
+      sessions_(context, endpoint_of(state_.settings.session_address),
+                *platform.codec, runner_, state_.configuration, {}),
+      signals_(context, SIGTERM, SIGINT, SIGHUP)
+{
+}
+
+void vm_daemon::run()
+{
+    start_http();
+    fleet_.start();
+    sessions_.start();
+    asio::co_spawn(context_, wait_for_signals(), asio::detached);
+    log_event(event_level::info, "daemon", "started",
+              {{"failure_domain", state_.settings.failure_domain},
+               {"incarnation", state_.incarnation},
+               {"sessions", state_.settings.session_address}});
+    context_.run();
+}
+
+void vm_daemon::start_http()
+{
+    http_handlers readiness;
+    readiness.serve = [this](http_request request)
+    { return serve_readiness(std::move(request)); };
+    readiness_ = std::make_unique<http_server>(
+        context_, endpoint_of(state_.settings.readiness_address), http_limits{},
+        std::move(readiness));
+    http_handlers metrics;
+    metrics.serve = [this](http_request request)
+    { return serve_metrics(std::move(request)); };
+    metrics_ = std::make_unique<http_server>(
+        context_, endpoint_of(state_.settings.metrics_address), http_limits{},
+        std::move(metrics));
+}
+
+bool vm_daemon::is_ready() const
+{
+    return !state_.stopping && state_.configuration.current() != nullptr &&
+           !state_.view.registry.all().empty() &&
+           state_.view.authority.has_grant(current_time());
+}
+
+asio::awaitable<http_response> vm_daemon::serve_readiness(http_request)
+{
+    http_response response;
+    response.status = is_ready() ? status_ok : status_unavailable;
+    response.body = "{}";
+    co_return response;
+}
+
+asio::awaitable<http_response> vm_daemon::serve_metrics(http_request request)
+{
+    http_response response;
+    if (request.path == "/state")
+    {
+        response.body = state_text();
+        co_return response;
+    }
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = metrics_text();
+    co_return response;
+}
+
+std::string vm_daemon::metrics_text() const
+{
+    const auto now = current_time();
+    const auto& pool = state_.pool.counts();
+    std::ostringstream out;
+    out << measured_.to_text();
+    const auto add = [&](const char* name, const char* type, auto value)
+    {
+        out << "# TYPE oleander_" << name << " " << type << "\noleander_"
+            << name << " " << value << "\n";
+    };
+    add("sessions", "gauge", sessions_.size());
+    add("target_sessions", "gauge", state_.pool.sessions());
+    add("statements_waiting", "gauge", state_.pool.waiting());
+    add("target_sessions_opened_total", "counter", pool.opened);
+    add("target_sessions_failed_total", "counter", pool.failed_to_open);
+    add("target_sessions_evicted_total", "counter", pool.evicted);
+    add("statements_waited_total", "counter", pool.waited);
+    add("statements_gave_up_total", "counter", pool.gave_up);
+    add("configuration_version", "gauge", state_.configuration.version());
+    add("members", "gauge", state_.members.size());
+    add("duty_held", "gauge", fleet_.duty().is_holder() ? 1 : 0);
+    add("token", "gauge", state_.view.authority.token());
+    add("grant_left_seconds", "gauge",
+        std::chrono::duration<double>(state_.view.authority.valid_until() - now)
+            .count());
+    add("log_lines_left_out_total", "counter", dropped_event_lines());
+    add("invariant_failures_total", "counter", invariant_failure_count());
+    return out.str();
+}
+
+std::string vm_daemon::state_text() const
+{
+    const auto now = current_time();
+    json::array primaries;
+    for (const auto& [group, record] : state_.view.authority.records())
+        primaries.push_back({{"group", group},
+                             {"term", record.term},
+                             {"target", record.target},
+                             {"open", record.is_open},
+                             {"revision", record.revision}});
+    json::array targets;
+    for (const auto& [id, target] : state_.view.registry.all())
+        targets.push_back({{"id", id},
+                           {"group", target.group},
+                           {"address", target.address},
+                           {"draining", target.is_draining},
+                           {"avoided", state_.view.health.is_avoided(id, now)},
+                           {"busy", state_.pool.busy_at(id)}});
+    return json::serialize(json::object{
+        {"vm", state_.settings.name},
+        {"incarnation", state_.incarnation},
+        {"ready", is_ready()},
+        {"configuration", state_.configuration.version()},
+        {"holder", fleet_.duty().known_holder().vm},
+        {"token", state_.view.authority.token()},
+        {"grant_left_ms",
+         to_milliseconds(state_.view.authority.valid_until() - now)},
+        {"members", state_.members.names().size()},
+        {"sessions", sessions_.size()},
+        {"primaries", std::move(primaries)},
+        {"targets", std::move(targets)}});
+}
+
+asio::awaitable<void> vm_daemon::wait_for_signals()
+{
+    for (;;)
+    {
+        error_code failure;
+        const auto signal = co_await signals_.async_wait(
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            co_return;
+        if (signal == SIGHUP)
+            reload();
+        else
+            break;
+    }
+    co_await stop();
+}
+
+void vm_daemon::reload()
+{
+    auto settings = read_settings_();
+    if (!succeeded(settings))
+        return log_event(event_level::error, "daemon", "reload refused",
+                         {{"error", to_string(error_of(settings))}});
+    // Addresses cannot change while the process runs.
+    const auto& fresh = value_of(settings);
+    state_.settings.configuration_time = fresh.configuration_time;
+    state_.settings.drain_time = fresh.drain_time;
+    state_.settings.stop_time = fresh.stop_time;
+    state_.settings.seeds = fresh.seeds;
+    log_event(event_level::info, "daemon", "reloaded");
+}
+
+asio::awaitable<void> vm_daemon::stop()
+{
+    const auto started = current_time();
+    const auto stop_time = state_.settings.stop_time;
+    state_.stopping = true;
+    log_event(event_level::info, "daemon", "stopping",
+              {{"sessions", sessions_.size()}});
+    sessions_.drain();
+    co_await fleet_.retire();
+    bool ended_transactions = false;
+    while (sessions_.size() > 0)
+    {
+        const auto elapsed = current_time() - started;
+        if (elapsed >= part_of(stop_time, transaction_part) &&
+            !std::exchange(ended_transactions, true))
+            sessions_.end_transactions();
+        if (elapsed >= part_of(stop_time, session_part))
+            break;
+        co_await sleep_for(stop_poll);
+    }
+    sessions_.close_idle();
+    // Statements under way get the rest of the time.
+    while (sessions_.size() > 0 &&
+           current_time() - started < part_of(stop_time, 0.95))
+        co_await sleep_for(stop_poll);
+    log_event(event_level::info, "daemon", "stopped",
+              {{"sessions_left", sessions_.size()},
+               {"took", std::chrono::duration_cast<milliseconds>(
+                            current_time() - started)}});
+    context_.stop();
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/version/route_table.cpp
@@ -0,0 +1,35 @@
+#include <oleandergrade/version/route_table.hpp>
+
+namespace oleandergrade
+{
+
+namespace
+{
+
+template <typename Map>
+const typename Map::mapped_type* find(const Map& map, const std::string& key)
+{
+    const auto found = map.find(key);
+    return found == map.end() ? nullptr : &found->second;
+}
+
+} // namespace
+
+const route* route_table::find_route(const std::string& database) const
+{
+    return find(routes, database);
+}
+
+const group_limits* route_table::find_group(const std::string& group) const
+{
+    return find(groups, group);
+}
+
+const route_account*
+route_table::find_account_by_key(const std::string& key) const
+{
+    const auto* name = find(account_of_key, key);
+    return name == nullptr ? nullptr : find(accounts, *name);
+}
+
+} // namespace oleandergrade
