--- a/include/oleandergrade/process/failover/failover_driver.hpp
+++ b/include/oleandergrade/process/failover/failover_driver.hpp
@@ -52,6 +52,8 @@
     /// Called when this VM must act on a notice of its own.
     std::function<boost::asio::awaitable<notice_receipt>(primary_notice)>
         on_own_notice;
+    /// VMs that reported lately, without this one.
+    std::uint32_t vms_in_touch(time_point now) const;
     std::uint64_t promotions() const { return promotions_; }
 
 private:
--- /dev/null
+++ b/include/oleandergrade/process/limits/account_budget.hpp
@@ -0,0 +1,52 @@
+/// How an account's limits are divided over the fleet.
+#pragma once
+
+#include <oleandergrade/clock.hpp>
+#include <oleandergrade/version/route_table.hpp>
+
+namespace oleandergrade
+{
+
+/// How strictly operators count an account's operations.
+struct limit_tolerance
+{
+    /// The limits hold in every span of this length.
+    milliseconds window{5000};
+    /// Part by which a window may exceed them, and operations besides.
+    double overshoot = 0;
+    double slack = 0;
+
+    bool operator==(const limit_tolerance&) const = default;
+};
+
+/// What may be spent of one account through the whole fleet.
+struct account_budget
+{
+    /// Operations per second.
+    double rate = 0;
+    /// Operations that may have gathered everywhere together.
+    double burst = 0;
+
+    bool operator==(const account_budget&) const = default;
+};
+
+/// Part of the tolerance that gathers as burst; the rest is kept for shares
+/// that are moved from one VM to another.
+inline constexpr double tolerance_part = 0.5;
+/// Parts of rate and burst that the VMs hold as shares. The rest is the
+/// reserve of the duty's holder, from which they borrow operation by operation.
+inline constexpr double shared_rate_part = 0.6;
+inline constexpr double shared_burst_part = 0.4;
+
+inline account_budget budget_of(const route_account& account,
+                                const limit_tolerance& tolerance)
+{
+    const auto seconds =
+        std::chrono::duration<double>(tolerance.window).count();
+    const auto allowed = seconds * account.rate + account.burst;
+    return {account.rate,
+            account.burst + tolerance_part * (tolerance.overshoot * allowed +
+                                              tolerance.slack)};
+}
+
+} // namespace oleandergrade
--- a/include/oleandergrade/process/limits/operation_limiter.hpp
+++ b/include/oleandergrade/process/limits/operation_limiter.hpp
@@ -3,6 +3,7 @@
 
 #include <oleandergrade/clock.hpp>
 #include <oleandergrade/connection/fleet_message.hpp>
+#include <oleandergrade/process/limits/account_budget.hpp>
 #include <oleandergrade/version/route_table.hpp>
 
 #include <cstdint>
@@ -18,13 +19,16 @@
 {
     bool admitted = false;
     milliseconds retry_after{0};
+    /// The share is used up; the holder's reserve may have something left.
+    bool may_borrow = false;
 
     bool operator==(const admission&) const = default;
 };
 
 /// A token bucket per account. Its rate and burst are the VM's share of the
-/// account's limits, which the duty's holder assigns by demand. Without a valid
-/// share the VM takes an equal part, which the holder keeps free for it.
+/// account's limits, which the duty's holder assigns by demand; what goes
+/// beyond it is borrowed from the holder's reserve. Without a valid share the
+/// VM takes an equal part, which the holder keeps free for it.
 class operation_limiter
 {
 public:
@@ -32,12 +36,9 @@
     static constexpr milliseconds share_validity{2500};
     /// Time over which demand is averaged.
     static constexpr milliseconds demand_time{1000};
-    /// Part of an account's burst that may gather at the VMs; the rest is
-    /// kept for shares that are moved.
-    static constexpr double burst_part = 0.5;
 
     /// `starts_full`: no other run of the fleet can have spent the burst.
-    explicit operation_limiter(bool starts_full);
+    operation_limiter(limit_tolerance tolerance, bool starts_full);
 
     void use_limits(const std::map<std::string, route_account>& accounts,
                     std::uint32_t members, time_point now);
@@ -47,6 +48,10 @@
                     time_point asked_at, time_point now);
 
     admission admit(const std::string& account, time_point now);
+    /// The reserve has nothing left for the account; it is not asked again
+    /// before the time given.
+    void on_reserve_empty(const std::string& account, milliseconds retry_after,
+                          time_point now);
 
     /// Demand and valid shares of accounts that were used lately.
     std::vector<account_demand> demands(time_point now);
@@ -54,11 +59,11 @@
 private:
     struct bucket
     {
-        double limit_rate = 0;
-        double limit_burst = 0;
+        account_budget budget;
         double share_rate = 0;
         double share_burst = 0;
         time_point share_until;
+        time_point reserve_empty_until;
         double tokens = 0;
         time_point filled_at;
         /// Operations asked for, decaying over `demand_time`.
@@ -71,6 +76,7 @@
     void fill(bucket& account, time_point now) const;
     static void decay(bucket& account, time_point now);
 
+    limit_tolerance tolerance_;
     bool starts_full_;
     std::uint32_t members_ = 1;
     std::map<std::string, bucket> buckets_;
--- a/include/oleandergrade/process/limits/share_ledger.hpp
+++ b/include/oleandergrade/process/limits/share_ledger.hpp
@@ -4,6 +4,7 @@
 
 #include <oleandergrade/clock.hpp>
 #include <oleandergrade/connection/fleet_message.hpp>
+#include <oleandergrade/process/limits/operation_limiter.hpp>
 #include <oleandergrade/version/route_table.hpp>
 
 #include <cstdint>
@@ -14,21 +15,24 @@
 namespace oleandergrade
 {
 
-/// The shares that are valid at any moment never exceed an account's rate: a
-/// VM gets more only after the others' larger shares have been replaced or
-/// have run out. For a VM that does not report, an equal part is kept, which it
-/// takes without asking.
+/// One part of an account's limits is divided into shares by demand, the other
+/// one is a reserve that VMs borrow from. The shares that are valid at any
+/// moment never exceed their part: a VM gets more only after the others' larger
+/// shares have been replaced or have run out. For a VM that does not report, an
+/// equal part of everything is kept, which it takes without asking.
 class share_ledger
 {
 public:
     /// Shares count as valid for a little longer than the VMs use them.
     static constexpr milliseconds validity_margin{300};
-    /// Part of an account's rate that is divided evenly, so that a VM can
-    /// serve the first callers of an account.
-    static constexpr double even_part = 0.2;
 
-    void use_limits(const std::map<std::string, route_account>& accounts);
-    void use_members(std::uint32_t members);
+    /// `starts_full`: no other run of the fleet can have spent the burst.
+    share_ledger(limit_tolerance tolerance, bool starts_full);
+
+    void use_limits(const std::map<std::string, route_account>& accounts,
+                    time_point now);
+    /// `in_touch`: those of the members that report, this VM included.
+    void use_members(std::uint32_t members, std::uint32_t in_touch);
     /// The duty was taken over: what VMs hold is learnt from their reports.
     void take_over(time_point now);
 
@@ -36,6 +40,8 @@
     std::vector<account_share>
     divide(const std::string& vm, const std::vector<account_demand>& demands,
            time_point now);
+    /// Takes one operation out of an account's reserve.
+    admission borrow(const std::string& account, time_point now);
 
 private:
     struct vm_share
@@ -46,14 +52,23 @@
     };
     struct account_state
     {
-        route_account limits;
+        account_budget budget;
         std::map<std::string, vm_share> vms;
+        /// Operations in the reserve.
+        double reserve = 0;
+        time_point filled_at;
     };
 
     account_share divide_account(account_state& account, const std::string& vm,
                                  const account_demand& demand, time_point now);
+    /// The part of the budget that is not kept for silent VMs.
+    double reachable_part() const;
+    void fill(account_state& account, time_point now) const;
 
+    limit_tolerance tolerance_;
+    bool starts_full_;
     std::uint32_t members_ = 1;
+    std::uint32_t in_touch_ = 1;
     time_point learning_until_;
     std::map<std::string, account_state> accounts_;
 };
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -42,6 +42,9 @@
     /// Gives the duty up, if this VM holds it.
     boost::asio::awaitable<void> retire();
 
+    /// Takes one operation of an account out of the holder's reserve.
+    boost::asio::awaitable<admission> borrow(std::string account);
+
     const duty_election& duty() const { return duty_; }
     failover_driver& failover() { return failover_; }
 
@@ -72,6 +75,7 @@
 
     boost::asio::awaitable<void> accept_loop();
     boost::asio::awaitable<peer_body> serve(peer_body body);
+    token_grant lend(const token_request& request);
     fleet_grant answer_report(const fleet_report& report);
     boost::asio::awaitable<notice_receipt> take_notice(primary_notice notice);
     fleet_snapshot make_snapshot(std::uint64_t known_version) const;
--- a/include/oleandergrade/process/serving/statement_runner.hpp
+++ b/include/oleandergrade/process/serving/statement_runner.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -59,6 +60,10 @@
     /// both are known.
     session_error check_opening(const session_opening& opening) const;
 
+    /// Takes one operation of an account out of the fleet's reserve.
+    std::function<boost::asio::awaitable<admission>(std::string account)>
+        borrow;
+
     /// Returns the encoded answer.
     boost::asio::awaitable<std::string> run(served_session& session,
                                             const session_statement& call);
@@ -83,8 +88,8 @@
     void answer_alone(run_state& run, placement& place,
                       const target_answer& answer, time_point sent_at);
     void apply_local(run_state& run);
-    void begin(run_state& run);
-    bool admit(run_state& run);
+    boost::asio::awaitable<void> begin(run_state& run);
+    boost::asio::awaitable<bool> admit(run_state& run);
     bool find_route(run_state& run);
     void observe(const placement& place, const target_answer& answer,
                  time_point sent_at);
--- a/include/oleandergrade/process/vm_settings.hpp
+++ b/include/oleandergrade/process/vm_settings.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <oleandergrade/clock.hpp>
+#include <oleandergrade/process/limits/account_budget.hpp>
 
 #include <cstdint>
 #include <string>
@@ -37,9 +38,17 @@
     milliseconds stop_time{6000};
     /// Span of the limit on an account's operations.
     milliseconds limit_window{5000};
+    /// Part by which a window may exceed the limit, and operations besides.
+    double limit_overshoot = 0;
+    double limit_slack = 0;
     /// The fleet starts for the first time; nothing ran before.
     bool first_start = false;
 
+    limit_tolerance tolerance() const
+    {
+        return {limit_window, limit_overshoot, limit_slack};
+    }
+
     bool operator==(const vm_settings&) const = default;
 };
 
--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -156,12 +156,18 @@
     return is_active ? step_interval : idle_interval;
 }
 
+std::uint32_t failover_driver::vms_in_touch(time_point now) const
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        vms_.begin(), vms_.end(),
+        [&](const auto& entry)
+        { return now - entry.second.reported_at < report_validity; }));
+}
+
 group_sight failover_driver::sight_of(const std::string& group, time_point now)
 {
     group_sight sight;
-    for (const auto& [vm, contact] : vms_)
-        if (now - contact.reported_at < report_validity)
-            ++sight.vms_in_touch;
+    sight.vms_in_touch = vms_in_touch(now);
     for (const auto* target : state_.view.registry.in_group(group))
     {
         target_sight seen;
--- a/src/process/fleet_state.cpp
+++ b/src/process/fleet_state.cpp
@@ -24,7 +24,7 @@
                          vm_settings given, platform_parts& parts)
     : settings(std::move(given)), platform(parts), incarnation(random_number()),
       pool(std::move(executor), *parts.codec, view),
-      limiter(settings.first_start)
+      limiter(settings.tolerance(), settings.first_start)
 {
 }
 
--- a/src/process/limits/operation_limiter.cpp
+++ b/src/process/limits/operation_limiter.cpp
@@ -23,8 +23,9 @@
 
 } // namespace
 
-operation_limiter::operation_limiter(bool starts_full)
-    : starts_full_(starts_full)
+operation_limiter::operation_limiter(limit_tolerance tolerance,
+                                     bool starts_full)
+    : tolerance_(tolerance), starts_full_(starts_full)
 {
 }
 
@@ -41,11 +42,10 @@
         auto& state = found->second;
         if (!is_new)
             fill(state, now);
-        state.limit_rate = account.rate;
-        state.limit_burst = account.burst * burst_part;
+        state.budget = budget_of(account, tolerance_);
         // A share of a higher limit must not outlive that limit.
-        state.share_rate = std::min(state.share_rate, account.rate);
-        state.share_burst = std::min(state.share_burst, state.limit_burst);
+        state.share_rate = std::min(state.share_rate, state.budget.rate);
+        state.share_burst = std::min(state.share_burst, state.budget.burst);
         if (!is_new)
             continue;
         state.filled_at = now;
@@ -66,8 +66,8 @@
             continue;
         auto& state = found->second;
         fill(state, now);
-        state.share_rate = std::min(share.rate, state.limit_rate);
-        state.share_burst = std::min(share.burst, state.limit_burst);
+        state.share_rate = std::min(share.rate, state.budget.rate);
+        state.share_burst = std::min(share.burst, state.budget.burst);
         state.share_until = asked_at + share_validity;
     }
 }
@@ -76,7 +76,7 @@
 {
     const auto found = buckets_.find(account);
     if (found == buckets_.end())
-        return {false, longest_retry};
+        return {false, longest_retry, false};
     auto& state = found->second;
     decay(state, now);
     state.recent += 1;
@@ -84,12 +84,23 @@
     if (state.tokens >= 1)
     {
         state.tokens -= 1;
-        return {true, milliseconds(0)};
+        return {true, milliseconds(0), false};
     }
     const auto rate = std::max(rate_of(state, now), 1e-3);
     const auto wait = milliseconds(
         static_cast<std::int64_t>(std::ceil(1000 * (1 - state.tokens) / rate)));
-    return {false, std::clamp(wait, shortest_retry, longest_retry)};
+    const bool may_borrow =
+        now < state.share_until && now >= state.reserve_empty_until;
+    return {false, std::clamp(wait, shortest_retry, longest_retry), may_borrow};
+}
+
+void operation_limiter::on_reserve_empty(const std::string& account,
+                                         milliseconds retry_after,
+                                         time_point now)
+{
+    const auto found = buckets_.find(account);
+    if (found != buckets_.end())
+        found->second.reserve_empty_until = now + retry_after;
 }
 
 std::vector<account_demand> operation_limiter::demands(time_point now)
@@ -111,14 +122,15 @@
 {
     if (now < account.share_until)
         return account.share_rate;
-    return account.limit_rate / members_;
+    return account.budget.rate / members_;
 }
 
 double operation_limiter::burst_of(const bucket& account, time_point now) const
 {
-    const auto burst = now < account.share_until
-                           ? account.share_burst
-                           : account.limit_burst / members_;
+    const auto burst =
+        now < account.share_until
+            ? account.share_burst
+            : account.budget.burst * shared_burst_part / members_;
     return std::max(burst, least_burst);
 }
 
--- a/src/process/limits/share_ledger.cpp
+++ b/src/process/limits/share_ledger.cpp
@@ -1,31 +1,62 @@
 #include <oleandergrade/process/limits/share_ledger.hpp>
 
-#include <oleandergrade/process/limits/operation_limiter.hpp>
-
 #include <algorithm>
+#include <cmath>
 
 namespace oleandergrade
 {
 
+namespace
+{
+
+constexpr auto shortest_retry = milliseconds(20);
+constexpr auto longest_retry = milliseconds(1000);
+/// Keeps divisions by a rate of zero finite.
+constexpr double least_rate = 1e-3;
+
+} // namespace
+
+share_ledger::share_ledger(limit_tolerance tolerance, bool starts_full)
+    : tolerance_(tolerance), starts_full_(starts_full)
+{
+}
+
 void share_ledger::use_limits(
-    const std::map<std::string, route_account>& accounts)
+    const std::map<std::string, route_account>& accounts, time_point now)
 {
     std::erase_if(accounts_, [&](const auto& entry)
                   { return !accounts.contains(entry.first); });
+    const bool fills = starts_full_ && accounts_.empty();
     for (const auto& [name, account] : accounts)
-        accounts_[name].limits = account;
+    {
+        const auto [found, is_new] = accounts_.try_emplace(name);
+        auto& state = found->second;
+        if (!is_new)
+            fill(state, now);
+        state.budget = budget_of(account, tolerance_);
+        state.filled_at = now;
+        if (is_new && fills)
+            state.reserve = state.budget.burst * (1 - shared_burst_part);
+    }
 }
 
-void share_ledger::use_members(std::uint32_t members)
+void share_ledger::use_members(std::uint32_t members, std::uint32_t in_touch)
 {
     members_ = std::max<std::uint32_t>(members, 1);
+    in_touch_ = std::clamp<std::uint32_t>(in_touch, 1, members_);
 }
 
 void share_ledger::take_over(time_point now)
 {
-    learning_until_ = now + operation_limiter::share_validity + validity_margin;
+    const auto learning = operation_limiter::share_validity + validity_margin;
+    learning_until_ = starts_full_ ? now : now + learning;
+    // The first holder of all has nothing to learn.
+    starts_full_ = false;
     for (auto& [name, account] : accounts_)
+    {
         account.vms.clear();
+        account.filled_at = now;
+    }
 }
 
 std::vector<account_share>
@@ -42,43 +73,73 @@
     return shares;
 }
 
+// VMs that report share by demand; an equal part is kept for each other one.
+double share_ledger::reachable_part() const
+{
+    return static_cast<double>(in_touch_) / members_;
+}
+
 account_share share_ledger::divide_account(account_state& account,
                                            const std::string& vm,
                                            const account_demand& demand,
                                            time_point now)
 {
-    const auto rate = account.limits.rate;
-    const auto even = rate / members_;
     auto& own = account.vms[vm];
     own.wanted = demand.wanted;
-    double wanted_by_all = 0;
+    double wanted_by_all = demand.wanted;
     double held_by_others = 0;
-    std::uint32_t reporting = 1;
     for (const auto& [other, share] : account.vms)
     {
-        if (other != vm && now >= share.valid_until)
+        if (other == vm || now >= share.valid_until)
             continue;
         wanted_by_all += share.wanted;
-        if (other == vm)
-            continue;
         held_by_others += share.rate;
-        ++reporting;
     }
-    const auto silent = members_ > reporting ? members_ - reporting : 0;
-    const auto part =
-        wanted_by_all > 0 ? demand.wanted / wanted_by_all : 1.0 / reporting;
-    const auto divided = rate * (members_ - silent) / members_;
-    const auto fair =
-        divided * ((1 - even_part) * part + even_part / reporting);
+    const auto divided =
+        account.budget.rate * shared_rate_part * reachable_part();
+    const auto part = wanted_by_all > 0 ? demand.wanted / wanted_by_all : 0.0;
     // Before all shares of the holder before have run out, nobody gets more
     // than it has.
     const auto free = now < learning_until_
-                          ? std::max(demand.held, even)
+                          ? demand.held
                           : std::max(0.0, divided - held_by_others);
-    own.rate = std::min(fair, free);
+    own.rate = std::min(divided * part, free);
     own.valid_until = now + operation_limiter::share_validity + validity_margin;
-    const auto burst = account.limits.burst * operation_limiter::burst_part;
-    return {demand.account, own.rate, rate > 0 ? burst * own.rate / rate : 0};
+    const auto whole = account.budget.rate * shared_rate_part;
+    const auto burst = account.budget.burst * shared_burst_part;
+    return {demand.account, own.rate, whole > 0 ? burst * own.rate / whole : 0};
+}
+
+void share_ledger::fill(account_state& account, time_point now) const
+{
+    const auto elapsed =
+        std::chrono::duration<double>(now - account.filled_at).count();
+    account.filled_at = now;
+    if (now < learning_until_)
+        return;
+    const auto part = reachable_part();
+    const auto rate = account.budget.rate * (1 - shared_rate_part) * part;
+    const auto burst = account.budget.burst * (1 - shared_burst_part) * part;
+    account.reserve = std::min(account.reserve + elapsed * rate, burst);
+}
+
+admission share_ledger::borrow(const std::string& account, time_point now)
+{
+    const auto found = accounts_.find(account);
+    if (found == accounts_.end())
+        return {false, longest_retry, false};
+    auto& state = found->second;
+    fill(state, now);
+    if (state.reserve >= 1)
+    {
+        state.reserve -= 1;
+        return {true, milliseconds(0), false};
+    }
+    const auto rate =
+        std::max(state.budget.rate * (1 - shared_rate_part), least_rate);
+    const auto wait = milliseconds(static_cast<std::int64_t>(
+        std::ceil(1000 * (1 - state.reserve) / rate)));
+    return {false, std::clamp(wait, shortest_retry, longest_retry), false};
 }
 
 } // namespace oleandergrade
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -31,6 +31,8 @@
 /// Longest wait for statements at a primary whose replacement is planned.
 constexpr auto planned_wait = milliseconds(250);
 constexpr auto planned_poll = milliseconds(10);
+/// Longest wait for the holder's reserve; a caller waits for it.
+constexpr auto borrow_timeout = milliseconds(120);
 constexpr auto register_pause = milliseconds(300);
 constexpr auto snapshot_timeout = milliseconds(1500);
 
@@ -40,6 +42,7 @@
     : context_(context), state_(state),
       duty_({state.settings.name, state.incarnation,
              state.settings.peer_address}),
+      shares_(state.settings.tolerance(), state.settings.first_start),
       peers_(context.get_executor()),
       failover_(context.get_executor(), state, duty_, ledger_, peers_),
       configuration_follower_(
@@ -78,7 +81,8 @@
         [this](const route_table& table)
         {
             state_.share_limits();
-            shares_.use_limits({table.accounts.begin(), table.accounts.end()});
+            shares_.use_limits({table.accounts.begin(), table.accounts.end()},
+                               current_time());
         });
 }
 
@@ -265,7 +269,8 @@
     const auto rank = state_.members.rank_of(state_.settings.name);
     duty_.use_rank(std::min(rank, highest_rank));
     state_.limiter.use_members(std::max(state_.members.size(), 1U));
-    shares_.use_members(state_.members.size());
+    shares_.use_members(state_.members.size(),
+                        failover_.vms_in_touch(current_time()) + 1);
     ledger_.use_members(state_.members.names());
     state_.share_limits();
 }
@@ -384,6 +389,7 @@
     state_.view.authority.on_grant(duty_.token(), now,
                                    grant_ledger::grant_validity);
     ledger_.on_granted(state_.settings.name, now);
+    shares_.use_members(state_.members.size(), failover_.vms_in_touch(now) + 1);
     state_.limiter.use_shares(
         shares_.divide(state_.settings.name, state_.limiter.demands(now), now),
         now, now);
@@ -601,6 +607,8 @@
 {
     if (const auto* report = std::get_if<fleet_report>(&body))
         co_return answer_report(*report);
+    if (const auto* request = std::get_if<token_request>(&body))
+        co_return lend(*request);
     if (auto* notice = std::get_if<primary_notice>(&body))
     {
         auto receipt = co_await take_notice(std::move(*notice));
@@ -640,6 +648,47 @@
     return grant;
 }
 
+asio::awaitable<admission> fleet_service::borrow(std::string account)
+{
+    const auto now = current_time();
+    if (may_grant(now))
+        co_return shares_.borrow(account, now);
+    admission refused{false, borrow_timeout, false};
+    const auto address =
+        hinted_holder_.empty() ? duty_.known_holder().address : hinted_holder_;
+    if (address.empty())
+        co_return refused;
+    token_request request;
+    request.borrower = state_.settings.name;
+    request.account = std::move(account);
+    request.wanted = units_per_request;
+    peer_body body = std::move(request);
+    auto outcome =
+        co_await peers_.call(address, std::move(body), borrow_timeout);
+    if (!succeeded(outcome))
+        co_return refused;
+    const auto* grant = std::get_if<token_grant>(&value_of(outcome));
+    if (grant == nullptr || !grant->accepted)
+        co_return refused;
+    refused.admitted = grant->units >= units_per_request;
+    refused.retry_after = grant->retry_after;
+    co_return refused;
+}
+
+token_grant fleet_service::lend(const token_request& request)
+{
+    const auto now = current_time();
+    token_grant grant;
+    grant.account = request.account;
+    if (!may_grant(now))
+        return grant;
+    grant.accepted = true;
+    const auto decision = shares_.borrow(request.account, now);
+    grant.units = decision.admitted ? units_per_request : 0;
+    grant.retry_after = decision.retry_after;
+    return grant;
+}
+
 // Acts on what the duty's holder says of primaries. The receipt promises that
 // nothing is sent under a closed record any more, and that no answer to what
 // was sent before is passed on as a success.
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -100,7 +100,7 @@
         {
         case session_verb::begin:
         case session_verb::begin_read_only:
-            begin(run);
+            co_await begin(run);
             break;
         case session_verb::commit:
             co_await commit(run);
@@ -164,26 +164,35 @@
     return false;
 }
 
-bool statement_runner::admit(run_state& run)
+asio::awaitable<bool> statement_runner::admit(run_state& run)
 {
     if (run.account == no_account)
-        return true;
-    const auto decision = limiter_.admit(run.account, run.arrived);
+        co_return true;
+    auto decision = limiter_.admit(run.account, run.arrived);
+    if (decision.may_borrow && borrow)
+    {
+        auto account = run.account;
+        decision = co_await borrow(std::move(account));
+        if (!decision.admitted)
+            limiter_.on_reserve_empty(run.account, decision.retry_after,
+                                      current_time());
+    }
     if (decision.admitted)
-        return true;
+        co_return true;
     fail(run, session_error::busy, "over the account's rate",
          decision.retry_after);
-    return false;
+    co_return false;
 }
 
-void statement_runner::begin(run_state& run)
+asio::awaitable<void> statement_runner::begin(run_state& run)
 {
     auto& session = run.session;
     if (session.agreed.state() != transaction_state::none)
-        return fail(run, session_error::malformed,
-                    "a transaction is open already");
-    if (!admit(run))
-        return;
+        co_return fail(run, session_error::malformed,
+                       "a transaction is open already");
+    const bool is_admitted = co_await admit(run);
+    if (!is_admitted)
+        co_return;
     session.agreed.begin(run.call.verb == session_verb::begin_read_only);
     session.has_written = false;
     session.transaction_route = *run.used_route;
@@ -371,7 +380,8 @@
     }
     run.writes = run.prepared != nullptr ? run.prepared->writes
                                          : run.call.verb == session_verb::write;
-    if (!admit(run))
+    const bool is_admitted = co_await admit(run);
+    if (!is_admitted)
         co_return;
     while (!run.answered)
     {
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -65,6 +65,8 @@
 
 void vm_daemon::run()
 {
+    runner_.borrow = [this](std::string account)
+    { return fleet_.borrow(std::move(account)); };
     start_http();
     fleet_.start();
     sessions_.start();
