Let a primary that is back go on with its term; record holders of the duty

The record names the target before a promotion is ordered; without one, a primary of the same term is taken again.

--- a/include/oleandergrade/process/event_log.hpp
+++ b/include/oleandergrade/process/event_log.hpp
@@ -42,8 +42,12 @@
     }
 };
 
+/// The part whose lines tell of single statements. They have a budget of their
+/// own, so that a storm of them hides no change of what the process believes.
+inline constexpr std::string_view statement_part = "statement";
 /// Lines per second that are written; more are counted and left out.
-inline constexpr unsigned event_lines_per_second = 40;
+inline constexpr unsigned statement_lines_per_second = 20;
+inline constexpr unsigned event_lines_per_second = 50;
 
 /// Starts to write lines of the form
 /// `level=info part=duty event="taken over" vm=edge-1 token=17`. Lines before
--- a/include/oleandergrade/process/failover/grant_ledger.hpp
+++ b/include/oleandergrade/process/failover/grant_ledger.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,9 +25,9 @@
     /// VMs that it cannot reach.
     static constexpr milliseconds grant_without_store{4000};
 
-    /// The duty was taken over at `now`. VMs may hold grants of the holder
-    /// before.
-    void take_over(time_point now);
+    /// The duty was taken over at `now`. VMs may hold grants of the holders
+    /// before, whose names are given.
+    void take_over(const std::set<std::string>& predecessors, time_point now);
 
     /// A VM was told of the members of the fleet.
     void use_members(const std::vector<std::string>& members);
@@ -43,6 +44,8 @@
     const std::map<std::string, time_point>& bounds() const { return bounds_; }
 
 private:
+    /// Holders before that may still grant.
+    std::set<std::string> predecessors_;
     time_point predecessor_bound_;
     /// Until when each member may hold a valid grant.
     std::map<std::string, time_point> bounds_;
--- a/include/oleandergrade/process/failover/group_failover.hpp
+++ b/include/oleandergrade/process/failover/group_failover.hpp
@@ -101,10 +101,13 @@
 /// 2. Its record is closed in the store and at every VM.
 /// 3. The targets report how long their logs are; where commits are
 ///    synchronous, they are fenced by the same call.
-/// 4. The target with the longest log is promoted. If the replacement is
-///    planned, it must first hold all that the primary has.
+/// 4. The target with the longest log is named in the record and promoted. If
+///    the replacement is planned, it must first hold all that the primary has.
 /// 5. The record opens with the new term, in the store and at every VM.
 ///
+/// A primary that comes back, maybe under another identifier, goes on with its
+/// term as long as no promotion can have been ordered.
+///
 /// Each step may be repeated by another holder from the record alone. Not
 /// synchronized.
 class group_failover
@@ -119,6 +122,8 @@
     static constexpr milliseconds report_time{300};
     /// Between repeated questions to a target.
     static constexpr milliseconds ask_interval{40};
+    /// The same for targets that do not answer.
+    static constexpr milliseconds silent_interval{200};
     /// Longest wait for a planned successor to catch up.
     static constexpr milliseconds catch_up_time{1500};
     /// After this a promotion that shows no effect is ordered anew.
@@ -160,10 +165,14 @@
     void close_record(bool is_planned, time_point now);
     void open_record(const std::string& target, std::uint64_t term,
                      time_point now);
+    /// Opens the record if a target leads the group already.
+    bool adopt_primary(const group_sight& sight, time_point now);
     void write(const primary_record& record, time_point now);
     void ask_all(const group_sight& sight, time_point now);
     void choose(const group_sight& sight, time_point now);
     void catch_up(const group_sight& sight, time_point now);
+    void name_candidate(const std::string& target, time_point now);
+    void ask_again(const std::string& target, time_point now);
     void promote(const std::string& target, time_point now);
     void verify(time_point now);
     std::uint64_t highest_term() const;
@@ -174,7 +183,8 @@
     primary_record pending_;
     step step_ = step::watching;
     time_point step_since_;
-    time_point next_ask_;
+    /// When each target may be asked again.
+    std::map<std::string, time_point> next_ask_;
     std::map<std::string, target_report> reports_;
     /// Targets that refused to be promoted in this attempt.
     std::map<std::string, time_point> refused_;
--- a/include/oleandergrade/process/failover/primary_record.hpp
+++ b/include/oleandergrade/process/failover/primary_record.hpp
@@ -21,6 +21,9 @@
     bool is_open = false;
     /// The replacement is planned: statements under way may end first.
     bool is_planned = false;
+    /// The target that a promotion was ordered for, or is about to be. Empty
+    /// as long as the term cannot have ended.
+    std::string candidate;
     /// The store's revision; not part of the stored value.
     std::uint64_t revision = 0;
 
--- a/include/oleandergrade/process/limits/share_ledger.hpp
+++ b/include/oleandergrade/process/limits/share_ledger.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,13 +64,16 @@
                                  const account_demand& demand, time_point now);
     /// The part of the budget that is not kept for silent VMs.
     double reachable_part() const;
+    bool is_learning(time_point now) const;
     void fill(account_state& account, time_point now) const;
 
     limit_tolerance tolerance_;
     bool starts_full_;
     std::uint32_t members_ = 1;
     std::uint32_t in_touch_ = 1;
+    /// Until when VMs may hold shares that are not known here.
     time_point learning_until_;
+    std::set<std::string> learnt_from_;
     std::map<std::string, account_state> accounts_;
 };
 
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -63,6 +63,8 @@
     boost::asio::awaitable<void> elect();
     boost::asio::awaitable<void> run_duty_call(duty_call call);
     void on_duty_changed();
+    boost::asio::awaitable<void> record_holders();
+    void use_holders(const stored_item& item);
     boost::asio::awaitable<void> report_to_holder();
     boost::asio::awaitable<void> report_once();
     std::string report_address();
@@ -96,6 +98,11 @@
     boost::asio::steady_timer report_poke_;
     bool registered_ = false;
     bool held_duty_ = false;
+    /// The store's list of holders names this VM, so that a successor knows
+    /// that it may have granted.
+    bool is_recorded_ = false;
+    stored_item holders_{holders_key, "", 0};
+    std::set<std::string> recent_holders_;
     bool had_grant_ = false;
     bool fetching_ = false;
     unsigned failed_reports_ = 0;
--- a/src/process/event_log.cpp
+++ b/src/process/event_log.cpp
@@ -30,7 +30,8 @@
     std::uint64_t dropped = 0;
     std::uint64_t dropped_unreported = 0;
     time_point window;
-    unsigned in_window = 0;
+    unsigned statements_in_window = 0;
+    unsigned others_in_window = 0;
 };
 
 log_state& state()
@@ -101,17 +102,23 @@
     append_value(line, value);
 }
 
-bool take_budget(log_state& log)
+bool take_budget(log_state& log, std::string_view part)
 {
     const auto now = current_time();
     if (now - log.window >= seconds(1))
     {
         log.window = now;
-        log.in_window = 0;
+        log.statements_in_window = 0;
+        log.others_in_window = 0;
     }
-    if (log.in_window < event_lines_per_second)
+    auto& used = part == statement_part ? log.statements_in_window
+                                        : log.others_in_window;
+    const auto budget = part == statement_part
+                            ? statement_lines_per_second
+                            : event_lines_per_second;
+    if (used < budget)
     {
-        ++log.in_window;
+        ++used;
         return true;
     }
     ++log.dropped;
@@ -136,7 +143,7 @@
 {
     auto& log = state();
     const std::lock_guard guard(log.lock);
-    if (!log.started || !take_budget(log))
+    if (!log.started || !take_budget(log, part))
         return;
     std::string line = "level=";
     line.append(name_of(level));
--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -363,6 +363,19 @@
         report = state_.platform.codec->parse_target_report(
             value_of(outcome).rows.substr(
                 0, value_of(outcome).rows.find(session_line_end)));
+    if (!succeeded(report))
+        log_event(event_level::warning, "failover", "no report",
+                  {{"group", group},
+                   {"target", target},
+                   {"error", to_string(error_of(report))}});
+    else
+        log_event(event_level::info, "failover", "report",
+                  {{"group", group},
+                   {"target", target},
+                   {"primary", value_of(report).is_primary ? "yes" : "no"},
+                   {"term", value_of(report).term},
+                   {"received_term", value_of(report).received.term},
+                   {"received", value_of(report).received.position}});
     groups_.at(group).on_report(target, report, current_time());
     poke();
 }
--- a/src/process/failover/grant_ledger.cpp
+++ b/src/process/failover/grant_ledger.cpp
@@ -6,8 +6,10 @@
 namespace oleandergrade
 {
 
-void grant_ledger::take_over(time_point now)
+void grant_ledger::take_over(const std::set<std::string>& predecessors,
+                             time_point now)
 {
+    predecessors_ = predecessors;
     predecessor_bound_ = now + grant_without_store + grant_validity;
     incarnations_.clear();
     for (auto& [vm, bound] : bounds_)
@@ -28,6 +30,14 @@
 void grant_ledger::on_contact(const std::string& vm, std::uint64_t incarnation,
                               time_point now)
 {
+    // Once no holder before can grant, what it granted runs out soon.
+    if (predecessors_.erase(vm) > 0 && predecessors_.empty())
+    {
+        predecessor_bound_ = std::min(predecessor_bound_, now + grant_validity);
+        for (auto& [member, bound] : bounds_)
+            if (!incarnations_.contains(member))
+                bound = std::min(bound, predecessor_bound_);
+    }
     const auto [known, is_first] = incarnations_.emplace(vm, incarnation);
     // An earlier grant was asked for before this contact.
     if (is_first)
--- a/src/process/failover/group_failover.cpp
+++ b/src/process/failover/group_failover.cpp
@@ -54,7 +54,7 @@
 {
     step_ = next;
     step_since_ = now;
-    next_ask_ = now;
+    next_ask_.clear();
 }
 
 std::vector<group_action> group_failover::tick(const group_sight& sight,
@@ -70,12 +70,13 @@
         break;
     case step::binding:
         ask_all(sight, now);
-        if (sight.is_binding)
+        if (!adopt_primary(sight, now) && sight.is_binding)
             enter(step::reporting, now);
         break;
     case step::reporting:
         ask_all(sight, now);
-        choose(sight, now);
+        if (!adopt_primary(sight, now))
+            choose(sight, now);
         break;
     case step::catching_up:
         catch_up(sight, now);
@@ -146,6 +147,7 @@
 {
     auto closed = record_;
     closed.is_open = false;
+    closed.candidate.clear();
     closed.is_planned = is_planned;
     reports_.clear();
     write(closed, now);
@@ -184,22 +186,24 @@
     pending_.revision = value_of(outcome);
     on_record(pending_);
     actions_.push_back(announce_primary{});
-    enter(pending_.is_open ? step::watching : step::binding, now);
+    if (pending_.is_open)
+        return enter(step::watching, now);
+    if (pending_.candidate.empty())
+        return enter(step::binding, now);
+    promote(pending_.candidate, now);
 }
 
 void group_failover::ask_all(const group_sight& sight, time_point now)
 {
-    if (now < next_ask_)
-        return;
-    next_ask_ = now + ask_interval;
     for (const auto& target : sight.targets)
     {
         const auto& id = target.record.id;
-        const bool is_old_primary = id == record_.target;
-        if (reports_.contains(id) && !(record_.is_planned && is_old_primary))
+        auto& next = next_ask_[id];
+        if (reports_.contains(id) || now < next)
             continue;
+        next = now + (target.holder_fails ? silent_interval : ask_interval);
         // Only replicas of a synchronous group can hold up a commit.
-        if (sight.synchronous_replicas > 0 && !is_old_primary &&
+        if (sight.synchronous_replicas > 0 && id != record_.target &&
             record_.revision != 0)
             actions_.push_back(fence_target{id, record_.term + 1});
         else
@@ -224,35 +228,50 @@
     }
 }
 
+bool group_failover::adopt_primary(const group_sight& sight, time_point now)
+{
+    for (const auto& target : sight.targets)
+    {
+        const auto found = reports_.find(target.record.id);
+        if (found == reports_.end() || !found->second.is_primary)
+            continue;
+        const bool is_later = found->second.term > record_.term;
+        // The term cannot have ended, and its log is whole.
+        const bool is_same = found->second.term == record_.term &&
+                             record_.candidate.empty() &&
+                             !record_.is_planned && !target.record.is_draining;
+        if (!is_later && !is_same)
+            continue;
+        open_record(target.record.id, found->second.term, now);
+        return true;
+    }
+    return false;
+}
+
 void group_failover::choose(const group_sight& sight, time_point now)
 {
-    std::size_t expected = 0;
-    std::size_t reported = 0;
+    std::size_t missing = 0;
     std::string best;
     bool best_drains = true;
     log_position longest;
     for (const auto& target : sight.targets)
     {
         const auto& id = target.record.id;
-        const auto found = reports_.find(id);
-        if (found != reports_.end() && found->second.is_primary &&
-            found->second.term > record_.term)
-            return open_record(id, found->second.term, now);
-        const bool is_old_primary = id == record_.target;
-        if (is_old_primary && target.record.is_draining)
+        if (id == record_.target)
             continue;
-        if (!is_old_primary)
-            ++expected;
+        const auto found = reports_.find(id);
         if (found == reports_.end())
+        {
+            missing += target.holder_fails ? 0 : 1;
             continue;
-        if (!is_old_primary)
-            ++reported;
+        }
         const auto refusal = refused_.find(id);
         if (refusal != refused_.end() && now - refusal->second < refusal_time)
             continue;
-        // The old primary is taken again only if no other target answers.
-        const auto length =
-            is_old_primary ? log_position{1, 0} : found->second.received;
+        // An earlier order may still take effect; it is given again.
+        if (id == record_.candidate)
+            return promote(id, now);
+        const auto length = found->second.received;
         const bool drains = target.record.is_draining;
         if (best.empty() || (best_drains && !drains) ||
             (best_drains == drains && longest < length))
@@ -262,26 +281,23 @@
             longest = length;
         }
     }
-    const bool is_complete = reported == expected && expected > 0;
-    if (!is_complete && now - step_since_ < report_time)
-        return;
-    if (best.empty())
+    if (best.empty() || (missing > 0 && now - step_since_ < report_time))
         return;
-    const auto& old_primary = reports_.find(record_.target);
-    if (!record_.is_planned && old_primary != reports_.end() &&
-        old_primary->second.is_primary &&
-        (best == record_.target ||
-         old_primary->second.received >= reports_[best].received))
-        // It is back with its whole log; its term goes on.
-        return open_record(record_.target, record_.term, now);
+    if (!record_.is_planned)
+        return name_candidate(best, now);
     candidate_ = best;
-    if (record_.is_planned && reports_.contains(record_.target))
-    {
-        reports_.erase(record_.target);
-        reports_.erase(candidate_);
-        return enter(step::catching_up, now);
-    }
-    promote(best, now);
+    reports_.erase(record_.target);
+    reports_.erase(candidate_);
+    enter(step::catching_up, now);
+}
+
+// The record names the target before the order is given, so that another
+// holder knows that the term may have ended.
+void group_failover::name_candidate(const std::string& target, time_point now)
+{
+    auto named = record_;
+    named.candidate = target;
+    write(named, now);
 }
 
 // Statements at the old primary have ended; its log grows no more.
@@ -289,17 +305,25 @@
 {
     const auto primary = reports_.find(record_.target);
     const auto successor = reports_.find(candidate_);
-    const bool has_all = primary != reports_.end() &&
-                         successor != reports_.end() &&
-                         successor->second.received >= primary->second.received;
-    if (has_all || now - step_since_ >= catch_up_time)
-        return promote(candidate_, now);
-    if (now < next_ask_)
+    const bool has_all =
+        primary != reports_.end() && successor != reports_.end() &&
+        successor->second.received >= primary->second.received;
+    const bool can_wait = find(sight, record_.target) != nullptr &&
+                          now - step_since_ < catch_up_time;
+    if (has_all || !can_wait)
+        return name_candidate(candidate_, now);
+    if (primary == reports_.end())
+        ask_again(record_.target, now);
+    ask_again(candidate_, now);
+}
+
+void group_failover::ask_again(const std::string& target, time_point now)
+{
+    auto& next = next_ask_[target];
+    if (now < next)
         return;
-    next_ask_ = now + ask_interval;
-    if (primary == reports_.end() && find(sight, record_.target) != nullptr)
-        actions_.push_back(ask_target{record_.target});
-    actions_.push_back(ask_target{candidate_});
+    next = now + ask_interval;
+    actions_.push_back(ask_target{target});
 }
 
 void group_failover::promote(const std::string& target, time_point now)
@@ -335,10 +359,7 @@
         reports_.clear();
         return enter(step::reporting, now);
     }
-    if (now < next_ask_)
-        return;
-    next_ask_ = now + ask_interval;
-    actions_.push_back(ask_target{candidate_});
+    ask_again(candidate_, now);
 }
 
 std::uint64_t group_failover::highest_term() const
--- a/src/process/failover/primary_record.cpp
+++ b/src/process/failover/primary_record.cpp
@@ -12,7 +12,8 @@
                                         {"term", record.term},
                                         {"target", record.target},
                                         {"open", record.is_open},
-                                        {"planned", record.is_planned}});
+                                        {"planned", record.is_planned},
+                                        {"candidate", record.candidate}});
 }
 
 result<primary_record> parse_primary_record(const std::string& value,
@@ -29,6 +30,7 @@
     record.target = text_field(fields, "target");
     record.is_open = flag_field(fields, "open");
     record.is_planned = flag_field(fields, "planned");
+    record.candidate = text_field(fields, "candidate");
     record.revision = revision;
     if (record.group.empty() || record.target.empty() || record.term == 0)
         return error{error_kind::invalid, "parse primary record", "",
--- a/src/process/limits/share_ledger.cpp
+++ b/src/process/limits/share_ledger.cpp
@@ -52,6 +52,7 @@
     learning_until_ = starts_full_ ? now : now + learning;
     // The first holder of all has nothing to learn.
     starts_full_ = false;
+    learnt_from_.clear();
     for (auto& [name, account] : accounts_)
     {
         account.vms.clear();
@@ -63,6 +64,7 @@
 share_ledger::divide(const std::string& vm,
                      const std::vector<account_demand>& demands, time_point now)
 {
+    learnt_from_.insert(vm);
     std::vector<account_share> shares;
     for (const auto& demand : demands)
     {
@@ -73,6 +75,11 @@
     return shares;
 }
 
+bool share_ledger::is_learning(time_point now) const
+{
+    return now < learning_until_ && learnt_from_.size() < members_;
+}
+
 // VMs that report share by demand; an equal part is kept for each other one.
 double share_ledger::reachable_part() const
 {
@@ -98,12 +105,13 @@
     const auto divided =
         account.budget.rate * shared_rate_part * reachable_part();
     const auto part = wanted_by_all > 0 ? demand.wanted / wanted_by_all : 0.0;
-    // Before all shares of the holder before have run out, nobody gets more
-    // than it has.
-    const auto free = now < learning_until_
-                          ? demand.held
-                          : std::max(0.0, divided - held_by_others);
-    own.rate = std::min(divided * part, free);
+    // Before all shares of the holder before are known or have run out, a VM
+    // keeps what it has, or takes an equal part of what was not shared.
+    const auto unshared =
+        account.budget.rate * (1 - shared_rate_part) / members_;
+    const auto free = std::max(0.0, divided - held_by_others);
+    own.rate = is_learning(now) ? std::max(demand.held, unshared)
+                                : std::min(divided * part, free);
     own.valid_until = now + operation_limiter::share_validity + validity_margin;
     const auto whole = account.budget.rate * shared_rate_part;
     const auto burst = account.budget.burst * shared_burst_part;
@@ -115,7 +123,7 @@
     const auto elapsed =
         std::chrono::duration<double>(now - account.filled_at).count();
     account.filled_at = now;
-    if (now < learning_until_)
+    if (is_learning(now))
         return;
     const auto part = reachable_part();
     const auto rate = account.budget.rate * (1 - shared_rate_part) * part;
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -33,6 +33,8 @@
 constexpr auto planned_poll = milliseconds(10);
 /// Longest wait for the holder's reserve; a caller waits for it.
 constexpr auto borrow_timeout = milliseconds(120);
+/// Between attempts to record this VM as a holder.
+constexpr auto holders_pause = milliseconds(100);
 constexpr auto register_pause = milliseconds(300);
 constexpr auto snapshot_timeout = milliseconds(1500);
 
@@ -227,6 +229,9 @@
         on_duty_changed();
         return;
     }
+    if (change.key == holders_key)
+        return use_holders(
+            {change.key, change.value.value_or(""), change.revision});
     const std::string members(members_prefix);
     if (change.key.starts_with(members))
     {
@@ -364,21 +369,82 @@
               {{"token", duty_.token()},
                {"holder", duty_.known_holder().vm},
                {"members", state_.members.size()}});
+    is_recorded_ = false;
     if (holds)
     {
-        ledger_.take_over(now);
-        ledger_.use_members(state_.members.names());
         shares_.take_over(now);
         state_.view.authority.on_token(duty_.token());
-        grant_to_self(now);
+        asio::co_spawn(context_, record_holders(), asio::detached);
     }
-    failover_.on_duty_changed(holds);
+    // A new holder first records itself; until then it neither grants nor
+    // replaces anything.
+    if (!holds)
+        failover_.on_duty_changed(false);
     report_poke_.cancel();
 }
 
+// Adds this VM to the list of those that may have granted, before it grants
+// anything. Once the grants of all others have run out, it stands there alone.
+asio::awaitable<void> fleet_service::record_holders()
+{
+    const auto token = duty_.token();
+    const auto started = current_time();
+    bool is_alone = false;
+    while (duty_.token() == token && !is_alone)
+    {
+        const auto predecessors_end = started +
+                                      grant_ledger::grant_without_store +
+                                      grant_ledger::grant_validity;
+        if (is_recorded_)
+            co_await sleep_for(predecessors_end - current_time());
+        auto holders = recent_holders_;
+        is_alone = is_recorded_ || holders.empty();
+        if (is_recorded_)
+            holders.clear();
+        holders.insert(state_.settings.name);
+        conditional_write change;
+        change.expected = {holders_, {duty_key, "", token}};
+        change.key = holders_key;
+        change.value = serialize_names(holders);
+        auto outcome = co_await state_.platform.store->write(change);
+        if (duty_.token() != token)
+            co_return;
+        if (!succeeded(outcome))
+        {
+            is_alone = false;
+            auto current = co_await state_.platform.store->read(holders_key);
+            if (succeeded(current))
+                use_holders(value_of(current));
+            else
+                co_await sleep_for(holders_pause);
+            continue;
+        }
+        if (!std::exchange(is_recorded_, true))
+        {
+            auto predecessors = recent_holders_;
+            predecessors.erase(state_.settings.name);
+            ledger_.take_over(predecessors, started);
+            ledger_.use_members(state_.members.names());
+            failover_.on_duty_changed(true);
+            grant_to_self(current_time());
+            report_poke_.cancel();
+        }
+        use_holders({holders_key, *change.value, value_of(outcome)});
+    }
+}
+
+void fleet_service::use_holders(const stored_item& item)
+{
+    if (item.revision < holders_.revision)
+        return;
+    holders_ = item;
+    recent_holders_ = parse_names(item.value);
+}
+
 bool fleet_service::may_grant(time_point now) const
 {
-    return duty_.is_holder() &&
+    return duty_.is_holder() && is_recorded_ &&
+           duty_.token() >= state_.view.authority.token() &&
            now < duty_.confirmed_at() + grant_ledger::grant_without_store;
 }
 
@@ -642,7 +708,9 @@
     grant.validity = grant_ledger::grant_validity;
     grant.primaries = failover_.primary_states(now);
     grant.shares = shares_.divide(report.vm, report.demands, now);
-    ledger_.on_contact(report.vm, report.incarnation, now);
+    // Only a VM that has seen the token refuses the holder before.
+    if (report.token == duty_.token())
+        ledger_.on_contact(report.vm, report.incarnation, now);
     ledger_.on_granted(report.vm, now);
     failover_.on_report(report, now);
     return grant;
