Follow a new holder at once; let restarted VMs spend a small burst

Cause: VMs that had lost the old holder went on asking other VMs in turn for up to 2 s after the store showed the new one; after a restart every bucket was empty while callers came back all at once.

--- a/include/oleandergrade/process/limits/account_budget.hpp
+++ b/include/oleandergrade/process/limits/account_budget.hpp
@@ -38,6 +38,21 @@
 inline constexpr double shared_rate_part = 0.6;
 inline constexpr double shared_burst_part = 0.4;
 
+/// Part of the tolerance that a restarted VM may spend at once: it has
+/// forgotten what it spent before.
+inline constexpr double restart_part = 0.25;
+
+/// Operations that all VMs together may have gathered right after a restart.
+inline double restart_burst(const route_account& account,
+                            const limit_tolerance& tolerance)
+{
+    const auto seconds =
+        std::chrono::duration<double>(tolerance.window).count();
+    return restart_part *
+           (tolerance.overshoot * (seconds * account.rate + account.burst) +
+            tolerance.slack);
+}
+
 inline account_budget budget_of(const route_account& account,
                                 const limit_tolerance& tolerance)
 {
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -65,6 +65,7 @@
     void on_duty_changed();
     boost::asio::awaitable<void> record_holders();
     void use_holders(const stored_item& item);
+    void turn_to_holder(const std::string& address);
     boost::asio::awaitable<void> report_to_holder();
     boost::asio::awaitable<void> report_once();
     std::string report_address();
--- a/include/oleandergrade/process/serving/target_chooser.hpp
+++ b/include/oleandergrade/process/serving/target_chooser.hpp
@@ -3,6 +3,7 @@
 
 #include <oleandergrade/clock.hpp>
 #include <oleandergrade/process/failover/primary_authority.hpp>
+#include <oleandergrade/process/failover/primary_outlook.hpp>
 #include <oleandergrade/process/serving/position_tracker.hpp>
 #include <oleandergrade/process/serving/target_health.hpp>
 #include <oleandergrade/process/serving/target_registry.hpp>
@@ -57,6 +58,10 @@
     primary_authority authority;
     std::map<std::string, position_tracker> positions;
     target_health health;
+    primary_outlook outlook;
+
+    /// A target answered, or failed to. Returns whether it answered before.
+    bool on_target(const std::string& target, bool answered, time_point now);
 };
 
 /// All targets that may serve the request now; empty if it must wait.
--- /dev/null
+++ b/src/process/failover/primary_outlook.cpp
@@ -0,0 +1,78 @@
+#include <oleandergrade/process/failover/primary_outlook.hpp>
+
+#include <algorithm>
+
+namespace oleandergrade
+{
+
+namespace
+{
+
+/// What is told when a replacement takes longer than expected.
+constexpr auto least_wait = milliseconds(100);
+/// Gaps outside these bounds say nothing of the next one.
+constexpr auto shortest_gap = milliseconds(100);
+constexpr auto longest_gap = milliseconds(4000);
+
+milliseconds left(time_point since, milliseconds expected, time_point now)
+{
+    return std::max(
+        std::chrono::duration_cast<milliseconds>(since + expected - now),
+        least_wait);
+}
+
+} // namespace
+
+void primary_outlook::on_record(const primary_record& record, time_point now)
+{
+    auto& state = groups_[record.group];
+    if (!record.is_open)
+    {
+        if (!state.closed_at)
+            state.closed_at = now;
+        return;
+    }
+    state.failing_since.reset();
+    if (!state.closed_at)
+        return;
+    const auto gap =
+        std::chrono::duration_cast<milliseconds>(now - *state.closed_at);
+    state.closed_at.reset();
+    usual_gap_ = (usual_gap_ + std::clamp(gap, shortest_gap, longest_gap)) / 2;
+}
+
+void primary_outlook::on_failing(const std::string& group, bool is_failing,
+                                 time_point now)
+{
+    auto& state = groups_[group];
+    if (!is_failing)
+        state.failing_since.reset();
+    else if (!state.failing_since)
+        state.failing_since = now;
+}
+
+void primary_outlook::on_grant(bool has_grant, time_point now)
+{
+    if (has_grant)
+        without_grant_since_.reset();
+    else if (!without_grant_since_)
+        without_grant_since_ = now;
+}
+
+milliseconds primary_outlook::expected_wait(const std::string& group,
+                                            time_point now) const
+{
+    if (without_grant_since_)
+        return left(*without_grant_since_, grant_gap, now);
+    const auto found = groups_.find(group);
+    if (found == groups_.end())
+        return milliseconds(0);
+    const auto& state = found->second;
+    if (state.closed_at)
+        return left(*state.closed_at, usual_gap_, now);
+    if (state.failing_since)
+        return left(*state.failing_since, detection_time + usual_gap_, now);
+    return milliseconds(0);
+}
+
+} // namespace oleandergrade
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -226,6 +226,7 @@
         const stored_item item{change.key, change.value.value_or(""),
                                change.value ? change.revision : 0};
         duty_.on_seen(item, change.revision, now);
+        turn_to_holder("");
         on_duty_changed();
         return;
     }
@@ -259,6 +260,7 @@
 {
     if (!state_.view.authority.on_record(record))
         return;
+    state_.view.outlook.on_record(record, current_time());
     log_event(event_level::info, "failover", "record",
               {{"group", record.group},
                {"term", record.term},
@@ -441,6 +443,14 @@
     recent_holders_ = parse_names(item.value);
 }
 
+// Another VM holds the duty; the next report goes there at once.
+void fleet_service::turn_to_holder(const std::string& address)
+{
+    hinted_holder_ = address;
+    failed_reports_ = 0;
+    report_poke_.cancel();
+}
+
 bool fleet_service::may_grant(time_point now) const
 {
     return duty_.is_holder() && is_recorded_ &&
@@ -473,6 +483,7 @@
         else
             co_await report_once();
         const bool has_grant = state_.view.authority.has_grant(current_time());
+        state_.view.outlook.on_grant(has_grant, current_time());
         if (has_grant != had_grant_)
         {
             had_grant_ = has_grant;
@@ -771,6 +782,9 @@
         receipt.token = state_.view.authority.token();
         co_return receipt;
     }
+    if (notice.holder != hinted_holder_ &&
+        notice.holder != duty_.known_holder().address)
+        turn_to_holder(notice.holder);
     bool has_planned = false;
     for (const auto& state : notice.primaries)
     {
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -340,7 +340,7 @@
                                           left_until(run.deadline));
     if (!succeeded(outcome))
     {
-        view_.health.on_failure(held.key().target, current_time());
+        view_.on_target(held.key().target, false, current_time());
         run.excluded.insert(held.key().target);
         run.outcome.reason = to_string(error_of(outcome));
         co_return false;
@@ -358,7 +358,7 @@
         held.close();
         co_return false;
     }
-    view_.health.on_success(held.key().target);
+    view_.on_target(held.key().target, true, current_time());
     observe(place, value_of(outcome).back(), sent_at);
     co_return true;
 }
@@ -412,7 +412,7 @@
                                               left_until(run.deadline));
         if (succeeded(outcome))
         {
-            view_.health.on_success(target);
+            view_.on_target(target, true, current_time());
             answer_alone(run, *place, value_of(outcome).front(), sent_at);
             pool_.release(place->session);
             if (!run.answered)
@@ -427,7 +427,7 @@
         run.outcome.reason = to_string(failure);
         const bool is_timeout = failure.kind == error_kind::timeout;
         if (!is_timeout)
-            view_.health.on_failure(target, current_time());
+            view_.on_target(target, false, current_time());
         pool_.release(place->session);
         run.excluded.insert(target);
         if (run.writes)
@@ -576,7 +576,7 @@
     {
         const auto& failure = error_of(outcome);
         if (failure.kind != error_kind::timeout)
-            view_.health.on_failure(held.key().target, current_time());
+            view_.on_target(held.key().target, false, current_time());
         release(session);
         session.agreed.fail();
         // The target rolls back what a closed session left open.
@@ -637,7 +637,7 @@
     {
         const auto& failure = error_of(outcome);
         if (failure.kind != error_kind::timeout)
-            view_.health.on_failure(held.key().target, current_time());
+            view_.on_target(held.key().target, false, current_time());
         release(session);
         co_return fail(
             run, has_written ? session_error::in_doubt : session_error::aborted,
--- a/src/process/serving/target_chooser.cpp
+++ b/src/process/serving/target_chooser.cpp
@@ -35,6 +35,24 @@
 
 } // namespace
 
+bool serving_view::on_target(const std::string& target, bool answered,
+                             time_point now)
+{
+    const bool was_failing = health.is_failing(target);
+    if (answered)
+        health.on_success(target);
+    else
+        health.on_failure(target, now);
+    if (was_failing == !answered)
+        return !was_failing;
+    const auto* known = registry.find(target);
+    const auto* record =
+        known == nullptr ? nullptr : authority.find(known->group);
+    if (record != nullptr && record->target == target)
+        outlook.on_failing(known->group, !answered, now);
+    return !was_failing;
+}
+
 std::vector<placement_candidate>
 choose_candidates(const serving_view& view, const placement_request& request,
                   time_point now)
--- a/src/process/serving/target_pool.cpp
+++ b/src/process/serving/target_pool.cpp
@@ -244,7 +244,7 @@
     if (succeeded(outcome))
     {
         ++counts_.opened;
-        view_.health.on_success(id);
+        view_.on_target(id, true, current_time());
         co_return true;
     }
     ++counts_.failed_to_open;
@@ -257,7 +257,7 @@
         failure.kind == error_kind::refused &&
         failure.message == to_string(session_error::connection_limit);
     if (!is_full)
-        view_.health.on_failure(id, current_time());
+        view_.on_target(id, false, current_time());
     release(session);
     if (is_full)
         co_await sleep_for(limit_pause);
