Refuse statements at once that cannot get a primary in time

A VM learns how long replacements take and tells callers when to come back, instead of holding them for nine tenths of their time.

--- a/include/oleandergrade/process/serving/target_pool.hpp
+++ b/include/oleandergrade/process/serving/target_pool.hpp
@@ -118,6 +118,8 @@
     target_session_ptr take_idle(target_entry& entry,
                                  const placement_request& request);
     bool make_room(const placement_candidate& candidate, target_entry& entry);
+    /// The request needs a primary, and there is none to use.
+    bool lacks_primary(const placement_request& request, time_point now) const;
     std::uint32_t limit_of(const std::string& group) const;
     boost::asio::awaitable<bool> open(placement& place);
     boost::asio::awaitable<std::optional<choice>>
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -23,6 +23,15 @@
 /// Statements that the caller's route gives no latency objective for.
 constexpr auto fallback_objective = milliseconds(500);
 
+/// Part of a statement's time that may pass in waiting for a new primary.
+constexpr double primary_wait_part = 0.6;
+
+milliseconds part_of(milliseconds whole, double part)
+{
+    return milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(whole.count()) * part));
+}
+
 milliseconds left_until(time_point deadline)
 {
     return std::max<milliseconds>(
@@ -235,13 +244,24 @@
                                ? run.used_route->latency_objective
                                : fallback_objective;
     const auto wait_until = std::min(run.deadline, run.arrived + objective);
-    // A primary that is being replaced is worth waiting for: its callers are
-    // served late instead of not at all.
-    const auto wait_primary =
-        run.arrived + run.used_route->statement_timeout * 9 / 10;
     auto request = request_for(run);
-    auto outcome =
-        co_await pool_.acquire(std::move(request), wait_until, wait_primary);
+    const bool needs_primary =
+        request.needs_primary ||
+        request.consistency == read_consistency::current;
+    // Callers of a primary that is being replaced are served late instead of
+    // not at all, unless the wait would take most of their time.
+    const auto limit =
+        part_of(run.used_route->statement_timeout, primary_wait_part);
+    const auto expected =
+        view_.outlook.expected_wait(request.group, current_time());
+    if (needs_primary && current_time() + expected > run.arrived + limit)
+    {
+        fail(run, session_error::busy, "the primary is being replaced",
+             expected);
+        co_return false;
+    }
+    auto outcome = co_await pool_.acquire(std::move(request), wait_until,
+                                          run.arrived + limit);
     if (auto* found = std::get_if<placement>(&outcome))
     {
         ++run.outcome.attempts;
@@ -249,12 +269,12 @@
         place = std::move(*found);
         co_return true;
     }
-    const bool lacks_primary =
-        std::get<placement_refusal>(outcome).lacks_primary;
-    fail(run, session_error::busy,
-         lacks_primary ? "the primary is being replaced"
-                       : "all sessions at the targets are taken",
-         objective);
+    if (std::get<placement_refusal>(outcome).lacks_primary)
+        fail(run, session_error::busy, "the primary is being replaced",
+             std::max(expected, objective));
+    else
+        fail(run, session_error::busy,
+             "no target that may serve it has a session free", objective);
     co_return false;
 }
 
--- a/src/process/serving/target_pool.cpp
+++ b/src/process/serving/target_pool.cpp
@@ -161,9 +161,7 @@
         {
             ++counts_.gave_up;
             const auto now = current_time();
-            co_return placement_refusal{
-                request.needs_primary &&
-                view_.authority.usable(request.group, now) == nullptr};
+            co_return placement_refusal{lacks_primary(request, now)};
         }
         bool is_open = !chosen->must_open;
         if (!is_open)
@@ -175,6 +173,14 @@
     }
 }
 
+bool target_pool::lacks_primary(const placement_request& request,
+                                time_point now) const
+{
+    return (request.needs_primary ||
+            request.consistency == read_consistency::current) &&
+           view_.outlook.expected_wait(request.group, now).count() > 0;
+}
+
 asio::awaitable<std::optional<target_pool::choice>>
 target_pool::wait_for_place(const placement_request& request,
                             time_point wait_until, time_point wait_primary)
@@ -202,10 +208,7 @@
     for (;;)
     {
         const auto now = current_time();
-        const bool lacks_primary =
-            request.needs_primary &&
-            view_.authority.usable(request.group, now) == nullptr;
-        const auto limit = lacks_primary ? wait_primary : wait_until;
+        const auto limit = lacks_primary(request, now) ? wait_primary : wait_until;
         if (now >= limit)
             break;
         // Targets that were avoided become usable by the passing of time
