Replace lost holders within a second; let VMs that are cut off shed callers

Callers of the cut VMs stayed with them. A holder without the store now needs reports of most members, so a successor that most members have turned to knows that no other grants; leases last 1 s and grants 1.75 s. VMs that reach neither the holder nor most others report as not ready and end their sessions as they become idle. Ruled out: a list of holders in the store (more writes, longer bound).

--- a/include/oleandergrade/process/failover/failover_driver.hpp
+++ b/include/oleandergrade/process/failover/failover_driver.hpp
@@ -33,8 +33,8 @@
     /// Between notices to a VM that has not confirmed.
     static constexpr milliseconds notice_interval{100};
     static constexpr milliseconds notice_timeout{600};
-    /// Reports of VMs older than this tell nothing of targets.
-    static constexpr milliseconds report_validity{800};
+    /// A VM that was out of touch tells of old failures for this long.
+    static constexpr milliseconds settling_time{1200};
 
     failover_driver(boost::asio::any_io_executor executor, fleet_state& state,
                     duty_election& duty, grant_ledger& ledger,
@@ -67,6 +67,8 @@
     struct vm_contact
     {
         time_point reported_at;
+        /// Since when it has reported without a gap.
+        time_point in_touch_since;
         std::vector<target_trouble> troubles;
         /// Revisions that the VM has confirmed, by group.
         std::map<std::string, std::uint64_t> confirmed;
--- a/include/oleandergrade/process/failover/grant_ledger.hpp
+++ b/include/oleandergrade/process/failover/grant_ledger.hpp
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -13,21 +12,26 @@
 {
 
 /// Decides when a change of a primary's record binds every VM: once each one
-/// has confirmed it, is known to be down, or can hold no valid grant any more.
+/// has confirmed it, or can hold no valid grant any more.
+///
+/// A holder that the store does not answer grants only while most members
+/// report to it. Once most members have seen a successor's token, no holder
+/// before it can grant.
 class grant_ledger
 {
 public:
-    /// How long a grant holds. Longer than it takes to replace a holder that
-    /// is lost, so that its loss stops nobody.
-    static constexpr milliseconds grant_validity{3000};
+    /// How long a grant holds. A little longer than it takes to replace a
+    /// holder that is lost, so that its loss stops nobody.
+    static constexpr milliseconds grant_validity{1750};
     /// How long the holder goes on granting after the store last answered it.
-    /// Covers most outages of the store; a successor has to wait it out for
-    /// VMs that it cannot reach.
-    static constexpr milliseconds grant_without_store{4000};
+    /// Covers most outages of the store.
+    static constexpr milliseconds grant_without_store{6000};
+    /// A member whose last report is older does not count as reporting.
+    static constexpr milliseconds report_validity{600};
 
     /// The duty was taken over at `now`. VMs may hold grants of the holders
-    /// before, whose names are given.
-    void take_over(const std::set<std::string>& predecessors, time_point now);
+    /// before.
+    void take_over(time_point now);
 
     /// A VM was told of the members of the fleet.
     void use_members(const std::vector<std::string>& members);
@@ -40,17 +44,14 @@
 
     /// Until when a VM that confirms nothing may use primaries.
     time_point bound_of(const std::string& vm) const;
-    /// Members in the order of their names.
-    const std::map<std::string, time_point>& bounds() const { return bounds_; }
 
 private:
-    /// Holders before that may still grant.
-    std::set<std::string> predecessors_;
     time_point predecessor_bound_;
     /// Until when each member may hold a valid grant.
     std::map<std::string, time_point> bounds_;
     /// The run of each VM's process that was in contact last.
     std::map<std::string, std::uint64_t> incarnations_;
+    std::size_t members_ = 0;
 };
 
 } // namespace oleandergrade
--- a/include/oleandergrade/process/membership/duty_election.hpp
+++ b/include/oleandergrade/process/membership/duty_election.hpp
@@ -46,9 +46,11 @@
 class duty_election
 {
 public:
+    /// The shortest that the users' store grants: the sooner a lost holder is
+    /// replaced, the shorter grants can be.
+    static constexpr milliseconds lease_lifetime{1000};
     /// Covers a slow spell of the store, in which a renewal takes 250 ms.
-    static constexpr milliseconds lease_lifetime{1600};
-    static constexpr milliseconds renewal_interval{400};
+    static constexpr milliseconds renewal_interval{250};
     /// Kept back from the lease for an order that is on its way.
     static constexpr milliseconds lease_margin{200};
     /// Between the attempts of VMs that want a free duty.
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -15,8 +15,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 namespace oleandergrade
@@ -45,6 +47,12 @@
     /// Takes one operation of an account out of the holder's reserve.
     boost::asio::awaitable<admission> borrow(std::string account);
 
+    /// This VM reaches neither the holder nor most of the other VMs. Its
+    /// callers are better served elsewhere.
+    bool is_isolated() const { return isolated_; }
+    /// Called when the VM becomes isolated, or ceases to be.
+    std::function<void(bool)> on_isolation;
+
     const duty_election& duty() const { return duty_; }
     failover_driver& failover() { return failover_; }
 
@@ -63,12 +71,14 @@
     boost::asio::awaitable<void> elect();
     boost::asio::awaitable<void> run_duty_call(duty_call call);
     void on_duty_changed();
-    boost::asio::awaitable<void> record_holders();
-    void use_holders(const stored_item& item);
     void turn_to_holder(const std::string& address);
     boost::asio::awaitable<void> report_to_holder();
     boost::asio::awaitable<void> report_once();
     std::string report_address();
+    boost::asio::awaitable<void> look_around();
+    boost::asio::awaitable<void> probe(std::string address,
+                                       std::shared_ptr<std::size_t> answers);
+    void set_isolated(bool isolated, std::size_t asked, std::size_t answered);
     fleet_report make_report();
     void use_grant(const fleet_grant& grant, const std::string& address,
                    time_point sent_at);
@@ -99,15 +109,13 @@
     boost::asio::steady_timer report_poke_;
     bool registered_ = false;
     bool held_duty_ = false;
-    /// The store's list of holders names this VM, so that a successor knows
-    /// that it may have granted.
-    bool is_recorded_ = false;
-    stored_item holders_{holders_key, "", 0};
-    std::set<std::string> recent_holders_;
     bool had_grant_ = false;
     bool fetching_ = false;
+    bool isolated_ = false;
+    bool looking_around_ = false;
     unsigned failed_reports_ = 0;
     std::size_t next_peer_ = 0;
+    std::minstd_rand random_;
     /// The holder as other VMs name it, if the store does not.
     std::string hinted_holder_;
     /// Since when another VM has a newer configuration.
--- a/include/oleandergrade/process/membership/member_list.hpp
+++ b/include/oleandergrade/process/membership/member_list.hpp
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -28,11 +27,6 @@
 /// Errors: step "parse fleet member".
 result<fleet_member> parse_fleet_member(const std::string& value);
 
-/// A list of names as it is stored (JSON).
-std::string serialize_names(const std::set<std::string>& names);
-/// Empty if the value is no list.
-std::set<std::string> parse_names(const std::string& value);
-
 class member_list
 {
 public:
--- a/include/oleandergrade/process/serving/session_server.hpp
+++ b/include/oleandergrade/process/serving/session_server.hpp
@@ -41,7 +41,7 @@
 
     void start();
     /// Ends each session after its next answer; goes on accepting.
-    void drain();
+    void set_shedding(bool shedding) { shedding_ = shedding; }
     /// Ends sessions without a statement or transaction under way.
     void close_idle();
     /// Fails the open transactions; nothing of them is kept.
@@ -67,7 +67,7 @@
     const configuration_holder& configuration_;
     session_limits limits_;
     std::set<std::shared_ptr<live_session>> sessions_;
-    bool draining_ = false;
+    bool shedding_ = false;
 };
 
 } // namespace oleandergrade
--- a/include/oleandergrade/process/serving/target_health.hpp
+++ b/include/oleandergrade/process/serving/target_health.hpp
@@ -17,7 +17,9 @@
 {
 public:
     static constexpr milliseconds first_pause{150};
-    static constexpr milliseconds longest_pause{1200};
+    static constexpr milliseconds longest_pause{800};
+    /// A failure longer ago than this is not reported.
+    static constexpr milliseconds news_time{1000};
     /// A replica whose log was behind is passed over for this long.
     static constexpr milliseconds lag_pause{60};
 
@@ -44,6 +46,7 @@
     struct failure
     {
         time_point since;
+        time_point last;
         time_point avoid_until;
         milliseconds pause{0};
     };
--- a/include/oleandergrade/process/store_layout.hpp
+++ b/include/oleandergrade/process/store_layout.hpp
@@ -15,8 +15,6 @@
 inline constexpr const char* own_prefix = "oleander/";
 /// Key of the fleet's one duty.
 inline constexpr const char* duty_key = "oleander/duty";
-/// The VMs that held the duty lately and may still grant.
-inline constexpr const char* holders_key = "oleander/holders";
 /// Followed by a VM's name: its membership.
 inline constexpr const char* members_prefix = "oleander/vm/";
 /// Followed by a group's name: its primary record.
--- a/src/process/event_log.cpp
+++ b/src/process/event_log.cpp
@@ -113,9 +113,8 @@
     }
     auto& used = part == statement_part ? log.statements_in_window
                                         : log.others_in_window;
-    const auto budget = part == statement_part
-                            ? statement_lines_per_second
-                            : event_lines_per_second;
+    const auto budget = part == statement_part ? statement_lines_per_second
+                                               : event_lines_per_second;
     if (used < budget)
     {
         ++used;
--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -66,6 +66,8 @@
 void failover_driver::on_report(const fleet_report& report, time_point now)
 {
     auto& contact = vms_[report.vm];
+    if (now - contact.reported_at >= grant_ledger::report_validity)
+        contact.in_touch_since = now;
     contact.reported_at = now;
     contact.troubles = report.troubles;
 }
@@ -158,10 +160,12 @@
 
 std::uint32_t failover_driver::vms_in_touch(time_point now) const
 {
-    return static_cast<std::uint32_t>(std::count_if(
-        vms_.begin(), vms_.end(),
-        [&](const auto& entry)
-        { return now - entry.second.reported_at < report_validity; }));
+    return static_cast<std::uint32_t>(
+        std::count_if(vms_.begin(), vms_.end(),
+                      [&](const auto& entry) {
+                          return now - entry.second.reported_at <
+                                 grant_ledger::report_validity;
+                      }));
 }
 
 group_sight failover_driver::sight_of(const std::string& group, time_point now)
@@ -178,7 +182,8 @@
                 now - *known->second.failing_since);
         for (const auto& [vm, contact] : vms_)
         {
-            if (now - contact.reported_at >= report_validity)
+            if (now - contact.reported_at >= grant_ledger::report_validity ||
+                now - contact.in_touch_since < settling_time)
                 continue;
             seen.vms_failing += static_cast<std::size_t>(
                 std::count_if(contact.troubles.begin(), contact.troubles.end(),
--- a/src/process/failover/grant_ledger.cpp
+++ b/src/process/failover/grant_ledger.cpp
@@ -6,10 +6,8 @@
 namespace oleandergrade
 {
 
-void grant_ledger::take_over(const std::set<std::string>& predecessors,
-                             time_point now)
+void grant_ledger::take_over(time_point now)
 {
-    predecessors_ = predecessors;
     predecessor_bound_ = now + grant_without_store + grant_validity;
     incarnations_.clear();
     for (auto& [vm, bound] : bounds_)
@@ -18,6 +16,7 @@
 
 void grant_ledger::use_members(const std::vector<std::string>& members)
 {
+    members_ = members.size();
     for (const auto& vm : members)
         bounds_.emplace(vm, predecessor_bound_);
 }
@@ -30,20 +29,20 @@
 void grant_ledger::on_contact(const std::string& vm, std::uint64_t incarnation,
                               time_point now)
 {
-    // Once no holder before can grant, what it granted runs out soon.
-    if (predecessors_.erase(vm) > 0 && predecessors_.empty())
-    {
-        predecessor_bound_ = std::min(predecessor_bound_, now + grant_validity);
-        for (auto& [member, bound] : bounds_)
-            if (!incarnations_.contains(member))
-                bound = std::min(bound, predecessor_bound_);
-    }
     const auto [known, is_first] = incarnations_.emplace(vm, incarnation);
     // An earlier grant was asked for before this contact.
     if (is_first)
         bounds_[vm] = now + grant_validity;
     else if (std::exchange(known->second, incarnation) != incarnation)
         bounds_[vm] = time_point();
+    // This VM itself counts as well.
+    if (!is_first || (incarnations_.size() + 1) * 2 <= members_)
+        return;
+    predecessor_bound_ =
+        std::min(predecessor_bound_, now + report_validity + grant_validity);
+    for (auto& [member, bound] : bounds_)
+        if (!incarnations_.contains(member))
+            bound = std::min(bound, predecessor_bound_);
 }
 
 time_point grant_ledger::bound_of(const std::string& vm) const
--- a/src/process/failover/group_failover.cpp
+++ b/src/process/failover/group_failover.cpp
@@ -238,8 +238,8 @@
         const bool is_later = found->second.term > record_.term;
         // The term cannot have ended, and its log is whole.
         const bool is_same = found->second.term == record_.term &&
-                             record_.candidate.empty() &&
-                             !record_.is_planned && !target.record.is_draining;
+                             record_.candidate.empty() && !record_.is_planned &&
+                             !target.record.is_draining;
         if (!is_later && !is_same)
             continue;
         open_record(target.record.id, found->second.term, now);
@@ -305,9 +305,9 @@
 {
     const auto primary = reports_.find(record_.target);
     const auto successor = reports_.find(candidate_);
-    const bool has_all =
-        primary != reports_.end() && successor != reports_.end() &&
-        successor->second.received >= primary->second.received;
+    const bool has_all = primary != reports_.end() &&
+                         successor != reports_.end() &&
+                         successor->second.received >= primary->second.received;
     const bool can_wait = find(sight, record_.target) != nullptr &&
                           now - step_since_ < catch_up_time;
     if (has_all || !can_wait)
--- a/src/process/limits/operation_limiter.cpp
+++ b/src/process/limits/operation_limiter.cpp
@@ -50,9 +50,9 @@
             continue;
         state.filled_at = now;
         state.recent_at = now;
-        state.tokens = starts_full_ ? burst_of(state, now)
-                                    : restart_burst(account, tolerance_) /
-                                          members_;
+        state.tokens = starts_full_
+                           ? burst_of(state, now)
+                           : restart_burst(account, tolerance_) / members_;
     }
     starts_full_ = starts_full_ && buckets_.empty();
 }
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -33,8 +33,9 @@
 constexpr auto planned_poll = milliseconds(10);
 /// Longest wait for the holder's reserve; a caller waits for it.
 constexpr auto borrow_timeout = milliseconds(120);
-/// Between attempts to record this VM as a holder.
-constexpr auto holders_pause = milliseconds(100);
+/// VMs that are asked to find out whether this one is cut off.
+constexpr std::size_t most_probes = 8;
+constexpr auto probe_margin = milliseconds(50);
 constexpr auto register_pause = milliseconds(300);
 constexpr auto snapshot_timeout = milliseconds(1500);
 
@@ -75,7 +76,8 @@
           context.get_executor(), *state.platform.store, own_prefix,
           {[this](const stored_range& range) { use_all_own_keys(range); },
            [this](const stored_change& change) { use_own_key(change); }}),
-      acceptor_(context), election_poke_(context), report_poke_(context)
+      acceptor_(context), election_poke_(context), report_poke_(context),
+      random_(static_cast<std::minstd_rand::result_type>(state.incarnation))
 {
     failover_.on_own_notice = [this](primary_notice notice)
     { return take_notice(std::move(notice)); };
@@ -230,9 +232,6 @@
         on_duty_changed();
         return;
     }
-    if (change.key == holders_key)
-        return use_holders(
-            {change.key, change.value.value_or(""), change.revision});
     const std::string members(members_prefix);
     if (change.key.starts_with(members))
     {
@@ -367,82 +366,24 @@
     if (holds == held_duty_)
         return;
     held_duty_ = holds;
+    if (holds)
+        set_isolated(false, 1, 1);
     log_event(event_level::info, "duty", holds ? "taken over" : "lost",
               {{"token", duty_.token()},
                {"holder", duty_.known_holder().vm},
                {"members", state_.members.size()}});
-    is_recorded_ = false;
     if (holds)
     {
+        ledger_.take_over(now);
+        ledger_.use_members(state_.members.names());
         shares_.take_over(now);
         state_.view.authority.on_token(duty_.token());
-        asio::co_spawn(context_, record_holders(), asio::detached);
+        grant_to_self(now);
     }
-    // A new holder first records itself; until then it neither grants nor
-    // replaces anything.
-    if (!holds)
-        failover_.on_duty_changed(false);
+    failover_.on_duty_changed(holds);
     report_poke_.cancel();
 }
 
-// Adds this VM to the list of those that may have granted, before it grants
-// anything. Once the grants of all others have run out, it stands there alone.
-asio::awaitable<void> fleet_service::record_holders()
-{
-    const auto token = duty_.token();
-    const auto started = current_time();
-    bool is_alone = false;
-    while (duty_.token() == token && !is_alone)
-    {
-        const auto predecessors_end = started +
-                                      grant_ledger::grant_without_store +
-                                      grant_ledger::grant_validity;
-        if (is_recorded_)
-            co_await sleep_for(predecessors_end - current_time());
-        auto holders = recent_holders_;
-        is_alone = is_recorded_ || holders.empty();
-        if (is_recorded_)
-            holders.clear();
-        holders.insert(state_.settings.name);
-        conditional_write change;
-        change.expected = {holders_, {duty_key, "", token}};
-        change.key = holders_key;
-        change.value = serialize_names(holders);
-        auto outcome = co_await state_.platform.store->write(change);
-        if (duty_.token() != token)
-            co_return;
-        if (!succeeded(outcome))
-        {
-            is_alone = false;
-            auto current = co_await state_.platform.store->read(holders_key);
-            if (succeeded(current))
-                use_holders(value_of(current));
-            else
-                co_await sleep_for(holders_pause);
-            continue;
-        }
-        if (!std::exchange(is_recorded_, true))
-        {
-            auto predecessors = recent_holders_;
-            predecessors.erase(state_.settings.name);
-            ledger_.take_over(predecessors, started);
-            ledger_.use_members(state_.members.names());
-            failover_.on_duty_changed(true);
-            grant_to_self(current_time());
-            report_poke_.cancel();
-        }
-        use_holders({holders_key, *change.value, value_of(outcome)});
-    }
-}
-
-void fleet_service::use_holders(const stored_item& item)
-{
-    if (item.revision < holders_.revision)
-        return;
-    holders_ = item;
-    recent_holders_ = parse_names(item.value);
-}
-
 // Another VM holds the duty; the next report goes there at once.
 void fleet_service::turn_to_holder(const std::string& address)
 {
@@ -451,10 +392,16 @@
     report_poke_.cancel();
 }
 
+// While the store does not answer, the holder goes on as long as most VMs
+// report to it: those that have turned to a successor do not.
 bool fleet_service::may_grant(time_point now) const
 {
-    return duty_.is_holder() && is_recorded_ &&
-           duty_.token() >= state_.view.authority.token() &&
+    if (!duty_.is_holder() || duty_.token() < state_.view.authority.token())
+        return false;
+    if (duty_.holds(now))
+        return true;
+    const auto with_it = failover_.vms_in_touch(now) + 1;
+    return with_it * 2 > state_.members.size() &&
            now < duty_.confirmed_at() + grant_ledger::grant_without_store;
 }
 
@@ -462,6 +409,8 @@
 {
     if (!may_grant(now))
         return;
+    failed_reports_ = 0;
+    set_isolated(false, 1, 1);
     state_.view.authority.on_grant(duty_.token(), now,
                                    grant_ledger::grant_validity);
     ledger_.on_granted(state_.settings.name, now);
@@ -478,10 +427,14 @@
         const auto now = current_time();
         if (state_.view.registry.drop_lapsed(now))
             on_targets_changed();
-        if (duty_.is_holder())
+        if (!duty_.is_holder())
+            co_await report_once();
+        else if (may_grant(now))
             grant_to_self(now);
         else
-            co_await report_once();
+            ++failed_reports_;
+        if (failed_reports_ >= patience_with_holder && !looking_around_)
+            asio::co_spawn(context_, look_around(), asio::detached);
         const bool has_grant = state_.view.authority.has_grant(current_time());
         state_.view.outlook.on_grant(has_grant, current_time());
         if (has_grant != had_grant_)
@@ -591,6 +544,7 @@
         return;
     }
     failed_reports_ = 0;
+    set_isolated(false, 1, 1);
     if (!state_.view.authority.on_token(grant.token))
         return;
     for (const auto& state : grant.primaries)
@@ -610,6 +564,48 @@
         state_.pool.retry_all();
 }
 
+// Finds out whether this VM is cut off, once the holder does not answer.
+asio::awaitable<void> fleet_service::look_around()
+{
+    looking_around_ = true;
+    std::vector<std::string> addresses;
+    for (const auto& [name, member] : state_.members.all())
+        if (name != state_.settings.name)
+            addresses.push_back(member.address);
+    std::shuffle(addresses.begin(), addresses.end(), random_);
+    addresses.resize(std::min(addresses.size(), most_probes));
+    const auto answers = std::make_shared<std::size_t>(0);
+    for (const auto& address : addresses)
+        asio::co_spawn(context_, probe(address, answers), asio::detached);
+    co_await sleep_for(call_timeout + probe_margin);
+    set_isolated(failed_reports_ >= patience_with_holder &&
+                     *answers * 2 < addresses.size(),
+                 addresses.size(), *answers);
+    looking_around_ = false;
+}
+
+void fleet_service::set_isolated(bool isolated, std::size_t asked,
+                                 std::size_t answered)
+{
+    if (std::exchange(isolated_, isolated) == isolated)
+        return;
+    log_event(event_level::warning, "membership",
+              isolated ? "cut off" : "no longer cut off",
+              {{"asked", asked}, {"answered", answered}});
+    if (on_isolation)
+        on_isolation(isolated);
+}
+
+asio::awaitable<void> fleet_service::probe(std::string address,
+                                           std::shared_ptr<std::size_t> answers)
+{
+    peer_body body = make_report();
+    auto outcome =
+        co_await peers_.call(std::move(address), std::move(body), call_timeout);
+    if (succeeded(outcome))
+        ++*answers;
+}
+
 asio::awaitable<void> fleet_service::fetch_snapshot(std::string address)
 {
     fetching_ = true;
--- a/src/process/membership/member_list.cpp
+++ b/src/process/membership/member_list.cpp
@@ -31,27 +31,6 @@
     return member;
 }
 
-std::string serialize_names(const std::set<std::string>& names)
-{
-    json::array list;
-    for (const auto& name : names)
-        list.push_back(json::string(name));
-    return json::serialize(list);
-}
-
-std::set<std::string> parse_names(const std::string& value)
-{
-    std::set<std::string> names;
-    boost::system::error_code failure;
-    const auto parsed = json::parse(value, failure);
-    if (failure || !parsed.is_array())
-        return names;
-    for (const auto& entry : parsed.get_array())
-        if (entry.is_string())
-            names.insert(std::string(entry.get_string()));
-    return names;
-}
-
 void member_list::put(const fleet_member& member)
 {
     members_[member.name] = member;
--- a/src/process/serving/session_server.cpp
+++ b/src/process/serving/session_server.cpp
@@ -236,7 +236,7 @@
         if (runner_.check_opening(opening) == session_error::unauthorized)
             co_return false;
     }
-    co_return !draining_;
+    co_return !shedding_;
 }
 
 asio::awaitable<bool> session_server::write(live_session& live,
@@ -296,11 +296,6 @@
         });
 }
 
-void session_server::drain()
-{
-    draining_ = true;
-}
-
 void session_server::close_idle()
 {
     for (const auto& live : sessions_)
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -247,7 +247,8 @@
     auto request = request_for(run);
     const bool needs_primary =
         request.needs_primary ||
-        request.consistency == read_consistency::current;
+        request.consistency == read_consistency::current ||
+        choose_candidates(view_, request, current_time()).empty();
     // Callers of a primary that is being replaced are served late instead of
     // not at all, unless the wait would take most of their time.
     const auto limit =
--- a/src/process/serving/target_health.cpp
+++ b/src/process/serving/target_health.cpp
@@ -13,8 +13,9 @@
 bool target_health::on_failure(const std::string& target, time_point now)
 {
     const auto [found, is_first] =
-        failing_.emplace(target, failure{now, now, first_pause / 2});
+        failing_.emplace(target, failure{now, now, now, first_pause / 2});
     auto& state = found->second;
+    state.last = now;
     // Several connections that break together are one failure.
     if (now < state.avoid_until)
         return is_first;
@@ -49,8 +50,10 @@
 {
     std::vector<target_trouble> troubles;
     for (const auto& [target, state] : failing_)
-        troubles.push_back({target, std::chrono::duration_cast<milliseconds>(
-                                        now - state.since)});
+        if (now - state.last < news_time)
+            troubles.push_back(
+                {target,
+                 std::chrono::duration_cast<milliseconds>(now - state.since)});
     return troubles;
 }
 
--- a/src/process/serving/target_pool.cpp
+++ b/src/process/serving/target_pool.cpp
@@ -208,7 +208,8 @@
     for (;;)
     {
         const auto now = current_time();
-        const auto limit = lacks_primary(request, now) ? wait_primary : wait_until;
+        const auto limit =
+            lacks_primary(request, now) ? wait_primary : wait_until;
         if (now >= limit)
             break;
         // Targets that were avoided become usable by the passing of time
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -65,6 +65,13 @@
 
 void vm_daemon::run()
 {
+    // Callers of a VM that is cut off find their way to another one.
+    fleet_.on_isolation = [this](bool isolated)
+    {
+        sessions_.set_shedding(isolated);
+        if (isolated)
+            sessions_.close_idle();
+    };
     runner_.borrow = [this](std::string account)
     { return fleet_.borrow(std::move(account)); };
     start_http();
@@ -98,7 +105,8 @@
 {
     return !state_.stopping && state_.configuration.current() != nullptr &&
            !state_.view.registry.all().empty() &&
-           state_.view.authority.has_grant(current_time());
+           state_.view.authority.has_grant(current_time()) &&
+           !fleet_.is_isolated();
 }
 
 asio::awaitable<http_response> vm_daemon::serve_readiness(http_request)
@@ -225,7 +233,7 @@
     state_.stopping = true;
     log_event(event_level::info, "daemon", "stopping",
               {{"sessions", sessions_.size()}});
-    sessions_.drain();
+    sessions_.set_shedding(true);
     co_await fleet_.retire();
     bool ended_transactions = false;
     while (sessions_.size() > 0)
