--- a/include/oleandergrade/process/failover/group_failover.hpp
+++ b/include/oleandergrade/process/failover/group_failover.hpp
@@ -160,6 +160,8 @@
 
     void enter(step next, time_point now);
     void watch(const group_sight& sight, time_point now);
+    void look_for_later_primary(const group_sight& sight,
+                                const target_sight& primary, time_point now);
     void find_first_primary(const group_sight& sight, time_point now);
     bool is_lost(const target_sight& primary, const group_sight& sight) const;
     void close_record(bool is_planned, time_point now);
--- a/include/oleandergrade/process/failover/primary_outlook.hpp
+++ b/include/oleandergrade/process/failover/primary_outlook.hpp
@@ -17,7 +17,7 @@
 {
 public:
     /// A replacement is expected to take this long before one was seen.
-    static constexpr milliseconds first_guess{700};
+    static constexpr milliseconds first_guess{500};
     /// Between the first failure to reach a primary and the closing of its
     /// record.
     static constexpr milliseconds detection_time{400};
--- a/include/oleandergrade/process/limits/account_budget.hpp
+++ b/include/oleandergrade/process/limits/account_budget.hpp
@@ -19,6 +19,17 @@
     bool operator==(const limit_tolerance&) const = default;
 };
 
+/// Part of the tolerance that gathers as burst; the rest is kept for shares
+/// that are moved from one VM to another.
+inline constexpr double tolerance_part = 0.5;
+/// Parts of rate and burst that the VMs hold as shares. The rest is the
+/// reserve of the duty's holder, from which they borrow operation by operation.
+inline constexpr double shared_rate_part = 0.6;
+inline constexpr double shared_burst_part = 0.4;
+/// Accounts with a lower rate, in operations per second, have no shares: what
+/// a VM holds and does not use would be missing elsewhere.
+inline constexpr double least_shared_rate = 20;
+
 /// What may be spent of one account through the whole fleet.
 struct account_budget
 {
@@ -27,17 +38,20 @@
     /// Operations that may have gathered everywhere together.
     double burst = 0;
 
+    double shared_rate() const
+    {
+        return rate < least_shared_rate ? 0 : rate * shared_rate_part;
+    }
+    double shared_burst() const
+    {
+        return rate < least_shared_rate ? 0 : burst * shared_burst_part;
+    }
+    double reserved_rate() const { return rate - shared_rate(); }
+    double reserved_burst() const { return burst - shared_burst(); }
+
     bool operator==(const account_budget&) const = default;
 };
 
-/// Part of the tolerance that gathers as burst; the rest is kept for shares
-/// that are moved from one VM to another.
-inline constexpr double tolerance_part = 0.5;
-/// Parts of rate and burst that the VMs hold as shares. The rest is the
-/// reserve of the duty's holder, from which they borrow operation by operation.
-inline constexpr double shared_rate_part = 0.6;
-inline constexpr double shared_burst_part = 0.4;
-
 /// Part of the tolerance that a restarted VM may spend at once: it has
 /// forgotten what it spent before.
 inline constexpr double restart_part = 0.25;
--- a/include/oleandergrade/process/limits/operation_limiter.hpp
+++ b/include/oleandergrade/process/limits/operation_limiter.hpp
@@ -27,8 +27,8 @@
 
 /// A token bucket per account. Its rate and burst are the VM's share of the
 /// account's limits, which the duty's holder assigns by demand; what goes
-/// beyond it is borrowed from the holder's reserve. Without a valid share the
-/// VM takes an equal part, which the holder keeps free for it.
+/// beyond it is borrowed from the holder's reserve. A VM that is out of touch
+/// with the holder takes an equal part, which the holder keeps free for it.
 class operation_limiter
 {
 public:
@@ -77,6 +77,8 @@
     static void decay(bucket& account, time_point now);
 
     limit_tolerance tolerance_;
+    /// The holder has divided all limits, and kept nothing for this VM.
+    time_point in_touch_until_;
     bool starts_full_;
     std::uint32_t members_ = 1;
     std::map<std::string, bucket> buckets_;
--- a/include/oleandergrade/process/vm_daemon.hpp
+++ b/include/oleandergrade/process/vm_daemon.hpp
@@ -29,9 +29,12 @@
     vm_daemon(boost::asio::io_context& context, vm_settings settings,
               platform_parts& platform, settings_reader read_settings);
 
-    /// Runs until the process was asked to stop. Throws
-    /// boost::system::system_error if an address is taken.
+    /// Starts the parts. Throws boost::system::system_error if an address is
+    /// taken.
+    void start();
+    /// Starts the parts and runs until the process was asked to stop.
     void run();
+    bool is_ready() const;
 
 private:
     void start_http();
@@ -40,12 +43,10 @@
     boost::asio::awaitable<void> wait_for_signals();
     boost::asio::awaitable<void> stop();
     void reload();
-    bool is_ready() const;
     std::string metrics_text() const;
     std::string state_text() const;
 
     boost::asio::io_context& context_;
-    platform_parts& platform_;
     settings_reader read_settings_;
     fleet_state state_;
     serving_metrics measured_;
--- a/src/process/failover/group_failover.cpp
+++ b/src/process/failover/group_failover.cpp
@@ -108,17 +108,31 @@
         return close_record(!primary->holder_fails, now);
     if (primary->record.is_draining)
         return close_record(true, now);
-    // A promotion whose answer was lost may have taken effect late.
-    const bool is_deposed =
-        std::any_of(sight.targets.begin(), sight.targets.end(),
-                    [&](const target_sight& other)
-                    {
-                        return other.record.claims_primary &&
-                               other.record.id != record_.target &&
-                               !primary->record.claims_primary;
-                    });
-    if (is_deposed)
-        close_record(false, now);
+    look_for_later_primary(sight, *primary, now);
+}
+
+// A promotion whose answer was lost may have taken effect late. What targets
+// register lags behind what they do, so they are asked.
+void group_failover::look_for_later_primary(const group_sight& sight,
+                                            const target_sight& primary,
+                                            time_point now)
+{
+    for (const auto& other : sight.targets)
+    {
+        const auto& id = other.record.id;
+        if (!other.record.claims_primary || primary.record.claims_primary ||
+            id == record_.target)
+            continue;
+        const auto found = reports_.find(id);
+        if (found != reports_.end() && found->second.is_primary &&
+            found->second.term > record_.term)
+            return close_record(false, now);
+        auto& next = next_ask_[id];
+        if (now < next)
+            continue;
+        next = now + silent_interval;
+        actions_.push_back(ask_target{id});
+    }
 }
 
 bool group_failover::is_lost(const target_sight& primary,
@@ -187,7 +201,10 @@
     on_record(pending_);
     actions_.push_back(announce_primary{});
     if (pending_.is_open)
+    {
+        reports_.clear();
         return enter(step::watching, now);
+    }
     if (pending_.candidate.empty())
         return enter(step::binding, now);
     promote(pending_.candidate, now);
--- a/src/process/limits/operation_limiter.cpp
+++ b/src/process/limits/operation_limiter.cpp
@@ -60,6 +60,7 @@
 void operation_limiter::use_shares(const std::vector<account_share>& shares,
                                    time_point asked_at, time_point now)
 {
+    in_touch_until_ = std::max(in_touch_until_, asked_at + share_validity);
     for (const auto& share : shares)
     {
         const auto found = buckets_.find(share.account);
@@ -91,7 +92,7 @@
     const auto wait = milliseconds(
         static_cast<std::int64_t>(std::ceil(1000 * (1 - state.tokens) / rate)));
     const bool may_borrow =
-        now < state.share_until && now >= state.reserve_empty_until;
+        now < in_touch_until_ && now >= state.reserve_empty_until;
     return {false, std::clamp(wait, shortest_retry, longest_retry), may_borrow};
 }
 
@@ -123,15 +124,14 @@
 {
     if (now < account.share_until)
         return account.share_rate;
-    return account.budget.rate / members_;
+    return now < in_touch_until_ ? 0 : account.budget.rate / members_;
 }
 
 double operation_limiter::burst_of(const bucket& account, time_point now) const
 {
-    const auto burst =
-        now < account.share_until
-            ? account.share_burst
-            : account.budget.burst * shared_burst_part / members_;
+    const auto burst = now < account.share_until
+                           ? account.share_burst
+                           : account.budget.shared_burst() / members_;
     return std::max(burst, least_burst);
 }
 
--- a/src/process/limits/share_ledger.cpp
+++ b/src/process/limits/share_ledger.cpp
@@ -36,7 +36,7 @@
         state.budget = budget_of(account, tolerance_);
         state.filled_at = now;
         if (is_new && fills)
-            state.reserve = state.budget.burst * (1 - shared_burst_part);
+            state.reserve = state.budget.reserved_burst();
     }
 }
 
@@ -102,19 +102,17 @@
         wanted_by_all += share.wanted;
         held_by_others += share.rate;
     }
-    const auto divided =
-        account.budget.rate * shared_rate_part * reachable_part();
+    const auto divided = account.budget.shared_rate() * reachable_part();
     const auto part = wanted_by_all > 0 ? demand.wanted / wanted_by_all : 0.0;
     // Before all shares of the holder before are known or have run out, a VM
     // keeps what it has, or takes an equal part of what was not shared.
-    const auto unshared =
-        account.budget.rate * (1 - shared_rate_part) / members_;
+    const auto unshared = account.budget.reserved_rate() / members_;
     const auto free = std::max(0.0, divided - held_by_others);
     own.rate = is_learning(now) ? std::max(demand.held, unshared)
                                 : std::min(divided * part, free);
     own.valid_until = now + operation_limiter::share_validity + validity_margin;
-    const auto whole = account.budget.rate * shared_rate_part;
-    const auto burst = account.budget.burst * shared_burst_part;
+    const auto whole = account.budget.shared_rate();
+    const auto burst = account.budget.shared_burst();
     return {demand.account, own.rate, whole > 0 ? burst * own.rate / whole : 0};
 }
 
@@ -126,8 +124,8 @@
     if (is_learning(now))
         return;
     const auto part = reachable_part();
-    const auto rate = account.budget.rate * (1 - shared_rate_part) * part;
-    const auto burst = account.budget.burst * (1 - shared_burst_part) * part;
+    const auto rate = account.budget.reserved_rate() * part;
+    const auto burst = account.budget.reserved_burst() * part;
     account.reserve = std::min(account.reserve + elapsed * rate, burst);
 }
 
@@ -143,8 +141,7 @@
         state.reserve -= 1;
         return {true, milliseconds(0), false};
     }
-    const auto rate =
-        std::max(state.budget.rate * (1 - shared_rate_part), least_rate);
+    const auto rate = std::max(state.budget.reserved_rate(), least_rate);
     const auto wait = milliseconds(static_cast<std::int64_t>(
         std::ceil(1000 * (1 - state.reserve) / rate)));
     return {false, std::clamp(wait, shortest_retry, longest_retry), false};
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace oleandergrade
 {
@@ -145,13 +146,13 @@
 
 void fleet_service::use_all_targets(const stored_range& range)
 {
-    const auto prefix = state_.platform.layout.targets_prefix;
+    std::set<std::string> present;
+    for (const auto& item : range.items)
+        present.insert(item.key);
     std::vector<std::string> gone;
-    for (const auto& [key, value] : state_.target_values)
-        if (std::none_of(range.items.begin(), range.items.end(),
-                         [&](const stored_item& item)
-                         { return item.key == key; }))
-            gone.push_back(key);
+    for (const auto& known : state_.target_values)
+        if (!present.contains(known.first))
+            gone.push_back(known.first);
     for (const auto& key : gone)
         use_target(key, std::nullopt);
     for (const auto& item : range.items)
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -51,8 +51,7 @@
 
 vm_daemon::vm_daemon(asio::io_context& context, vm_settings settings,
                      platform_parts& platform, settings_reader read_settings)
-    : context_(context), platform_(platform),
-      read_settings_(std::move(read_settings)),
+    : context_(context), read_settings_(std::move(read_settings)),
       state_(context.get_executor(), std::move(settings), platform),
       runner_(*platform.codec, state_.configuration, state_.view, state_.pool,
               state_.limiter, measured_),
@@ -64,6 +63,12 @@
 }
 
 void vm_daemon::run()
+{
+    start();
+    context_.run();
+}
+
+void vm_daemon::start()
 {
     // Callers of a VM that is cut off find their way to another one.
     fleet_.on_isolation = [this](bool isolated)
@@ -82,7 +87,6 @@
               {{"failure_domain", state_.settings.failure_domain},
                {"incarnation", state_.incarnation},
                {"sessions", state_.settings.session_address}});
-    context_.run();
 }
 
 void vm_daemon::start_http()
--- /dev/null
+++ b/standins/group_model.cpp
@@ -0,0 +1,118 @@
+#include "group_model.hpp"
+
+#include <algorithm>
+
+namespace standins
+{
+using oleandergrade::log_position;
+using oleandergrade::milliseconds;
+using oleandergrade::time_point;
+
+group_model::group_model(std::string name,
+                         const std::vector<std::string>& servers,
+                         milliseconds lag, milliseconds promotion_time)
+    : name_(std::move(name)), lag_(lag), promotion_time_(promotion_time)
+{
+    for (const auto& id : servers)
+    {
+        model_server server;
+        server.id = id;
+        server.is_primary = servers_.empty();
+        servers_[id] = server;
+    }
+}
+
+model_server* group_model::find(const std::string& id)
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
+log_position group_model::applied(const model_server& server,
+                                  time_point now) const
+{
+    log_position position{server.term, 0};
+    for (const auto& commit : server.log)
+        if (server.is_primary || commit.at + lag_ <= now)
+            position = {server.term, commit.position.position};
+    return position;
+}
+
+std::string group_model::read(const model_server& server,
+                              const std::string& item, time_point now) const
+{
+    for (auto it = server.log.rbegin(); it != server.log.rend(); ++it)
+        if (it->item == item && (server.is_primary || it->at + lag_ <= now))
+            return it->data;
+    return "none";
+}
+
+bool group_model::commit(
+    model_server& server,
+    const std::vector<std::pair<std::string, std::string>>& writes,
+    time_point now)
+{
+    if (!server.is_primary)
+        return false;
+    const auto number =
+        server.log.empty() ? 1 : server.log.back().position.position + 1;
+    for (const auto& [item, data] : writes)
+    {
+        const model_commit commit{{server.term, number}, item, data, now};
+        server.log.push_back(commit);
+        for (auto& [id, replica] : servers_)
+            if (id != server.id && replica.is_running &&
+                replica.term == server.term && !replica.is_primary)
+                replica.log.push_back(commit);
+    }
+    return true;
+}
+
+bool group_model::promote(const std::string& id, time_point now)
+{
+    auto* server = find(id);
+    if (server == nullptr || !server->is_running)
+        return false;
+    if (!server->is_primary && !server->leads_at)
+        server->leads_at = now + promotion_time_;
+    return true;
+}
+
+void group_model::demote(model_server& server, std::uint64_t term)
+{
+    if (!server.is_primary || server.term >= term)
+        return;
+    server.is_primary = false;
+    server.term = term;
+    for (const auto& [id, other] : servers_)
+        if (other.is_primary && other.term == term)
+            server.log = other.log;
+}
+
+void group_model::advance(time_point now)
+{
+    for (auto& [id, server] : servers_)
+    {
+        if (!server.leads_at || now < *server.leads_at)
+            continue;
+        server.leads_at.reset();
+        std::uint64_t term = 0;
+        for (const auto& [other_id, other] : servers_)
+            term = std::max(term, other.term);
+        server.term = term + 1;
+        server.is_primary = true;
+        ++promotions_;
+        for (auto& [other_id, other] : servers_)
+        {
+            if (other_id == id || other.is_primary)
+                continue;
+            other.term = server.term;
+            other.rolled_back += other.log.size() > server.log.size()
+                                     ? other.log.size() - server.log.size()
+                                     : 0;
+            other.log = server.log;
+        }
+    }
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/platform_emulator.cpp
@@ -0,0 +1,609 @@
+#include "platform_emulator.hpp"
+
+#include "../platform/base64.hpp"
+
+#include <oleandergrade/connection/async_event.hpp>
+#include <oleandergrade/connection/json_fields.hpp>
+#include <oleandergrade/connection/listener.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <sstream>
+
+namespace standins
+{
+namespace asio = boost::asio;
+namespace json = boost::json;
+using boost::system::error_code;
+using namespace oleandergrade;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+constexpr auto history = seconds(20);
+constexpr auto watch_poll = milliseconds(5);
+constexpr auto away_time = milliseconds(3000);
+constexpr std::size_t longest_queue = 24;
+
+tcp::endpoint loopback(unsigned short port)
+{
+    return {asio::ip::address_v4::loopback(), port};
+}
+
+std::string query_field(const std::string& path, const std::string& name)
+{
+    const auto begin = path.find(name + "=");
+    if (begin == std::string::npos)
+        return {};
+    const auto value = begin + name.size() + 1;
+    return path.substr(value, path.find('&', value) - value);
+}
+
+json::object to_json(const model_item& item)
+{
+    return {{"Key", item.key},
+            {"Value", oleandergrade::platform::encode_base64(item.value)},
+            {"Revision", item.revision},
+            {"CreateRev", item.created},
+            {"Lease", item.lease}};
+}
+
+http_response respond(unsigned status, const json::object& body = {})
+{
+    http_response response;
+    response.status = status;
+    response.body = json::serialize(body);
+    return response;
+}
+
+} // namespace
+
+struct platform_emulator::server_session
+{
+    explicit server_session(tcp::socket accepted) : socket(std::move(accepted))
+    {
+    }
+
+    tcp::socket socket;
+    std::string account;
+    transaction_state state = transaction_state::none;
+    bool read_only = false;
+    std::vector<std::pair<std::string, std::string>> writes;
+    std::map<std::string, std::string> values;
+    /// Shape and whether it writes, by name.
+    std::map<std::string, bool> prepared;
+};
+
+struct platform_emulator::server_state
+{
+    server_state(asio::io_context& context, group_model& owner,
+                 std::string server, unsigned short server_port)
+        : acceptor(context), group(owner), id(std::move(server)),
+          port(server_port)
+    {
+    }
+
+    tcp::acceptor acceptor;
+    group_model& group;
+    std::string id;
+    unsigned short port;
+    bool is_draining = false;
+    /// The role that the store shows.
+    bool registered_primary = false;
+    unsigned busy = 0;
+    unsigned waiting = 0;
+    std::set<std::shared_ptr<server_session>> sessions;
+};
+
+platform_emulator::platform_emulator(asio::io_context& context,
+                                     emulator_settings settings)
+    : context_(context), settings_(settings), store_(history)
+{
+    http_handlers store;
+    store.serve = [this](http_request request)
+    { return serve_store(std::move(request)); };
+    store_server_ =
+        std::make_unique<http_server>(context, loopback(settings.store_port),
+                                      http_limits{}, std::move(store));
+    http_handlers promotions;
+    promotions.serve = [this](http_request request)
+    { return serve_promotion(std::move(request)); };
+    promotion_server_ = std::make_unique<http_server>(
+        context, loopback(settings.promotion_port), http_limits{},
+        std::move(promotions));
+    auto port = settings.first_server_port;
+    for (unsigned g = 0; g < settings.groups; ++g)
+    {
+        std::vector<std::string> ids;
+        for (unsigned s = 0; s < settings.servers_per_group; ++s)
+            ids.push_back(server_id(g, s));
+        groups_.push_back(std::make_unique<group_model>(
+            "group-" + std::to_string(g), ids, settings.lag,
+            settings.promotion_time));
+        for (const auto& id : ids)
+        {
+            servers_.push_back(std::make_unique<server_state>(
+                context, *groups_.back(), id, port));
+            listen_shared(servers_.back()->acceptor, loopback(port));
+            asio::co_spawn(context, accept_loop(*servers_.back()),
+                           asio::detached);
+            register_server(*servers_.back());
+            ++port;
+        }
+    }
+}
+
+platform_emulator::~platform_emulator() = default;
+
+std::string platform_emulator::server_id(std::size_t group,
+                                         std::size_t server) const
+{
+    return "i-" + std::to_string(group) + "-" + std::to_string(server);
+}
+
+void platform_emulator::report_roles()
+{
+    for (const auto& server : servers_)
+    {
+        server->group.advance(current_time());
+        const auto* model = server->group.find(server->id);
+        if (model->is_running &&
+            model->is_primary != server->registered_primary)
+            register_server(*server);
+    }
+}
+
+void platform_emulator::register_server(server_state& server)
+{
+    const auto* model = server.group.find(server.id);
+    server.registered_primary = model->is_primary;
+    const json::object record{
+        {"Service", server.group.name()},
+        {"Address", "127.0.0.1:" + std::to_string(server.port)},
+        {"Zone", "a"},
+        {"Version", "v1"},
+        {"Slots", settings_.slots},
+        {"State", server.is_draining ? "draining" : "ready"},
+        {"WarmupLeftMs", 0},
+        {"DbRole", model->is_primary ? "primary" : "replica"},
+        {"Seq", 1}};
+    model_change change{"servers/" + server.id, json::serialize(record), 0};
+    store_.write({}, {change}, current_time());
+}
+
+void platform_emulator::put_configuration(
+    std::uint64_t version,
+    const std::vector<std::pair<std::string, std::string>>& keys, unsigned rate)
+{
+    json::array routes;
+    json::array services;
+    const std::vector<std::pair<const char*, const char*>> kinds{
+        {"strict", "primary"},
+        {"own", "read_your_writes"},
+        {"aged", "bounded_staleness"}};
+    for (unsigned g = 0; g < settings_.groups; ++g)
+    {
+        for (const auto& [prefix, kind] : kinds)
+            routes.push_back(
+                {{"Database", std::string(prefix) + "-" + std::to_string(g)},
+                 {"RouteType", kind},
+                 {"MaxStalenessMs", 1500},
+                 {"TimeoutMs", 1000},
+                 {"TargetLatencyMs", 400},
+                 {"Priority", 1},
+                 {"Service", groups_[g]->name()},
+                 {"Public", false}});
+        services.push_back({{"Name", groups_[g]->name()},
+                            {"MaxConns", settings_.connections},
+                            {"SyncReplicas", 0}});
+    }
+    json::array tenants;
+    accounts_.clear();
+    for (const auto& [account, key] : keys)
+    {
+        accounts_.insert(account);
+        tenants.push_back({{"Name", account},
+                           {"ApiKeys", json::array{json::string(key)}},
+                           {"Priority", 1},
+                           {"RatePerS", rate},
+                           {"Burst", rate}});
+    }
+    const json::object record{{"Version", version},
+                              {"Routes", std::move(routes)},
+                              {"Services", std::move(services)},
+                              {"Limits", json::object{{"TxIdleMs", 3000}}},
+                              {"Tenants", std::move(tenants)}};
+    const model_change change{"op/config", json::serialize(record), 0};
+    store_.write({}, {change}, current_time());
+}
+
+asio::awaitable<http_response>
+platform_emulator::serve_store(http_request request)
+{
+    if (store_away_)
+    {
+        co_await sleep_for(away_time);
+        co_return respond(503);
+    }
+    const auto now = current_time();
+    store_.advance(now);
+    const auto& path = request.path;
+    if (path.starts_with("/v1/kv-key"))
+    {
+        const auto item = store_.read(query_field(path, "Key"));
+        if (item.revision == 0)
+            co_return respond(404);
+        auto body = to_json(item);
+        body["AsOf"] = store_.revision();
+        co_return respond(200, body);
+    }
+    if (path.starts_with("/v1/kv-range"))
+    {
+        json::array items;
+        for (const auto& item : store_.read_all(query_field(path, "Prefix")))
+            items.push_back(to_json(item));
+        co_return respond(200, {{"items", std::move(items)},
+                                {"HasMore", false},
+                                {"AsOf", store_.revision()}});
+    }
+    if (path.starts_with("/v1/kv-watch"))
+    {
+        auto prefix = query_field(path, "Prefix");
+        const auto after = std::stoull(query_field(path, "after"));
+        const auto wait = milliseconds(std::stoll(query_field(path, "WaitMs")));
+        auto response = co_await serve_watch(std::move(prefix), after, wait);
+        co_return response;
+    }
+    if (path == "/v1/kv-txn")
+        co_return serve_write(request.body);
+    if (path == "/v1/kv-lease")
+    {
+        const auto parsed = parse_json_object(request.body);
+        const auto lifetime =
+            milliseconds(number_field(value_of(parsed), "TtlMs"));
+        co_return respond(200, {{"Lease", store_.create_lease(lifetime, now)},
+                                {"TtlMs", lifetime.count()}});
+    }
+    const auto id = std::stoull("0" + path.substr(path.rfind('/') + 1));
+    const bool done = path.starts_with("/v1/kv-keep/")
+                          ? store_.renew_lease(id, now)
+                          : store_.end_lease(id, now);
+    co_return respond(done ? 200 : 404);
+}
+
+asio::awaitable<http_response>
+platform_emulator::serve_watch(std::string prefix, std::uint64_t after,
+                               milliseconds wait)
+{
+    const auto deadline = current_time() + wait;
+    std::vector<model_event> events;
+    for (;;)
+    {
+        store_.advance(current_time());
+        report_roles();
+        if (store_.events_after(prefix, after, events) != model_outcome::done)
+            co_return respond(410);
+        if (!events.empty() || current_time() >= deadline || store_away_)
+            break;
+        co_await sleep_for(watch_poll);
+    }
+    json::array list;
+    for (const auto& event : events)
+    {
+        if (event.value)
+            list.push_back(to_json({event.key, *event.value, event.revision,
+                                    event.created, event.lease}));
+        else
+            list.push_back({{"Key", event.key},
+                            {"Revision", event.revision},
+                            {"Deleted", true}});
+    }
+    co_return respond(
+        200, {{"events", std::move(list)}, {"AsOf", store_.revision()}});
+}
+
+http_response platform_emulator::serve_write(const std::string& body)
+{
+    const auto parsed = parse_json_object(body);
+    if (!succeeded(parsed))
+        return respond(400);
+    const auto& fields = value_of(parsed);
+    std::vector<std::pair<std::string, std::uint64_t>> expected;
+    for (const auto& row : fields.at("Precondition").as_array())
+        expected.emplace_back(text_field(row.as_object(), "Key"),
+                              number_field(row.as_object(), "Revision"));
+    std::vector<model_change> changes;
+    for (const auto& put : fields.at("Puts").as_array())
+        changes.push_back({text_field(put.as_object(), "Key"),
+                           oleandergrade::platform::decode_base64(
+                               text_field(put.as_object(), "Value")),
+                           number_field(put.as_object(), "Lease")});
+    for (const auto& key : fields.at("Deletes").as_array())
+        changes.push_back({std::string(key.as_string()), std::nullopt, 0});
+    for (const auto& change : changes)
+        if (change.key.starts_with("op/") || change.key.starts_with("servers/"))
+            return respond(403);
+    const auto outcome = store_.write(expected, changes, current_time());
+    if (outcome == model_outcome::condition_failed)
+        return respond(412);
+    if (outcome == model_outcome::no_lease)
+        return respond(404);
+    return respond(200, {{"Revision", store_.revision()}});
+}
+
+asio::awaitable<http_response>
+platform_emulator::serve_promotion(http_request request)
+{
+    const auto parsed = parse_json_object(request.body);
+    const auto& fields = value_of(parsed);
+    for (const auto& group : groups_)
+    {
+        if (group->name() != text_field(fields, "Service"))
+            continue;
+        const bool accepted =
+            group->promote(text_field(fields, "Id"), current_time());
+        co_return respond(accepted ? 200 : 409);
+    }
+    co_return respond(404);
+}
+
+void platform_emulator::crash(const std::string& server)
+{
+    for (const auto& state : servers_)
+    {
+        if (state->id != server)
+            continue;
+        auto* model = state->group.find(server);
+        model->is_running = false;
+        error_code ignored;
+        state->acceptor.close(ignored);
+        for (const auto& session : state->sessions)
+            session->socket.close(ignored);
+        const model_change gone{"servers/" + server, std::nullopt, 0};
+        store_.write({}, {gone}, current_time());
+    }
+}
+
+void platform_emulator::restart(const std::string& server)
+{
+    for (const auto& state : servers_)
+    {
+        if (state->id != server)
+            continue;
+        auto* model = state->group.find(server);
+        model->is_running = true;
+        for (const auto& [id, other] : state->group.servers())
+            if (other.is_primary && other.term > model->term)
+                state->group.demote(*model, other.term);
+        listen_shared(state->acceptor, loopback(state->port));
+        asio::co_spawn(context_, accept_loop(*state), asio::detached);
+        register_server(*state);
+    }
+}
+
+void platform_emulator::set_draining(const std::string& server)
+{
+    for (const auto& state : servers_)
+    {
+        if (state->id != server)
+            continue;
+        state->is_draining = true;
+        register_server(*state);
+    }
+}
+
+asio::awaitable<void> platform_emulator::accept_loop(server_state& server)
+{
+    for (;;)
+    {
+        error_code failure;
+        auto socket = co_await server.acceptor.async_accept(
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            co_return;
+        auto session = std::make_shared<server_session>(std::move(socket));
+        server.sessions.insert(session);
+        ++findings_.connections;
+        asio::co_spawn(context_, serve_session(server, std::move(session)),
+                       asio::detached);
+    }
+}
+
+asio::awaitable<void>
+platform_emulator::serve_session(server_state& server,
+                                 std::shared_ptr<server_session> session)
+{
+    std::string buffer;
+    std::array<char, 4096> chunk{};
+    bool goes_on = true;
+    while (goes_on)
+    {
+        error_code failure;
+        const auto size = co_await session->socket.async_read_some(
+            asio::buffer(chunk),
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            break;
+        buffer.append(chunk.data(), size);
+        for (auto end = buffer.find(session_line_end); end != std::string::npos;
+             end = buffer.find(session_line_end))
+        {
+            auto line = buffer.substr(0, end);
+            buffer.erase(0, end + session_line_end.size());
+            auto reply = co_await answer(server, *session, std::move(line));
+            co_await asio::async_write(
+                session->socket, asio::buffer(reply),
+                asio::redirect_error(asio::use_awaitable, failure));
+            goes_on = !failure && !session->account.empty();
+        }
+    }
+    server.sessions.erase(session);
+}
+
+asio::awaitable<std::string> platform_emulator::answer(server_state& server,
+                                                       server_session& session,
+                                                       std::string line)
+{
+    std::istringstream words(line);
+    std::string kind;
+    words >> kind;
+    if (kind == "CONNECT")
+    {
+        std::string group;
+        std::string account;
+        std::string id;
+        words >> group >> account >> id;
+        if (group != server.group.name() || (!id.empty() && id != server.id))
+            co_return "ERROR WRONGNODE " + server.id + "\r\n";
+        if (server.sessions.size() > settings_.connections)
+        {
+            ++findings_.refused_connections;
+            co_return "ERROR CONNLIMIT " + server.id + "\r\n";
+        }
+        if (account != "-" && !accounts_.contains(account))
+            ++findings_.foreign_accounts;
+        session.account = account;
+        co_return readiness(server, session);
+    }
+    std::string id;
+    words >> id;
+    std::string text;
+    std::getline(words, text);
+    auto reply = co_await run_statement(server, session,
+                                        text.substr(text.empty() ? 0 : 1));
+    co_return reply + readiness(server, session);
+}
+
+std::string platform_emulator::readiness(server_state& server,
+                                         server_session& session)
+{
+    const auto* model = server.group.find(server.id);
+    const auto position = server.group.applied(*model, current_time());
+    constexpr std::array<const char*, 3> states{"I", "T", "E"};
+    return std::string("READY ") +
+           states[static_cast<std::size_t>(session.state)] + " " +
+           std::to_string(position.term) + "." +
+           std::to_string(position.position) + "\r\n";
+}
+
+asio::awaitable<std::string>
+platform_emulator::run_statement(server_state& server, server_session& session,
+                                 std::string text)
+{
+    server.group.advance(current_time());
+    std::istringstream words(text);
+    std::string verb;
+    words >> verb;
+    auto* model = server.group.find(server.id);
+    if (verb == "AFTER")
+    {
+        std::string position;
+        words >> position >> verb;
+        log_position wanted;
+        char dot = 0;
+        std::istringstream(position) >> wanted.term >> dot >> wanted.position;
+        if (server.group.applied(*model, current_time()) < wanted)
+            co_return "ERROR LAGGING " + server.id + "\r\n";
+    }
+    const std::string done = "COMPLETE -\r\n";
+    if (verb == "RESET")
+    {
+        session.values.clear();
+        session.prepared.clear();
+        co_return done;
+    }
+    if (verb == "STATUS" || verb == "PAUSE" || verb == "DEMOTE")
+    {
+        std::uint64_t term = 0;
+        words >> term;
+        if (verb == "DEMOTE")
+            server.group.demote(*model, term);
+        const auto end =
+            model->log.empty() ? 0 : model->log.back().position.position;
+        co_return std::string("ROW ") +
+            (model->is_primary ? "primary " : "replica ") +
+            std::to_string(model->term) + " " + std::to_string(model->term) +
+            "." + std::to_string(end) + " 0 0 " + std::to_string(server.busy) +
+            " " + std::to_string(server.sessions.size()) + "\r\n" + done;
+    }
+    if (verb == "SET")
+    {
+        std::string name;
+        std::string value;
+        words >> name >> value;
+        session.values[name] = value;
+        co_return done;
+    }
+    if (verb == "PREPARE")
+    {
+        std::string name;
+        std::string kind;
+        words >> name >> kind;
+        session.prepared[name] = kind == "WRITE";
+        co_return done;
+    }
+    if (verb == "BEGIN")
+    {
+        std::string kind;
+        words >> kind;
+        session.read_only = kind == "READ";
+        if (!session.read_only && !model->is_primary)
+            co_return "ERROR READONLY " + server.id + "\r\n";
+        session.state = transaction_state::open;
+        session.writes.clear();
+        co_return done;
+    }
+    if (verb == "ROLLBACK")
+    {
+        session.state = transaction_state::none;
+        session.writes.clear();
+        co_return done;
+    }
+    if (server.busy >= settings_.slots && server.waiting >= longest_queue)
+        co_return "ERROR BUSY " + server.id + "\r\n";
+    ++server.waiting;
+    while (server.busy >= settings_.slots)
+        co_await sleep_for(milliseconds(1));
+    --server.waiting;
+    ++server.busy;
+    co_await sleep_for(settings_.work);
+    --server.busy;
+    ++findings_.statements;
+    bool writes = verb == "WRITE";
+    if (verb == "EXECUTE")
+    {
+        std::string name;
+        words >> name;
+        if (!session.prepared.contains(name))
+            co_return "ERROR NOSUCHSTMT " + server.id + "\r\n";
+        writes = session.prepared[name];
+    }
+    const std::string proof = "COMPLETE " + server.id + "\r\n";
+    const auto now = current_time();
+    if (verb == "COMMIT")
+    {
+        session.state = transaction_state::none;
+        const auto pending = std::exchange(session.writes, {});
+        if (!pending.empty() && !server.group.commit(*model, pending, now))
+            co_return "ERROR READONLY " + server.id + "\r\n";
+        co_return proof;
+    }
+    std::string item;
+    std::string data;
+    words >> item >> data;
+    if (!writes)
+        co_return "ROW " + server.group.read(*model, item, now) + "\r\n" +
+            proof;
+    if (session.state == transaction_state::open)
+        session.writes.emplace_back(item, data);
+    else if (!server.group.commit(*model, {{item, data}}, now))
+        co_return "ERROR READONLY " + server.id + "\r\n";
+    co_return proof;
+}
+
+} // namespace standins
--- /dev/null
+++ b/tests/test_fleet.cpp
@@ -0,0 +1,439 @@
+/// A fleet of daemons in one process before the emulated platform, on
+/// loopback: sessions, transactions, failover, limits, an outage of the store.
+/// Scenarios are functions of their own: GCC 12 cannot build coroutines inside
+/// Criterion's test functions.
+#include "../platform/platform_parts.hpp"
+#include "platform_emulator.hpp"
+
+#include <oleandergrade/connection/async_event.hpp>
+#include <oleandergrade/process/vm_daemon.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <criterion/criterion.h>
+
+#include <array>
+#include <set>
+#include <sstream>
+
+using namespace oleandergrade;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+/// Each test has ports of its own, since Criterion runs several at a time.
+constexpr unsigned short ports_per_test = 60;
+constexpr unsigned short first_port = 21000;
+constexpr unsigned vms = 3;
+
+std::string address_of(unsigned short port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+/// A caller's connection, one exchange at a time.
+class test_caller
+{
+public:
+    test_caller(asio::io_context& context, unsigned short port)
+        : socket_(context), port_(port)
+    {
+    }
+
+    asio::awaitable<std::string> open(std::string database, std::string key)
+    {
+        boost::system::error_code failure;
+        co_await socket_.async_connect(
+            {asio::ip::address_v4::loopback(), port_},
+            asio::redirect_error(asio::use_awaitable, failure));
+        auto line = "CONNECT " + database + " " + key + "\r\n";
+        auto reply = co_await exchange(std::move(line));
+        co_return reply;
+    }
+
+    asio::awaitable<std::string> query(std::string text)
+    {
+        auto line = "QUERY " + std::to_string(++id_) + " " + text + "\r\n";
+        auto reply = co_await exchange(std::move(line));
+        co_return reply;
+    }
+
+    void close() { socket_.close(); }
+
+private:
+    // The answer ends with READY, or with the connection.
+    asio::awaitable<std::string> exchange(std::string bytes)
+    {
+        boost::system::error_code failure;
+        co_await asio::async_write(
+            socket_, asio::buffer(bytes),
+            asio::redirect_error(asio::use_awaitable, failure));
+        std::string reply;
+        std::array<char, 4096> chunk{};
+        while (!failure && !is_whole(reply))
+        {
+            const auto size = co_await socket_.async_read_some(
+                asio::buffer(chunk),
+                asio::redirect_error(asio::use_awaitable, failure));
+            reply.append(chunk.data(), size);
+        }
+        co_return reply;
+    }
+
+    static bool is_whole(const std::string& reply)
+    {
+        const auto ready = reply.rfind("READY ");
+        return ready != std::string::npos &&
+               reply.find("\r\n", ready) != std::string::npos;
+    }
+
+    tcp::socket socket_;
+    unsigned short port_;
+    unsigned id_ = 0;
+};
+
+/// The emulator and its fleet, run until the test's coroutine ends.
+class test_fleet
+{
+public:
+    explicit test_fleet(unsigned test)
+        : base_(static_cast<unsigned short>(first_port + test * ports_per_test))
+    {
+        standins::emulator_settings settings;
+        settings.store_port = base_;
+        settings.promotion_port = static_cast<unsigned short>(base_ + 1);
+        settings.first_server_port = static_cast<unsigned short>(base_ + 2);
+        emulator =
+            std::make_unique<standins::platform_emulator>(context, settings);
+        emulator->put_configuration(1, {{"shore", "key-1"}, {"reef", "key-2"}},
+                                    200);
+        for (unsigned i = 0; i < vms; ++i)
+            start_vm(i);
+    }
+
+    unsigned short session_port(unsigned vm) const
+    {
+        return static_cast<unsigned short>(base_ + 20 + vm * 4);
+    }
+
+    test_caller caller(unsigned vm) { return {context, session_port(vm)}; }
+
+    /// Runs a scenario; fails if it takes longer than 20 s.
+    template <typename Scenario> void run(Scenario scenario)
+    {
+        bool ended = false;
+        asio::co_spawn(context, scenario(*this),
+                       [&](std::exception_ptr failure)
+                       {
+                           ended = failure == nullptr;
+                           context.stop();
+                       });
+        for (auto& daemon : daemons)
+            daemon->start();
+        context.run_for(seconds(20));
+        cr_assert(ended, "the scenario did not end");
+    }
+
+    /// Waits until every VM serves.
+    asio::awaitable<void> wait_until_ready()
+    {
+        for (int i = 0; i < 400; ++i)
+        {
+            bool all = true;
+            for (const auto& daemon : daemons)
+                all = all && daemon->is_ready();
+            if (all &&
+                emulator->store().read_all("oleander/primary/").size() == 2)
+                break;
+            co_await sleep_for(milliseconds(20));
+        }
+        co_await sleep_for(milliseconds(300));
+    }
+
+    asio::io_context context{1};
+    std::unique_ptr<standins::platform_emulator> emulator;
+    std::vector<std::unique_ptr<platform_parts>> parts;
+    std::vector<std::unique_ptr<vm_daemon>> daemons;
+
+private:
+    void start_vm(unsigned index)
+    {
+        vm_settings settings;
+        settings.name = "vm-" + std::to_string(index);
+        settings.failure_domain = "a";
+        settings.session_address = address_of(session_port(index));
+        settings.readiness_address =
+            address_of(static_cast<unsigned short>(session_port(index) + 1));
+        settings.peer_address =
+            address_of(static_cast<unsigned short>(session_port(index) + 2));
+        settings.metrics_address =
+            address_of(static_cast<unsigned short>(session_port(index) + 3));
+        settings.store_address = address_of(base_);
+        settings.promotion_address =
+            address_of(static_cast<unsigned short>(base_ + 1));
+        settings.limit_overshoot = 0.1;
+        settings.limit_slack = 20;
+        settings.first_start = true;
+        parts.push_back(std::make_unique<platform_parts>(
+            platform::make_platform_parts(context.get_executor(), settings)));
+        daemons.push_back(std::make_unique<vm_daemon>(
+            context, settings, *parts.back(),
+            [settings] { return result<vm_settings>(settings); }));
+    }
+
+    unsigned short base_;
+};
+
+bool has(const std::string& reply, const char* part)
+{
+    return reply.find(part) != std::string::npos;
+}
+
+} // namespace
+
+static asio::awaitable<void>
+scenario_sessions_are_served_and_read_their_own_writes(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    auto caller = fleet.caller(0);
+    auto reply = co_await caller.open("own-0", "key-1");
+    cr_assert(reply == "READY I -\r\n", "%s", reply.c_str());
+    for (int i = 0; i < 20; ++i)
+    {
+        const auto data = "data" + std::to_string(i);
+        reply = co_await caller.query("WRITE item " + data);
+        cr_assert(has(reply, "COMPLETE i-0-"), "%s", reply.c_str());
+        reply = co_await caller.query("READ item");
+        cr_assert(has(reply, ("ROW " + data + "\r\n").c_str()), "%s",
+                  reply.c_str());
+    }
+    reply = co_await caller.query("SET zone galle");
+    cr_assert(reply == "COMPLETE -\r\nREADY I -\r\n");
+    reply = co_await caller.query("PREPARE s1 WRITE q2c");
+    reply = co_await caller.query("EXECUTE s1 item other");
+    cr_assert(has(reply, "COMPLETE i-0-"), "%s", reply.c_str());
+    reply = co_await caller.query("EXECUTE s2 item other");
+    cr_assert(has(reply, "ERROR NOSUCHSTMT"), "%s", reply.c_str());
+    reply = co_await caller.query("DEALLOC s1");
+    cr_assert(reply == "COMPLETE -\r\nREADY I -\r\n");
+    cr_assert(fleet.emulator->findings().foreign_accounts == 0);
+}
+
+Test(fleet, sessions_are_served_and_read_their_own_writes)
+{
+    test_fleet fleet(0);
+    fleet.run(scenario_sessions_are_served_and_read_their_own_writes);
+}
+
+static asio::awaitable<void>
+scenario_transactions_commit_roll_back_and_fail(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    auto caller = fleet.caller(1);
+    co_await caller.open("strict-1", "key-2");
+    auto reply = co_await caller.query("BEGIN");
+    cr_assert(reply == "COMPLETE -\r\nREADY T -\r\n");
+    reply = co_await caller.query("WRITE item first");
+    cr_assert(has(reply, "READY T"), "%s", reply.c_str());
+    reply = co_await caller.query("COMMIT");
+    cr_assert(has(reply, "COMPLETE i-1-"), "%s", reply.c_str());
+    cr_assert(has(reply, "READY I"));
+    co_await caller.query("BEGIN");
+    co_await caller.query("WRITE item second");
+    reply = co_await caller.query("ROLLBACK");
+    cr_assert(reply == "COMPLETE -\r\nREADY I -\r\n");
+    reply = co_await caller.query("READ item");
+    cr_assert(has(reply, "ROW first\r\n"), "%s", reply.c_str());
+    // A session at a target that is lost takes its transaction along.
+    co_await caller.query("BEGIN");
+    co_await caller.query("WRITE item third");
+    fleet.emulator->crash(fleet.emulator->server_id(1, 0));
+    reply = co_await caller.query("WRITE item fourth");
+    cr_assert(has(reply, "ERROR ABORTED"), "%s", reply.c_str());
+    cr_assert(has(reply, "READY E"));
+    reply = co_await caller.query("READ item");
+    cr_assert(has(reply, "ERROR MALFORMED"), "%s", reply.c_str());
+    reply = co_await caller.query("ROLLBACK");
+    cr_assert(has(reply, "READY I"), "%s", reply.c_str());
+}
+
+Test(fleet, transactions_commit_roll_back_and_fail)
+{
+    test_fleet fleet(1);
+    fleet.run(scenario_transactions_commit_roll_back_and_fail);
+}
+
+static asio::awaitable<void>
+scenario_sessions_without_a_key_or_route_are_refused(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    for (const auto& [database, key, code] :
+         std::vector<std::array<std::string, 3>>{
+             {"own-0", "wrong", "ERROR NOAUTH"},
+             {"own-9", "key-1", "ERROR NODB"}})
+    {
+        auto caller = fleet.caller(0);
+        const auto reply = co_await caller.open(database, key);
+        cr_assert(has(reply, code.c_str()), "%s", reply.c_str());
+        cr_assert(!has(reply, "READY"));
+    }
+    // A key that is withdrawn stops working within an open session.
+    auto caller = fleet.caller(0);
+    co_await caller.open("own-0", "key-2");
+    fleet.emulator->put_configuration(2, {{"shore", "key-1"}}, 200);
+    co_await sleep_for(milliseconds(300));
+    const auto reply = co_await caller.query("READ item");
+    cr_assert(has(reply, "ERROR NOAUTH"), "%s", reply.c_str());
+}
+
+Test(fleet, sessions_without_a_key_or_route_are_refused)
+{
+    test_fleet fleet(2);
+    fleet.run(scenario_sessions_without_a_key_or_route_are_refused);
+}
+
+static asio::awaitable<void>
+scenario_a_crashed_primary_is_replaced_and_no_write_is_doubled(
+    test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    auto caller = fleet.caller(2);
+    co_await caller.open("own-0", "key-1");
+    std::set<std::string> acknowledged;
+    time_point crashed_at;
+    time_point served_at;
+    for (int i = 0; i < 120; ++i)
+    {
+        if (i == 40)
+        {
+            fleet.emulator->crash(fleet.emulator->server_id(0, 0));
+            crashed_at = current_time();
+        }
+        const auto data = "data" + std::to_string(i);
+        const auto reply = co_await caller.query("WRITE item " + data);
+        if (!has(reply, "COMPLETE"))
+        {
+            co_await sleep_for(milliseconds(20));
+            continue;
+        }
+        acknowledged.insert(data);
+        if (i >= 40 && served_at == time_point())
+            served_at = current_time();
+        const auto read = co_await caller.query("READ item");
+        cr_assert(has(read, ("ROW " + data + "\r\n").c_str()) ||
+                      !has(read, "ROW"),
+                  "%s", read.c_str());
+    }
+    auto& group = fleet.emulator->group(0);
+    cr_assert(group.promotions() == 1);
+    cr_assert(served_at - crashed_at < seconds(3));
+    for (const auto& [id, server] : group.servers())
+    {
+        if (!server.is_primary || !server.is_running)
+            continue;
+        std::set<std::string> seen;
+        for (const auto& commit : server.log)
+            cr_assert(seen.insert(commit.data).second, "%s twice",
+                      commit.data.c_str());
+        for (const auto& data : acknowledged)
+            cr_assert(seen.contains(data), "%s is lost", data.c_str());
+    }
+}
+
+Test(fleet, a_crashed_primary_is_replaced_and_no_write_is_doubled)
+{
+    test_fleet fleet(3);
+    fleet.run(scenario_a_crashed_primary_is_replaced_and_no_write_is_doubled);
+}
+
+static asio::awaitable<void>
+scenario_a_draining_primary_hands_over_without_a_loss(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    auto caller = fleet.caller(0);
+    co_await caller.open("strict-0", "key-1");
+    unsigned failed = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        if (i == 20)
+            fleet.emulator->set_draining(fleet.emulator->server_id(0, 0));
+        const auto reply =
+            co_await caller.query("WRITE item data" + std::to_string(i));
+        failed += has(reply, "COMPLETE") ? 0 : 1;
+        co_await sleep_for(milliseconds(10));
+    }
+    cr_assert(failed == 0, "%u", failed);
+    cr_assert(fleet.emulator->group(0).promotions() == 1);
+}
+
+Test(fleet, a_draining_primary_hands_over_without_a_loss)
+{
+    test_fleet fleet(4);
+    fleet.run(scenario_a_draining_primary_hands_over_without_a_loss);
+}
+
+static asio::awaitable<void>
+scenario_the_store_may_be_away_for_some_seconds(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    auto caller = fleet.caller(0);
+    co_await caller.open("strict-0", "key-1");
+    fleet.emulator->set_store_away(true);
+    unsigned failed = 0;
+    for (int i = 0; i < 150; ++i)
+    {
+        const auto reply =
+            co_await caller.query("WRITE item data" + std::to_string(i));
+        failed += has(reply, "COMPLETE") ? 0 : 1;
+        co_await sleep_for(milliseconds(20));
+    }
+    fleet.emulator->set_store_away(false);
+    cr_assert(failed == 0, "%u", failed);
+}
+
+Test(fleet, the_store_may_be_away_for_some_seconds)
+{
+    test_fleet fleet(5);
+    fleet.run(scenario_the_store_may_be_away_for_some_seconds);
+}
+
+static asio::awaitable<void>
+scenario_an_account_beyond_its_rate_is_refused_with_the_time_to_come_back(
+    test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    fleet.emulator->put_configuration(
+        2, {{"shore", "key-1"}, {"reef", "key-2"}}, 10);
+    co_await sleep_for(milliseconds(600));
+    auto hot = fleet.caller(0);
+    auto calm = fleet.caller(1);
+    co_await hot.open("aged-0", "key-1");
+    co_await calm.open("aged-0", "key-2");
+    unsigned refused = 0;
+    const auto started = current_time();
+    while (current_time() - started < seconds(2))
+    {
+        const auto reply = co_await hot.query("READ item");
+        if (has(reply, "COMPLETE"))
+            continue;
+        cr_assert(has(reply, "ERROR BUSY"), "%s", reply.c_str());
+        cr_assert(has(reply, "retry after"), "%s", reply.c_str());
+        ++refused;
+    }
+    cr_assert(refused > 20, "%u", refused);
+    const auto reply = co_await calm.query("READ item");
+    cr_assert(has(reply, "COMPLETE"), "%s", reply.c_str());
+}
+
+Test(fleet, an_account_beyond_its_rate_is_refused_with_the_time_to_come_back)
+{
+    test_fleet fleet(6);
+    fleet.run(
+        scenario_an_account_beyond_its_rate_is_refused_with_the_time_to_come_back);
+}
--- /dev/null
+++ b/tests/test_platform_codec.cpp
@@ -0,0 +1,260 @@
+/// The platform's encodings: session lines, configuration, server records,
+/// settings, base64.
+#include "../platform/base64.hpp"
+#include "../platform/configuration_decoder.hpp"
+#include "../platform/line_codec.hpp"
+#include "../platform/server_record_decoder.hpp"
+#include "../platform/settings_file.hpp"
+
+#include <criterion/criterion.h>
+
+#include <random>
+
+using namespace oleandergrade;
+
+namespace
+{
+
+const platform::line_codec codec;
+
+session_statement statement_of(const std::string& line)
+{
+    const auto parsed = codec.parse_caller_message(line);
+    cr_assert(succeeded(parsed), "%s", line.c_str());
+    const auto* call = std::get_if<session_statement>(&value_of(parsed));
+    cr_assert(call != nullptr, "%s", line.c_str());
+    return *call;
+}
+
+const std::string settings_text = R"(
+NodeName = "edge-a-1"
+Role = "entry"
+Ip = "127.0.0.1"
+Zone = "a"
+InternalPorts = [7560, 7575]
+Seeds = ["127.0.0.1:8462"]
+Bootstrap = true
+NewField = [1, 2]
+[Listen]
+Front = "127.0.0.1:8465"
+Ready = "127.0.0.1:8460"
+Control = "127.0.0.1:8462"
+[Bounds]
+ConfigApplyMs = 3000
+DrainMs = 7000
+GraceS = 6
+QuotaWindowS = 5
+QuotaOvershoot = 0.1
+QuotaSlack = 20
+[platform]
+Address = "127.0.0.1:8466"
+TtlMinMs = 1000
+[CloudApi]
+Address = "127.0.0.1:8467"
+)";
+
+} // namespace
+
+Test(platform_codec, reads_statements_of_callers)
+{
+    cr_assert(statement_of("QUERY 7 BEGIN").verb == session_verb::begin);
+    cr_assert(statement_of("QUERY 7 BEGIN READ").verb ==
+              session_verb::begin_read_only);
+    const auto write = statement_of("QUERY 7f WRITE 1a4 some data with blanks");
+    cr_assert(write.verb == session_verb::write);
+    cr_assert(write.id == "7f");
+    cr_assert(write.subject == "1a4");
+    cr_assert(write.data == "some data with blanks");
+    cr_assert(write.text == "WRITE 1a4 some data with blanks");
+    const auto prepared = statement_of("QUERY 7 PREPARE s1 WRITE q2c");
+    cr_assert(prepared.verb == session_verb::prepare);
+    cr_assert(prepared.name == "s1" && prepared.prepares_write);
+    cr_assert(prepared.subject == "q2c");
+    const auto executed = statement_of("QUERY 7 EXECUTE s1 1a4 data");
+    cr_assert(executed.name == "s1" && executed.subject == "1a4");
+    cr_assert(executed.data == "data");
+    const auto set = statement_of("QUERY 7 SET zone negombo");
+    cr_assert(set.name == "zone" && set.data == "negombo");
+}
+
+Test(platform_codec, statements_that_lack_words_are_unknown)
+{
+    for (const auto* line :
+         {"QUERY 7 READ", "QUERY 7 WRITE 1a4", "QUERY 7 SET zone",
+          "QUERY 7 PREPARE s1 q2c", "QUERY 7 PREPARE s1 DELETE q2c",
+          "QUERY 7 COMMIT now", "QUERY 7 BEGIN WRITE", "QUERY 7 DROP it",
+          "QUERY 7 ", "QUERY 7 read 1a4"})
+        cr_assert(statement_of(line).verb == session_verb::unknown, "%s", line);
+    cr_assert(!succeeded(codec.parse_caller_message("")));
+    cr_assert(!succeeded(codec.parse_caller_message("QUERY")));
+    cr_assert(!succeeded(codec.parse_caller_message("GET / HTTP/1.1")));
+}
+
+Test(platform_codec, reads_the_opening_of_a_session)
+{
+    const auto with_key = codec.parse_caller_message("CONNECT lepu270 u3f1");
+    const session_opening expected{"lepu270", "u3f1"};
+    cr_assert(std::get<session_opening>(value_of(with_key)) == expected);
+    const auto open = codec.parse_caller_message("CONNECT lepu270");
+    cr_assert(std::get<session_opening>(value_of(open)).key.empty());
+    cr_assert(!succeeded(codec.parse_caller_message("CONNECT")));
+}
+
+Test(platform_codec, reads_answers_of_targets)
+{
+    const auto ready = codec.parse_target_message("READY T 3.1209");
+    const auto& state = std::get<target_readiness>(value_of(ready));
+    cr_assert(state.state == transaction_state::open);
+    cr_assert(*state.position == (log_position{3, 1209}));
+    const auto none = codec.parse_target_message("READY I -");
+    cr_assert(!std::get<target_readiness>(value_of(none)).position);
+    const auto failure =
+        codec.parse_target_message("ERROR READONLY i-7f3a91c2");
+    cr_assert(std::get<target_failure>(value_of(failure)).code ==
+              session_error::read_only);
+    const auto strange = codec.parse_target_message("ERROR NEWCODE x");
+    cr_assert(std::get<target_failure>(value_of(strange)).code ==
+              session_error::other);
+    cr_assert(!succeeded(codec.parse_target_message("READY X -")));
+    cr_assert(!succeeded(codec.parse_target_message("HELLO")));
+}
+
+Test(platform_codec, reads_the_report_of_a_target)
+{
+    const auto report =
+        codec.parse_target_report("ROW replica 3 3.1209 0 12 2 17");
+    cr_assert(succeeded(report));
+    cr_assert(value_of(report) == (target_report{false, 3, {3, 1209}, 2, 17}));
+    cr_assert(
+        !succeeded(codec.parse_target_report("ROW replica 3 - 0 12 2 1")));
+    cr_assert(!succeeded(codec.parse_target_report("ROW replica")));
+}
+
+Test(platform_codec, writes_what_targets_and_callers_read)
+{
+    std::string out;
+    codec.append_opening(out, "huvo11a", "tenant", "i-7f3a91c2");
+    codec.append_statement(out, "5c0e", "READ 1a4", log_position{3, 1207});
+    codec.append_completion(out, "7.1f3.c");
+    codec.append_own_completion(out);
+    codec.append_failure(out, session_error::busy, "come back");
+    codec.append_readiness(out, transaction_state::failed);
+    cr_assert(out == "CONNECT huvo11a tenant i-7f3a91c2\r\n"
+                     "QUERY 5c0e AFTER 3.1207 READ 1a4\r\n"
+                     "COMPLETE 7.1f3.c\r\n"
+                     "COMPLETE -\r\n"
+                     "ERROR BUSY come back\r\n"
+                     "READY E -\r\n");
+}
+
+Test(platform_codec, random_lines_are_read_or_refused)
+{
+    std::mt19937 random(7);
+    const std::string letters = "QUERYCONETBDAW 123.-\\\t";
+    for (int round = 0; round < 20000; ++round)
+    {
+        std::string line(random() % 40, ' ');
+        for (auto& c : line)
+            c = letters[random() % letters.size()];
+        if (round % 2 == 0)
+            line = "QUERY 1 " + line;
+        (void)codec.parse_caller_message(line);
+        (void)codec.parse_target_message(line);
+        (void)codec.parse_target_report(line);
+    }
+}
+
+Test(platform_codec, decodes_a_configuration)
+{
+    const std::string record =
+        R"({"Version":7,"Routes":[{"Name":"r","Database":"db1",)"
+        R"("RouteType":"bounded_staleness","TimeoutMs":2000,)"
+        R"("TargetLatencyMs":600,"Priority":2,"Service":"g1",)"
+        R"("MaxStalenessMs":1500,"Public":false},)"
+        R"({"Database":"db2","RouteType":"something new","Service":"g2",)"
+        R"("TimeoutMs":1000,"Public":true}],)"
+        R"("Services":[{"Name":"g1","MaxConns":39,"SyncReplicas":1}],)"
+        R"("Limits":{"TxIdleMs":3000},"Tenants":[{"Name":"acc",)"
+        R"("ApiKeys":["k1","k2"],"Priority":1,"RatePerS":121,"Burst":60.5}]})";
+    const auto decoded = platform::decode_configuration(record);
+    cr_assert(succeeded(decoded));
+    const auto& table = *value_of(decoded);
+    cr_assert(table.version == 7);
+    cr_assert(table.find_route("db1")->consistency ==
+              read_consistency::bounded_age);
+    cr_assert(table.find_route("db1")->max_age == milliseconds(1500));
+    cr_assert(table.find_route("db2")->consistency ==
+              read_consistency::current);
+    cr_assert(table.find_route("db2")->open_to_all);
+    cr_assert(table.find_route("db3") == nullptr);
+    cr_assert(table.find_group("g1")->connections_per_target == 39);
+    cr_assert(table.find_group("g1")->synchronous_replicas == 1);
+    cr_assert(table.find_account_by_key("k2")->name == "acc");
+    cr_assert(table.find_account_by_key("k2")->burst == 60.5);
+    cr_assert(table.find_account_by_key("k3") == nullptr);
+    cr_assert(!succeeded(platform::decode_configuration("{}")));
+    cr_assert(!succeeded(platform::decode_configuration("not JSON")));
+}
+
+Test(platform_codec, server_records_of_other_writers_name_no_server)
+{
+    const std::string good =
+        R"({"Service":"g","Address":"127.0.0.1:80","Zone":"a","Version":"v1",)"
+        R"("Slots":3,"State":"ready","WarmupLeftMs":0,"DbRole":"replica",)"
+        R"("Seq":4,"born":1700000000000})";
+    const auto decoded = platform::decode_server_record("i-1", good);
+    cr_assert(succeeded(decoded));
+    cr_assert(value_of(decoded) == (target_record{"i-1", "g", "127.0.0.1:80",
+                                                  "a", 3, false, false}));
+    const std::vector<std::string> records{
+        "",
+        "[]",
+        "\xff\xfe",
+        R"({"Service":"g"})",
+        R"({"Service":"g","Address":"127.0.0.1:80","Zone":"a","Slots":"3",)"
+        R"("State":"ready","DbRole":"replica"})",
+        R"({"Service":"g","Address":"127.0.0.1:80","Zone":"a","Slots":3,)"
+        R"("State":"resting","DbRole":"replica"})",
+        R"({"Service":"g","Address":"nowhere","Zone":"a","Slots":3,)"
+        R"("State":"ready","DbRole":"replica"})"};
+    for (const auto& bad : records)
+        cr_assert(!succeeded(platform::decode_server_record("i-2", bad)), "%s",
+                  bad.c_str());
+}
+
+Test(platform_codec, reads_settings_and_names_what_is_wrong)
+{
+    const auto parsed =
+        platform::parse_settings_file("settings.toml", settings_text);
+    cr_assert(succeeded(parsed));
+    const auto& settings = value_of(parsed);
+    cr_assert(settings.name == "edge-a-1");
+    cr_assert(settings.peer_address == "127.0.0.1:8462");
+    cr_assert(settings.metrics_address == "127.0.0.1:7560");
+    cr_assert(settings.stop_time == milliseconds(6000));
+    cr_assert(settings.limit_slack == 20);
+    cr_assert(settings.first_start);
+
+    auto broken = settings_text;
+    broken.replace(broken.find("3000"), 4, "\"x\"");
+    const auto refused = platform::parse_settings_file("settings.toml", broken);
+    cr_assert(!succeeded(refused));
+    const auto& message = error_of(refused).message;
+    cr_assert(message.find("settings.toml:15") != std::string::npos, "%s",
+              message.c_str());
+    cr_assert(message.find("Bounds.ConfigApplyMs") != std::string::npos);
+    cr_assert(!succeeded(platform::parse_settings_file("s", "a = = 1")));
+    cr_assert(!succeeded(platform::parse_settings_file("s", "")));
+}
+
+Test(platform_codec, base64_round_trip)
+{
+    const std::vector<std::string> samples{"", "n", "no", "node-1",
+                                           std::string("\0\xff\x10", 3)};
+    for (const auto& bytes : samples)
+        cr_assert(*platform::decode_base64(platform::encode_base64(bytes)) ==
+                  bytes);
+    cr_assert(platform::encode_base64("node-1") == "bm9kZS0x");
+    cr_assert(!platform::decode_base64("abc"));
+    cr_assert(!platform::decode_base64("a!b?"));
+}
--- /dev/null
+++ b/tests/test_serving_logic.cpp
@@ -0,0 +1,295 @@
+/// Where statements go: registered targets, positions, health, and sessions of
+/// callers.
+#include <oleandergrade/connection/caller_session.hpp>
+#include <oleandergrade/connection/fleet_message.hpp>
+#include <oleandergrade/connection/peer_message.hpp>
+#include <oleandergrade/process/membership/member_list.hpp>
+#include <oleandergrade/process/serving/target_chooser.hpp>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace oleandergrade;
+
+namespace
+{
+
+constexpr time_point start{seconds(1000)};
+
+/// A group with the primary "p" in term 1 and two replicas.
+serving_view view_of_group()
+{
+    serving_view view;
+    for (const std::string id : {"p", "r1", "r2"})
+    {
+        target_record record;
+        record.id = id;
+        record.group = "g";
+        record.address = "127.0.0.1:1";
+        record.slots = 3;
+        view.registry.put(record);
+    }
+    primary_record record;
+    record.group = "g";
+    record.term = 1;
+    record.target = "p";
+    record.is_open = true;
+    record.revision = 10;
+    view.authority.on_record(record);
+    view.authority.on_grant(1, start, seconds(60));
+    return view;
+}
+
+placement_request read_request(read_consistency consistency)
+{
+    placement_request request;
+    request.group = "g";
+    request.account = "a";
+    request.consistency = consistency;
+    request.max_age = milliseconds(1500);
+    return request;
+}
+
+std::vector<std::string> names(const std::vector<placement_candidate>& found)
+{
+    std::vector<std::string> ids;
+    for (const auto& candidate : found)
+        ids.push_back(candidate.target->id);
+    return ids;
+}
+
+session_statement statement_of(session_verb verb, const char* name,
+                               const char* data = "")
+{
+    session_statement call;
+    call.verb = verb;
+    call.name = name;
+    call.subject = data;
+    call.data = data;
+    return call;
+}
+
+} // namespace
+
+Test(serving_logic, strict_reads_and_writes_go_to_the_primary)
+{
+    auto view = view_of_group();
+    view.positions["g"].observe({1, 5}, start);
+    const std::vector<std::string> primary{"p"};
+    cr_assert(
+        names(choose_candidates(view, read_request(read_consistency::current),
+                                start)) == primary);
+    auto write = read_request(read_consistency::own_writes);
+    write.needs_primary = true;
+    cr_assert(names(choose_candidates(view, write, start)) == primary);
+}
+
+Test(serving_logic, replicas_serve_while_positions_are_recent)
+{
+    auto view = view_of_group();
+    const auto request = read_request(read_consistency::bounded_age);
+    cr_assert(choose_candidates(view, request, start).size() == 1);
+    view.positions["g"].observe({1, 5}, start);
+    const auto soon = start + milliseconds(1000);
+    const auto candidates = choose_candidates(view, request, soon);
+    cr_assert(candidates.size() == 3);
+    for (const auto& candidate : candidates)
+        if (!candidate.is_primary)
+            cr_assert(*candidate.minimum == (log_position{1, 5}));
+    // A position from longer ago may lack a commit that must be seen.
+    const auto late = start + milliseconds(1400);
+    cr_assert(choose_candidates(view, request, late).size() == 1);
+}
+
+Test(serving_logic, sessions_read_their_own_writes_at_replicas)
+{
+    auto view = view_of_group();
+    view.positions["g"].observe({1, 5}, start);
+    auto request = read_request(read_consistency::own_writes);
+    request.session_position = log_position{1, 9};
+    for (const auto& candidate : choose_candidates(view, request, start))
+        if (!candidate.is_primary)
+            cr_assert(*candidate.minimum == (log_position{1, 9}));
+    // After a promotion the new term's log stands for all that was kept.
+    view.positions["g"].observe({2, 7}, start + milliseconds(100));
+    for (const auto& candidate :
+         choose_candidates(view, request, start + milliseconds(1400)))
+        if (!candidate.is_primary)
+            cr_assert(*candidate.minimum == (log_position{2, 7}));
+}
+
+Test(serving_logic, nothing_goes_to_a_closed_primary_or_without_a_grant)
+{
+    auto view = view_of_group();
+    auto record = *view.authority.find("g");
+    record.is_open = false;
+    record.revision = 11;
+    view.authority.on_record(record);
+    view.positions["g"].observe({1, 5}, start);
+    const auto bounded = read_request(read_consistency::bounded_age);
+    const std::vector<std::string> replicas{"r1", "r2"};
+    cr_assert(names(choose_candidates(view, bounded, start)) == replicas);
+    const auto strict = read_request(read_consistency::current);
+    cr_assert(choose_candidates(view, strict, start).empty());
+
+    auto without_grant = view_of_group();
+    cr_assert(
+        choose_candidates(without_grant, strict, start + seconds(61)).empty());
+}
+
+Test(serving_logic, draining_lagging_and_failing_targets_are_passed_over)
+{
+    auto view = view_of_group();
+    view.positions["g"].observe({1, 5}, start);
+    auto leaving = *view.registry.find("r1");
+    leaving.is_draining = true;
+    view.registry.put(leaving);
+    view.health.on_lagging("r2", start);
+    const auto request = read_request(read_consistency::bounded_age);
+    const std::vector<std::string> primary{"p"};
+    cr_assert(names(choose_candidates(view, request, start)) == primary);
+    view.on_target("p", false, start);
+    cr_assert(choose_candidates(view, request, start).empty());
+    cr_assert(view.outlook.expected_wait("g", start).count() > 0);
+    view.on_target("p", true, start + milliseconds(10));
+    cr_assert(view.outlook.expected_wait("g", start).count() == 0);
+}
+
+Test(serving_logic, old_failures_are_not_reported)
+{
+    target_health health;
+    cr_assert(health.on_failure("t", start));
+    cr_assert(!health.on_failure("t", start + milliseconds(1)));
+    cr_assert(health.is_avoided("t", start + milliseconds(100)));
+    cr_assert(!health.is_avoided("t", start + milliseconds(200)));
+    cr_assert(health.troubles(start + milliseconds(500)).size() == 1);
+    cr_assert(health.troubles(start + seconds(5)).empty());
+}
+
+Test(serving_logic, lapsed_registrations_are_kept_for_a_moment)
+{
+    auto view = view_of_group();
+    auto& registry = view.registry;
+    registry.remove("r1", start);
+    cr_assert(registry.find("r1") != nullptr);
+    cr_assert(!registry.drop_lapsed(start + seconds(2)));
+    cr_assert(registry.drop_lapsed(start + target_registry::lapse_grace));
+    cr_assert(registry.find("r1") == nullptr);
+    // One that comes back in time stays.
+    registry.remove("r2", start);
+    registry.put(*registry.find("r2"));
+    cr_assert(!registry.drop_lapsed(start + seconds(10)));
+}
+
+Test(serving_logic, an_answer_that_arrives_late_tells_nothing_new)
+{
+    position_tracker tracker;
+    tracker.observe({1, 9}, start + milliseconds(100));
+    tracker.observe({1, 4}, start);
+    tracker.observe({1, 4}, start + milliseconds(200));
+    cr_assert(*tracker.newest() == (log_position{1, 9}));
+    cr_assert(!tracker.minimum_for(milliseconds(1500), start + seconds(30)));
+}
+
+Test(serving_logic, sessions_keep_their_values_and_names)
+{
+    caller_session session;
+    cr_assert(session.apply(statement_of(session_verb::set_value, "zone",
+                                         "galle")) == session_error::none);
+    cr_assert(session.values().at("zone") == "galle");
+    cr_assert(session.apply(statement_of(session_verb::prepare, "s1", "q2")) ==
+              session_error::none);
+    cr_assert(session.find_prepared("s1")->shape == "q2");
+    cr_assert(session.apply(statement_of(session_verb::deallocate, "s1")) ==
+              session_error::none);
+    cr_assert(session.find_prepared("s1") == nullptr);
+    cr_assert(session.apply(statement_of(session_verb::deallocate, "s1")) ==
+              session_error::unknown_prepared);
+    session.begin(false);
+    session.fail();
+    cr_assert(session.apply(statement_of(session_verb::set_value, "a", "b")) ==
+              session_error::malformed);
+    session.end();
+    session.fail();
+    cr_assert(session.state() == transaction_state::none);
+}
+
+Test(serving_logic, a_session_holds_a_bounded_number_of_names)
+{
+    caller_session session;
+    for (std::size_t i = 0; i < caller_session::most_names; ++i)
+        cr_assert(session.apply(statement_of(session_verb::set_value,
+                                             std::to_string(i).c_str(), "v")) ==
+                  session_error::none);
+    cr_assert(session.apply(statement_of(session_verb::set_value, "more",
+                                         "v")) == session_error::malformed);
+    cr_assert(session.apply(statement_of(session_verb::set_value, "0", "w")) ==
+              session_error::none);
+}
+
+Test(serving_logic, only_some_errors_promise_that_nothing_is_kept)
+{
+    for (const auto code :
+         {session_error::busy, session_error::aborted, session_error::lagging,
+          session_error::read_only, session_error::wrong_target,
+          session_error::connection_limit})
+        cr_assert(promises_nothing_kept(code));
+    for (const auto code : {session_error::failed, session_error::in_doubt,
+                            session_error::timeout})
+        cr_assert(!promises_nothing_kept(code));
+}
+
+Test(serving_logic, fleet_messages_survive_their_encoding)
+{
+    fleet_report report;
+    report.vm = "vm";
+    report.incarnation = 7;
+    report.is_registered = true;
+    report.troubles = {{"t", milliseconds(5)}};
+    report.demands = {{"a", 1.5, 2.5}};
+    fleet_grant grant;
+    grant.accepted = true;
+    grant.token = 9;
+    grant.validity = milliseconds(1750);
+    grant.holder = "127.0.0.1:1";
+    primary_state state;
+    state.record.group = "g";
+    state.record.term = 3;
+    state.record.target = "p";
+    state.record.is_planned = true;
+    state.record.revision = 12;
+    state.has_position = true;
+    state.position = 44;
+    state.position_age = milliseconds(20);
+    grant.primaries = {state};
+    grant.shares = {{"a", 3, 4}};
+    fleet_snapshot snapshot;
+    snapshot.configuration_version = 3;
+    snapshot.configuration = std::string("{\0}", 3);
+    snapshot.targets = {{"servers/i", "{}"}};
+    snapshot.members = {{"vm", "{}"}};
+    const primary_notice notice{9, "127.0.0.1:1", {state}};
+    const notice_receipt receipt{"vm", 7, 9, true};
+    for (const peer_body& body : std::vector<peer_body>{
+             report, grant, notice, receipt, snapshot_request{4}, snapshot})
+    {
+        const peer_message message{5, body};
+        const auto decoded = decode_peer_message(encode_peer_message(message));
+        cr_assert(succeeded(decoded));
+        cr_assert(value_of(decoded) == message);
+    }
+}
+
+Test(serving_logic, members_are_ranked_by_name)
+{
+    member_list members;
+    members.put({"b", "127.0.0.1:2", 1});
+    members.put({"a", "127.0.0.1:1", 1});
+    cr_assert(members.rank_of("b") == 1);
+    cr_assert(members.rank_of("nobody") == 2);
+    const fleet_member member{"a", "127.0.0.1:1", 18446744073709551615ULL};
+    const auto parsed = parse_fleet_member(serialize_fleet_member(member));
+    cr_assert(succeeded(parsed) && value_of(parsed) == member);
+    cr_assert(!succeeded(parse_fleet_member("{}")));
+}
