Lend from the reserve right after a change of holder

Cause: accounts without shares got nothing for up to 2.8 s after each change of holder, while shares of the holder before ran out; the reserve is apart from them and can be lent at once.

--- a/include/oleandergrade/process/limits/account_budget.hpp
+++ b/include/oleandergrade/process/limits/account_budget.hpp
@@ -21,7 +21,7 @@
 
 /// Part of the tolerance that gathers as burst; the rest is kept for shares
 /// that are moved from one VM to another.
-inline constexpr double tolerance_part = 0.5;
+inline constexpr double tolerance_part = 0.4;
 /// Parts of rate and burst that the VMs hold as shares. The rest is the
 /// reserve of the duty's holder, from which they borrow operation by operation.
 inline constexpr double shared_rate_part = 0.6;
--- a/include/oleandergrade/process/limits/operation_limiter.hpp
+++ b/include/oleandergrade/process/limits/operation_limiter.hpp
@@ -34,6 +34,10 @@
 public:
     /// How long a share holds. Longer than it takes to replace a holder.
     static constexpr milliseconds share_validity{2500};
+    /// A VM whose last share is older takes its equal part of accounts that it
+    /// holds no share of. The holder keeps that part for VMs that do not
+    /// report a little earlier.
+    static constexpr milliseconds touch_validity{900};
     /// Time over which demand is averaged.
     static constexpr milliseconds demand_time{1000};
 
--- a/src/process/limits/operation_limiter.cpp
+++ b/src/process/limits/operation_limiter.cpp
@@ -50,9 +50,10 @@
             continue;
         state.filled_at = now;
         state.recent_at = now;
-        state.tokens = starts_full_
-                           ? burst_of(state, now)
-                           : restart_burst(account, tolerance_) / members_;
+        const auto gathered = starts_full_
+                                  ? state.budget.shared_burst()
+                                  : restart_burst(account, tolerance_);
+        state.tokens = gathered / members_;
     }
     starts_full_ = starts_full_ && buckets_.empty();
 }
@@ -60,7 +61,7 @@
 void operation_limiter::use_shares(const std::vector<account_share>& shares,
                                    time_point asked_at, time_point now)
 {
-    in_touch_until_ = std::max(in_touch_until_, asked_at + share_validity);
+    in_touch_until_ = std::max(in_touch_until_, asked_at + touch_validity);
     for (const auto& share : shares)
     {
         const auto found = buckets_.find(share.account);
--- a/src/process/limits/share_ledger.cpp
+++ b/src/process/limits/share_ledger.cpp
@@ -105,10 +105,9 @@
     const auto divided = account.budget.shared_rate() * reachable_part();
     const auto part = wanted_by_all > 0 ? demand.wanted / wanted_by_all : 0.0;
     // Before all shares of the holder before are known or have run out, a VM
-    // keeps what it has, or takes an equal part of what was not shared.
-    const auto unshared = account.budget.reserved_rate() / members_;
+    // keeps what it has; the rest comes out of the reserve.
     const auto free = std::max(0.0, divided - held_by_others);
-    own.rate = is_learning(now) ? std::max(demand.held, unshared)
+    own.rate = is_learning(now) ? demand.held
                                 : std::min(divided * part, free);
     own.valid_until = now + operation_limiter::share_validity + validity_margin;
     const auto whole = account.budget.shared_rate();
@@ -121,8 +120,6 @@
     const auto elapsed =
         std::chrono::duration<double>(now - account.filled_at).count();
     account.filled_at = now;
-    if (is_learning(now))
-        return;
     const auto part = reachable_part();
     const auto rate = account.budget.reserved_rate() * part;
     const auto burst = account.budget.reserved_burst() * part;
--- a/tests/test_limit_shares.cpp
+++ b/tests/test_limit_shares.cpp
@@ -237,6 +237,35 @@
     }
 }
 
+// The pattern of a holder that is lost while some VMs are cut off: the others
+// must not wait for shares to run out.
+Test(limit_shares, accounts_are_served_right_after_a_change_of_holder)
+{
+    share_ledger ledger(tolerance, false);
+    ledger.use_limits(two_accounts(), time_point(seconds(5)));
+    ledger.use_members(9, 6);
+    ledger.take_over(time_point(seconds(5)));
+    unsigned admitted = 0;
+    for (int i = 0; i < 10; ++i)
+        admitted += ledger
+                            .borrow("small", time_point(seconds(5)) +
+                                                 milliseconds(200 * i))
+                            .admitted
+                        ? 1
+                        : 0;
+    // Two thirds of eight operations a second, for two seconds.
+    cr_assert(admitted >= 8, "%u", admitted);
+
+    operation_limiter limiter(tolerance, true);
+    limiter.use_limits(two_accounts(), 4, time_point(seconds(5)));
+    limiter.use_shares({}, time_point(seconds(5)), time_point(seconds(5)));
+    while (limiter.admit("small", time_point(seconds(5))).admitted)
+    {
+    }
+    const auto later = time_point(seconds(5)) + seconds(2);
+    cr_assert(limiter.admit("small", later).admitted);
+}
+
 Test(limit_shares, a_restarted_vm_starts_with_a_small_burst)
 {
     operation_limiter restarted(tolerance, false);
