--- a/include/oleandergrade/process/serving/target_pool.hpp
+++ b/include/oleandergrade/process/serving/target_pool.hpp
@@ -59,6 +59,13 @@
 class target_pool
 {
 public:
+    /// Part of a target's connections that is kept while idle. The rest is for
+    /// bursts, and for the time after a loss of power: targets count lost
+    /// connections for some seconds.
+    static constexpr double idle_part = 0.67;
+    /// Between attempts at a target that takes no further connections.
+    static constexpr milliseconds first_full_pause{40};
+    static constexpr milliseconds longest_full_pause{320};
     /// Longest time to connect to a target.
     static constexpr milliseconds open_timeout{600};
 
@@ -96,6 +103,9 @@
         std::vector<target_session_ptr> idle;
         /// Sessions in use, and those that are being opened.
         std::uint32_t busy = 0;
+        /// The target takes no further connections until then.
+        time_point full_until;
+        milliseconds full_pause{0};
     };
     struct waiter
     {
@@ -120,6 +130,8 @@
     bool make_room(const placement_candidate& candidate, target_entry& entry);
     /// The request needs a primary, and there is none to use.
     bool lacks_primary(const placement_request& request, time_point now) const;
+    static void note_full(target_entry& entry);
+    void close_surplus(target_entry& entry, const std::string& group);
     std::uint32_t limit_of(const std::string& group) const;
     boost::asio::awaitable<bool> open(placement& place);
     boost::asio::awaitable<std::optional<choice>>
--- a/src/process/serving/target_pool.cpp
+++ b/src/process/serving/target_pool.cpp
@@ -16,8 +16,6 @@
 constexpr double opening_cost = 0.35;
 /// Reads leave the primary's slots to writes while replicas are no busier.
 constexpr double primary_cost = 0.6;
-/// Between attempts when a target takes no further connections.
-constexpr auto limit_pause = milliseconds(25);
 
 } // namespace
 
@@ -136,7 +134,7 @@
             chosen.place.session = std::move(session);
             return chosen;
         }
-        if (!make_room(*candidate, entry))
+        if (now < entry.full_until || !make_room(*candidate, entry))
             continue;
         ++entry.busy;
         chosen.must_open = true;
@@ -248,6 +246,7 @@
     if (succeeded(outcome))
     {
         ++counts_.opened;
+        targets_[id].full_pause = milliseconds(0);
         view_.on_target(id, true, current_time());
         co_return true;
     }
@@ -260,14 +259,32 @@
     const bool is_full =
         failure.kind == error_kind::refused &&
         failure.message == to_string(session_error::connection_limit);
-    if (!is_full)
+    if (is_full)
+        note_full(targets_[id]);
+    else
         view_.on_target(id, false, current_time());
     release(session);
-    if (is_full)
-        co_await sleep_for(limit_pause);
     co_return false;
 }
 
+void target_pool::note_full(target_entry& entry)
+{
+    entry.full_pause = std::clamp<milliseconds>(
+        entry.full_pause * 2, first_full_pause, longest_full_pause);
+    entry.full_until = current_time() + entry.full_pause;
+}
+
+// Gives up the session that was idle for longest if too many are kept.
+void target_pool::close_surplus(target_entry& entry, const std::string& group)
+{
+    const auto kept = std::max(
+        static_cast<std::size_t>(limit_of(group) * idle_part), std::size_t(1));
+    if (entry.idle.size() <= 1 || entry.idle.size() + entry.busy <= kept)
+        return;
+    entry.idle.front()->close();
+    entry.idle.erase(entry.idle.begin());
+}
+
 void target_pool::release(const target_session_ptr& session)
 {
     auto& entry = targets_[session->key().target];
@@ -280,6 +297,7 @@
     {
         session->idle_since = current_time();
         entry.idle.push_back(session);
+        close_surplus(entry, session->key().group);
     }
     else
     {
