Learn shares for 600 ms after a change of holder

VMs that restarted together got only the reserve until the shares of members that are gone had run out.

--- a/include/oleandergrade/process/limits/share_ledger.hpp
+++ b/include/oleandergrade/process/limits/share_ledger.hpp
@@ -26,6 +26,9 @@
 public:
     /// Shares count as valid for a little longer than the VMs use them.
     static constexpr milliseconds validity_margin{300};
+    /// VMs in touch report within this after a change of holder. For the others
+    /// an equal part is kept.
+    static constexpr milliseconds learning_time{600};
 
     /// `starts_full`: no other run of the fleet can have spent the burst.
     share_ledger(limit_tolerance tolerance, bool starts_full);
--- a/src/process/limits/share_ledger.cpp
+++ b/src/process/limits/share_ledger.cpp
@@ -48,8 +48,7 @@
 
 void share_ledger::take_over(time_point now)
 {
-    const auto learning = operation_limiter::share_validity + validity_margin;
-    learning_until_ = starts_full_ ? now : now + learning;
+    learning_until_ = starts_full_ ? now : now + learning_time;
     // The first holder of all has nothing to learn.
     starts_full_ = false;
     learnt_from_.clear();
