--- a/include/oleandergrade/connection/fleet_message.hpp
+++ b/include/oleandergrade/connection/fleet_message.hpp
@@ -56,6 +56,8 @@
     std::uint64_t configuration_version = 0;
     std::vector<target_trouble> troubles;
     std::vector<account_demand> demands;
+    /// The stamp of the last grant that the VM got of the receiver, or 0.
+    std::uint64_t echo = 0;
 
     bool operator==(const fleet_report&) const = default;
 };
@@ -87,6 +89,8 @@
     std::vector<account_share> shares;
     /// Address of the duty's holder as the sender knows it; may be empty.
     std::string holder;
+    /// The sender's clock; a report that sends it back is not older than it.
+    std::uint64_t stamp = 0;
 
     bool operator==(const fleet_grant&) const = default;
 };
--- a/include/oleandergrade/process/failover/failover_driver.hpp
+++ b/include/oleandergrade/process/failover/failover_driver.hpp
@@ -52,8 +52,11 @@
     /// Called when this VM must act on a notice of its own.
     std::function<boost::asio::awaitable<notice_receipt>(primary_notice)>
         on_own_notice;
-    /// VMs that reported lately, without this one.
-    std::uint32_t vms_in_touch(time_point now) const;
+    /// VMs whose reports arrived lately, without this one.
+    std::uint32_t vms_reporting(time_point now) const;
+    /// VMs that surely have not turned to another holder lately, without this
+    /// one: their reports answer to recent grants.
+    std::uint32_t vms_with_holder(time_point now) const;
     std::uint64_t promotions() const { return promotions_; }
 
 private:
@@ -67,6 +70,8 @@
     struct vm_contact
     {
         time_point reported_at;
+        /// When the grant was sent that its last report answers to.
+        time_point echoed_at;
         /// Since when it has reported without a gap.
         time_point in_touch_since;
         std::vector<target_trouble> troubles;
@@ -77,6 +82,8 @@
     };
 
     boost::asio::awaitable<void> run();
+    std::uint32_t count_since(time_point vm_contact::*when,
+                              time_point earliest) const;
     milliseconds step(time_point now);
     void add_groups();
     group_sight sight_of(const std::string& group, time_point now);
--- a/include/oleandergrade/process/failover/grant_ledger.hpp
+++ b/include/oleandergrade/process/failover/grant_ledger.hpp
@@ -15,8 +15,8 @@
 /// has confirmed it, or can hold no valid grant any more.
 ///
 /// A holder that the store does not answer grants only while most members
-/// report to it. Once most members have seen a successor's token, no holder
-/// before it can grant.
+/// report to it. Once half of the members have seen a successor's token, no
+/// holder before it can grant.
 class grant_ledger
 {
 public:
@@ -26,8 +26,10 @@
     /// How long the holder goes on granting after the store last answered it.
     /// Covers most outages of the store.
     static constexpr milliseconds grant_without_store{6000};
-    /// A member whose last report is older does not count as reporting.
-    static constexpr milliseconds report_validity{600};
+    /// A member whose last report is older does not count as reporting. A
+    /// report is as old as the grant that it answers to: what a cut held up for
+    /// long must not count as new.
+    static constexpr milliseconds report_validity{800};
 
     /// The duty was taken over at `now`. VMs may hold grants of the holders
     /// before.
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -114,6 +114,9 @@
     bool isolated_ = false;
     bool looking_around_ = false;
     unsigned failed_reports_ = 0;
+    /// Stamp of the last grant, and the token of the holder that sent it.
+    std::uint64_t stamp_ = 0;
+    std::uint64_t stamp_token_ = 0;
     std::size_t next_peer_ = 0;
     std::minstd_rand random_;
     /// The holder as other VMs name it, if the store does not.
--- a/src/connection/fleet_message_codec.cpp
+++ b/src/connection/fleet_message_codec.cpp
@@ -83,6 +83,7 @@
     out.setIsRegistered(in.is_registered);
     out.setToken(in.token);
     out.setConfigurationVersion(in.configuration_version);
+    out.setEcho(in.echo);
     auto troubles = out.initTroubles(size_of(in.troubles));
     for (unsigned i = 0; i < in.troubles.size(); ++i)
     {
@@ -106,6 +107,7 @@
     out.is_registered = in.getIsRegistered();
     out.token = in.getToken();
     out.configuration_version = in.getConfigurationVersion();
+    out.echo = in.getEcho();
     for (const auto trouble : in.getTroubles())
         out.troubles.push_back(
             {text(trouble.getTarget()), ms(trouble.getSince())});
@@ -122,6 +124,7 @@
     out.setValidity(count(in.validity));
     out.setMembers(in.members);
     out.setHolder(in.holder);
+    out.setStamp(in.stamp);
     out.setConfigurationVersion(in.configuration_version);
     write(out.initPrimaries(size_of(in.primaries)), in.primaries);
     auto shares = out.initShares(size_of(in.shares));
@@ -141,6 +144,7 @@
     out.validity = ms(in.getValidity());
     out.members = in.getMembers();
     out.holder = text(in.getHolder());
+    out.stamp = in.getStamp();
     out.configuration_version = in.getConfigurationVersion();
     out.primaries = read(in.getPrimaries());
     for (const auto share : in.getShares())
--- a/src/connection/peer_message.capnp
+++ b/src/connection/peer_message.capnp
@@ -58,6 +58,8 @@
   configurationVersion @4 :UInt64;
   troubles @5 :List(TargetTrouble);
   demands @6 :List(AccountDemand);
+  # The stamp of the last grant that the holder with this token sent.
+  echo @7 :UInt64;
 }
 
 # The newest known position of a primary has the age that it had when this
@@ -85,6 +87,8 @@
   shares @6 :List(AccountShare);
   # Address of the duty's holder as the sender knows it.
   holder @7 :Text;
+  # The holder's clock, which the next report sends back.
+  stamp @8 :UInt64;
 }
 
 struct PrimaryNotice {
--- a/src/connection/peer_message.capnp.h
+++ b/src/connection/peer_message.capnp.h
@@ -130,7 +130,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c0b5d968c807550f, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c0b5d968c807550f, 5, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -160,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d24114f6741fb05c, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d24114f6741fb05c, 5, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -938,6 +938,8 @@
   inline bool hasDemands() const;
   inline  ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
+  inline  ::uint64_t getEcho() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -999,6 +1001,9 @@
   inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>> disownDemands();
 
+  inline  ::uint64_t getEcho();
+  inline void setEcho( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1187,6 +1192,8 @@
   inline bool hasHolder() const;
   inline  ::capnp::Text::Reader getHolder() const;
 
+  inline  ::uint64_t getStamp() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1251,6 +1258,9 @@
   inline void adoptHolder(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownHolder();
 
+  inline  ::uint64_t getStamp();
+  inline void setStamp( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3987,6 +3997,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t FleetReport::Reader::getEcho() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetReport::Builder::getEcho() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FleetReport::Builder::setEcho( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PrimaryState::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4325,6 +4349,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t FleetGrant::Reader::getStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetGrant::Builder::getStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FleetGrant::Builder::setStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PrimaryNotice::Reader::getToken() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -69,6 +69,10 @@
     if (now - contact.reported_at >= grant_ledger::report_validity)
         contact.in_touch_since = now;
     contact.reported_at = now;
+    const time_point echoed{std::chrono::nanoseconds(report.echo)};
+    // A stamp of an earlier holder's clock may lie ahead.
+    if (echoed <= now)
+        contact.echoed_at = std::max(contact.echoed_at, echoed);
     contact.troubles = report.troubles;
 }
 
@@ -158,20 +162,30 @@
     return is_active ? step_interval : idle_interval;
 }
 
-std::uint32_t failover_driver::vms_in_touch(time_point now) const
+std::uint32_t failover_driver::vms_reporting(time_point now) const
 {
-    return static_cast<std::uint32_t>(
-        std::count_if(vms_.begin(), vms_.end(),
-                      [&](const auto& entry) {
-                          return now - entry.second.reported_at <
-                                 grant_ledger::report_validity;
-                      }));
+    return count_since(&vm_contact::reported_at,
+                       now - grant_ledger::report_validity);
+}
+
+std::uint32_t failover_driver::vms_with_holder(time_point now) const
+{
+    return count_since(&vm_contact::echoed_at,
+                       now - grant_ledger::report_validity);
+}
+
+std::uint32_t failover_driver::count_since(time_point vm_contact::*when,
+                                           time_point earliest) const
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        vms_.begin(), vms_.end(),
+        [&](const auto& entry) { return entry.second.*when > earliest; }));
 }
 
 group_sight failover_driver::sight_of(const std::string& group, time_point now)
 {
     group_sight sight;
-    sight.vms_in_touch = vms_in_touch(now);
+    sight.vms_in_touch = vms_reporting(now);
     for (const auto* target : state_.view.registry.in_group(group))
     {
         target_sight seen;
--- a/src/process/failover/grant_ledger.cpp
+++ b/src/process/failover/grant_ledger.cpp
@@ -36,7 +36,7 @@
     else if (std::exchange(known->second, incarnation) != incarnation)
         bounds_[vm] = time_point();
     // This VM itself counts as well.
-    if (!is_first || (incarnations_.size() + 1) * 2 <= members_)
+    if (!is_first || (incarnations_.size() + 1) * 2 < members_)
         return;
     predecessor_bound_ =
         std::min(predecessor_bound_, now + report_validity + grant_validity);
--- a/src/process/limits/operation_limiter.cpp
+++ b/src/process/limits/operation_limiter.cpp
@@ -50,9 +50,8 @@
             continue;
         state.filled_at = now;
         state.recent_at = now;
-        const auto gathered = starts_full_
-                                  ? state.budget.shared_burst()
-                                  : restart_burst(account, tolerance_);
+        const auto gathered = starts_full_ ? state.budget.shared_burst()
+                                           : restart_burst(account, tolerance_);
         state.tokens = gathered / members_;
     }
     starts_full_ = starts_full_ && buckets_.empty();
--- a/src/process/limits/share_ledger.cpp
+++ b/src/process/limits/share_ledger.cpp
@@ -106,8 +106,7 @@
     // Before all shares of the holder before are known or have run out, a VM
     // keeps what it has; the rest comes out of the reserve.
     const auto free = std::max(0.0, divided - held_by_others);
-    own.rate = is_learning(now) ? demand.held
-                                : std::min(divided * part, free);
+    own.rate = is_learning(now) ? demand.held : std::min(divided * part, free);
     own.valid_until = now + operation_limiter::share_validity + validity_margin;
     const auto whole = account.budget.shared_rate();
     const auto burst = account.budget.shared_burst();
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -277,7 +277,7 @@
     duty_.use_rank(std::min(rank, highest_rank));
     state_.limiter.use_members(std::max(state_.members.size(), 1U));
     shares_.use_members(state_.members.size(),
-                        failover_.vms_in_touch(current_time()) + 1);
+                        failover_.vms_reporting(current_time()) + 1);
     ledger_.use_members(state_.members.names());
     state_.share_limits();
 }
@@ -401,7 +401,7 @@
         return false;
     if (duty_.holds(now))
         return true;
-    const auto with_it = failover_.vms_in_touch(now) + 1;
+    const auto with_it = failover_.vms_with_holder(now) + 1;
     return with_it * 2 > state_.members.size() &&
            now < duty_.confirmed_at() + grant_ledger::grant_without_store;
 }
@@ -415,7 +415,8 @@
     state_.view.authority.on_grant(duty_.token(), now,
                                    grant_ledger::grant_validity);
     ledger_.on_granted(state_.settings.name, now);
-    shares_.use_members(state_.members.size(), failover_.vms_in_touch(now) + 1);
+    shares_.use_members(state_.members.size(),
+                        failover_.vms_reporting(now) + 1);
     state_.limiter.use_shares(
         shares_.divide(state_.settings.name, state_.limiter.demands(now), now),
         now, now);
@@ -489,6 +490,7 @@
     report.configuration_version = state_.configuration.version();
     report.troubles = state_.view.health.troubles(now);
     report.demands = state_.limiter.demands(now);
+    report.echo = stamp_token_ == report.token ? stamp_ : 0;
     return report;
 }
 
@@ -558,6 +560,8 @@
                 {state.record.term, state.position},
                 sent_at - state.position_age);
     }
+    stamp_ = grant.stamp;
+    stamp_token_ = grant.token;
     const bool had_grant = state_.view.authority.has_grant(now);
     state_.view.authority.on_grant(grant.token, sent_at, grant.validity);
     state_.limiter.use_shares(grant.shares, sent_at, now);
@@ -716,6 +720,8 @@
     grant.validity = grant_ledger::grant_validity;
     grant.primaries = failover_.primary_states(now);
     grant.shares = shares_.divide(report.vm, report.demands, now);
+    grant.stamp = static_cast<std::uint64_t>(
+        std::chrono::nanoseconds(now.time_since_epoch()).count());
     // Only a VM that has seen the token refuses the holder before.
     if (report.token == duty_.token())
         ledger_.on_contact(report.vm, report.incarnation, now);
--- a/tests/test_failover_logic.cpp
+++ b/tests/test_failover_logic.cpp
@@ -284,7 +284,8 @@
     const auto unknown = start + grant_ledger::grant_without_store +
                          grant_ledger::grant_validity;
     cr_assert(ledger.bound_of("a") == unknown);
-    // Two VMs and this one are most of five: no other holder can grant.
+    // Two VMs and this one are half of five at least: no other holder can
+    // have most of them.
     ledger.on_contact("a", 1, start);
     cr_assert(ledger.bound_of("d") == unknown);
     ledger.on_contact("b", 1, start);
@@ -298,6 +299,19 @@
     cr_assert(ledger.bound_of("a") <= later);
 }
 
+// Seen on scale-2 of head office: a cut left three of six VMs on either side,
+// and a primary was not replaced for eight seconds.
+Test(failover_logic, half_of_the_members_keep_other_holders_from_granting)
+{
+    grant_ledger ledger;
+    ledger.take_over(start);
+    ledger.use_members({"a", "b", "c", "d", "e", "me"});
+    ledger.on_contact("a", 1, start);
+    ledger.on_contact("b", 1, start);
+    cr_assert(ledger.bound_of("e") == start + grant_ledger::report_validity +
+                                          grant_ledger::grant_validity);
+}
+
 Test(failover_logic, callers_are_told_how_long_a_replacement_takes)
 {
     primary_outlook outlook;
--- a/tests/test_limit_shares.cpp
+++ b/tests/test_limit_shares.cpp
@@ -247,9 +247,8 @@
     ledger.take_over(time_point(seconds(5)));
     unsigned admitted = 0;
     for (int i = 0; i < 10; ++i)
-        admitted += ledger
-                            .borrow("small", time_point(seconds(5)) +
-                                                 milliseconds(200 * i))
+        admitted += ledger.borrow("small", time_point(seconds(5)) +
+                                               milliseconds(200 * i))
                             .admitted
                         ? 1
                         : 0;
--- a/tests/test_serving_logic.cpp
+++ b/tests/test_serving_logic.cpp
@@ -248,11 +248,13 @@
     report.is_registered = true;
     report.troubles = {{"t", milliseconds(5)}};
     report.demands = {{"a", 1.5, 2.5}};
+    report.echo = 77;
     fleet_grant grant;
     grant.accepted = true;
     grant.token = 9;
     grant.validity = milliseconds(1750);
     grant.holder = "127.0.0.1:1";
+    grant.stamp = 78;
     primary_state state;
     state.record.group = "g";
     state.record.term = 3;
