Let a superseded holder yield; tell callers of a lost primary at once

Found in the incidents of both sites with the logs: a holder that the store turned away went on as holder without a grant for 5 s after another VM had taken over; VMs that were cut off took themselves for connected on a neighbour's word; restarted VMs waited 0.7 s for a report to a VM that was down; statements at a crashed primary waited for their whole time.

--- a/include/oleandergrade/process/membership/duty_election.hpp
+++ b/include/oleandergrade/process/membership/duty_election.hpp
@@ -68,6 +68,10 @@
     /// item of revision 0 says that the duty is free.
     void on_seen(const stored_item& item, std::uint64_t as_of, time_point now);
 
+    /// Another VM has shown a higher token than this holder's. The store may
+    /// not answer this VM for long.
+    void on_token(std::uint64_t token);
+
     duty_call due(time_point now);
     void on_lease_created(const result<store_lease>& outcome,
                           time_point sent_at, time_point now);
--- a/include/oleandergrade/process/serving/target_pool.hpp
+++ b/include/oleandergrade/process/serving/target_pool.hpp
@@ -84,6 +84,9 @@
     /// Gives a session back. It is closed unless it is idle and whole.
     void release(const target_session_ptr& session);
 
+    /// Ends the exchanges that are under way at a target.
+    void abort(const std::string& target);
+
     /// Something changed that may let requests of a group proceed.
     void retry(const std::string& group);
     void retry_all();
@@ -103,6 +106,7 @@
         std::vector<target_session_ptr> idle;
         /// Sessions in use, and those that are being opened.
         std::uint32_t busy = 0;
+        std::vector<std::weak_ptr<target_session>> in_use;
         /// The target takes no further connections until then.
         time_point full_until;
         milliseconds full_pause{0};
--- a/src/process/membership/duty_election.cpp
+++ b/src/process/membership/duty_election.cpp
@@ -62,6 +62,15 @@
         lose();
 }
 
+void duty_election::on_token(std::uint64_t token)
+{
+    if (!is_holder() || token <= token_)
+        return;
+    lose();
+    known_holder_ = {};
+    known_revision_ = token;
+}
+
 duty_call duty_election::due(time_point now)
 {
     if (in_flight_ || now < next_call_)
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -36,6 +36,8 @@
 constexpr auto borrow_timeout = milliseconds(120);
 /// VMs that are asked to find out whether this one is cut off.
 constexpr std::size_t most_probes = 8;
+/// A VM without a grant for this long finds out whether it is cut off.
+constexpr auto silence_of_holder = milliseconds(700);
 constexpr auto probe_margin = milliseconds(50);
 constexpr auto register_pause = milliseconds(300);
 constexpr auto snapshot_timeout = milliseconds(1500);
@@ -268,6 +270,9 @@
                {"open", record.is_open ? "yes" : "no"},
                {"revision", record.revision},
                {"source", source}});
+    // Callers whose answers cannot come any more are told at once.
+    if (!record.is_open && !record.is_planned)
+        state_.pool.abort(record.target);
     state_.pool.retry(record.group);
 }
 
@@ -390,7 +395,9 @@
 {
     hinted_holder_ = address;
     failed_reports_ = 0;
-    report_poke_.cancel();
+    // The regular report may be waiting for a VM that does not answer.
+    if (!duty_.is_holder() && !report_address().empty())
+        asio::co_spawn(context_, report_once(), asio::detached);
 }
 
 // While the store does not answer, the holder goes on as long as most VMs
@@ -410,7 +417,7 @@
 {
     if (!may_grant(now))
         return;
-    failed_reports_ = 0;
+    granted_at_ = now;
     set_isolated(false, 1, 1);
     state_.view.authority.on_grant(duty_.token(), now,
                                    grant_ledger::grant_validity);
@@ -433,9 +440,7 @@
             co_await report_once();
         else if (may_grant(now))
             grant_to_self(now);
-        else
-            ++failed_reports_;
-        if (failed_reports_ >= patience_with_holder && !looking_around_)
+        if (lacks_holder() && !looking_around_)
             asio::co_spawn(context_, look_around(), asio::detached);
         const bool has_grant = state_.view.authority.has_grant(current_time());
         state_.view.outlook.on_grant(has_grant, current_time());
@@ -547,6 +552,7 @@
         return;
     }
     failed_reports_ = 0;
+    granted_at_ = now;
     set_isolated(false, 1, 1);
     if (!state_.view.authority.on_token(grant.token))
         return;
@@ -583,12 +589,16 @@
     for (const auto& address : addresses)
         asio::co_spawn(context_, probe(address, answers), asio::detached);
     co_await sleep_for(call_timeout + probe_margin);
-    set_isolated(failed_reports_ >= patience_with_holder &&
-                     *answers * 2 < addresses.size(),
+    set_isolated(lacks_holder() && *answers * 2 < addresses.size(),
                  addresses.size(), *answers);
     looking_around_ = false;
 }
 
+bool fleet_service::lacks_holder() const
+{
+    return current_time() - granted_at_ > silence_of_holder;
+}
+
 void fleet_service::set_isolated(bool isolated, std::size_t asked,
                                  std::size_t answered)
 {
@@ -788,6 +798,8 @@
     if (notice.holder != hinted_holder_ &&
         notice.holder != duty_.known_holder().address)
         turn_to_holder(notice.holder);
+    duty_.on_token(notice.token);
+    on_duty_changed();
     bool has_planned = false;
     for (const auto& state : notice.primaries)
     {
--- a/src/process/serving/target_pool.cpp
+++ b/src/process/serving/target_pool.cpp
@@ -131,6 +131,7 @@
                 continue;
             }
             ++entry.busy;
+            entry.in_use.push_back(session);
             chosen.place.session = std::move(session);
             return chosen;
         }
@@ -142,6 +143,7 @@
             executor_, codec_,
             target_session_key{candidate->target->id, request.group,
                                request.account});
+        entry.in_use.push_back(chosen.place.session);
         return chosen;
     }
     return std::nullopt;
@@ -289,6 +291,12 @@
 {
     auto& entry = targets_[session->key().target];
     --entry.busy;
+    std::erase_if(entry.in_use,
+                  [&](const std::weak_ptr<target_session>& other)
+                  {
+                      const auto used = other.lock();
+                      return used == nullptr || used == session;
+                  });
     const auto* target = view_.registry.find(session->key().target);
     const bool is_whole = session->is_open() &&
                           session->state() == transaction_state::none &&
@@ -339,6 +347,17 @@
         retry(group);
 }
 
+void target_pool::abort(const std::string& target)
+{
+    const auto found = targets_.find(target);
+    if (found == targets_.end())
+        return;
+    // Closing ends the exchange, whose owner gives the session back later.
+    for (const auto& other : found->second.in_use)
+        if (const auto session = other.lock())
+            session->close();
+}
+
 void target_pool::drop_stale()
 {
     for (auto& [id, entry] : targets_)
--- a/tests/test_failover_logic.cpp
+++ b/tests/test_failover_logic.cpp
@@ -405,6 +405,22 @@
     cr_assert(!duty.is_holder());
 }
 
+// Seen in an incident of the plant: the store turned the holder away, another
+// VM took the duty over, and the first one went without a grant for 5 s.
+Test(failover_logic, a_holder_yields_to_a_higher_token)
+{
+    auto duty = free_duty();
+    duty.due(start);
+    duty.on_lease_created(store_lease{44, milliseconds(1000)}, start, start);
+    duty.due(start);
+    duty.on_acquired(std::uint64_t(9), start);
+    duty.on_token(9);
+    cr_assert(duty.is_holder());
+    duty.on_token(12);
+    cr_assert(!duty.is_holder());
+    cr_assert(duty.due(start + seconds(5)) == duty_call::none);
+}
+
 Test(failover_logic, a_vm_that_retires_takes_no_duty)
 {
     auto duty = free_duty();
