--- a/programs/oleanderctl.cpp
+++ b/programs/oleanderctl.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <gflags/gflags.h>
 
 #include <fstream>
@@ -47,6 +48,7 @@
   dump                  all state of a node
   stats                 counters and latencies of a node
   explain REQUEST       what the fleet did with one request, and why
+  vms ADDRESS...        state of oleander-vm daemons, by their metrics addresses
 
 examples:
   oleanderctl check examples/plant/fleet.ini
@@ -281,6 +283,73 @@
     return exit_done;
 }
 
+asio::awaitable<result<http_response>> fetch_state(std::string address)
+{
+    http_client connection(co_await asio::this_coro::executor, address);
+    http_request request;
+    request.method = "GET";
+    request.path = "/state";
+    auto outcome = co_await connection.exchange(std::move(request),
+                                                milliseconds(FLAGS_timeout_ms));
+    co_return outcome;
+}
+
+void print_vm(const std::string& address, const json::object& state)
+{
+    std::cout << text_field(state, "vm") << " (" << address
+              << "): " << (flag_field(state, "ready") ? "ready" : "not ready")
+              << ", configuration " << number_field(state, "configuration")
+              << ", token " << number_field(state, "token") << " of "
+              << text_field(state, "holder") << ", "
+              << number_field(state, "sessions") << " sessions\n";
+    const auto* primaries = state.if_contains("primaries");
+    if (primaries == nullptr || !primaries->is_array())
+        return;
+    for (const auto& entry : primaries->get_array())
+    {
+        const auto& record = entry.as_object();
+        std::cout << "  " << text_field(record, "group") << ": term "
+                  << number_field(record, "term") << " at "
+                  << text_field(record, "target")
+                  << (flag_field(record, "open") ? "" : ", closed") << "\n";
+    }
+}
+
+// Asks each daemon in turn; one that does not answer does not hide the others.
+int run_vms(const std::vector<std::string>& addresses)
+{
+    int code = exit_done;
+    for (const auto& address : addresses)
+    {
+        asio::io_context context;
+        result<http_response> outcome =
+            error{error_kind::unreachable, "vms", address, "no answer"};
+        asio::co_spawn(context, fetch_state(address),
+                       [&](std::exception_ptr, result<http_response> reply)
+                       { outcome = std::move(reply); });
+        context.run();
+        if (!succeeded(outcome))
+        {
+            std::cerr << to_string(error_of(outcome)) << "\n";
+            code = exit_unreachable;
+            continue;
+        }
+        const auto& body = value_of(outcome).body;
+        const auto state = parse_json_object(body);
+        if (!succeeded(state))
+        {
+            std::cerr << address << ": the answer is not a state\n";
+            code = exit_refused;
+            continue;
+        }
+        if (FLAGS_json)
+            std::cout << body << "\n";
+        else
+            print_vm(address, value_of(state));
+    }
+    return code;
+}
+
 int run_command(const std::vector<std::string>& words)
 {
     const auto& command = words.front();
@@ -308,6 +377,8 @@
     if (command == "key" && count == 3 && words[1] == "withdraw")
         return run_remote("/admin/key/withdraw", {{"id", words[2]}},
                           print_applied);
+    if (command == "vms" && count >= 2)
+        return run_vms({words.begin() + 1, words.end()});
     std::cerr << "unknown command or wrong number of words\n\n"
               << usage << "\n";
     return exit_usage;
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,6 +4,7 @@
 cd "$(dirname "$0")/.."
 mapfile -t sources < <(git ls-files '*.cpp' '*.hpp')
 clang-format --dry-run --Werror "${sources[@]}"
+scripts/platform_names.sh
 cmake --preset release
 cmake --build --preset release
 scripts/tidy.sh
