Bound a successor's wait by what members heard of the holder before

Members tell when a holder before granted to them last. If half of them heard nothing, it cannot have granted since, and grants of 1.5 s end the wait sooner. A new holder counts its own failures to reach a primary, and VMs that report to it for the first time count at once.

--- a/include/oleandergrade/connection/fleet_message.hpp
+++ b/include/oleandergrade/connection/fleet_message.hpp
@@ -58,6 +58,9 @@
     std::vector<account_demand> demands;
     /// The stamp of the last grant that the VM got of the receiver, or 0.
     std::uint64_t echo = 0;
+    /// Time since the VM got a grant of another holder than the one with
+    /// `token`.
+    milliseconds grant_age{0};
 
     bool operator==(const fleet_report&) const = default;
 };
@@ -112,6 +115,8 @@
     std::uint64_t incarnation = 0;
     std::uint64_t token = 0;
     bool accepted = false;
+    /// Time since the VM got a grant of another holder.
+    milliseconds grant_age{0};
 
     bool operator==(const notice_receipt&) const = default;
 };
--- a/include/oleandergrade/process/failover/grant_ledger.hpp
+++ b/include/oleandergrade/process/failover/grant_ledger.hpp
@@ -22,7 +22,7 @@
 public:
     /// How long a grant holds. A little longer than it takes to replace a
     /// holder that is lost, so that its loss stops nobody.
-    static constexpr milliseconds grant_validity{1750};
+    static constexpr milliseconds grant_validity{1500};
     /// How long the holder goes on granting after the store last answered it.
     /// Covers most outages of the store.
     static constexpr milliseconds grant_without_store{6000};
@@ -32,23 +32,27 @@
     static constexpr milliseconds report_validity{800};
 
     /// The duty was taken over at `now`. VMs may hold grants of the holders
-    /// before.
-    void take_over(time_point now);
+    /// before; this one got its last such grant at `heard_at`.
+    void take_over(time_point heard_at, time_point now);
 
     /// A VM was told of the members of the fleet.
     void use_members(const std::vector<std::string>& members);
     /// A grant is sent to a VM now.
     void on_granted(const std::string& vm, time_point now);
     /// A run of the VM's process has seen the holder's token, and takes no
-    /// further grant of the holder before. A new run starts without a grant.
+    /// further grant of a holder before; it got the last one `grant_age` ago.
+    /// A new run starts without a grant.
     void on_contact(const std::string& vm, std::uint64_t incarnation,
-                    time_point now);
+                    milliseconds grant_age, time_point now);
 
     /// Until when a VM that confirms nothing may use primaries.
     time_point bound_of(const std::string& vm) const;
 
 private:
+    time_point taken_at_;
     time_point predecessor_bound_;
+    /// When a holder before granted to a member in contact last.
+    time_point predecessor_heard_at_;
     /// Until when each member may hold a valid grant.
     std::map<std::string, time_point> bounds_;
     /// The run of each VM's process that was in contact last.
--- a/include/oleandergrade/process/limits/share_ledger.hpp
+++ b/include/oleandergrade/process/limits/share_ledger.hpp
@@ -58,6 +58,8 @@
     {
         account_budget budget;
         std::map<std::string, vm_share> vms;
+        /// Operations that a new holder finds in the reserve.
+        double takeover_burst = 0;
         /// Operations in the reserve.
         double reserve = 0;
         time_point filled_at;
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -79,6 +79,7 @@
     boost::asio::awaitable<void> probe(std::string address,
                                        std::shared_ptr<std::size_t> answers);
     bool lacks_holder() const;
+    milliseconds age_of_other_grant(std::uint64_t token) const;
     void set_isolated(bool isolated, std::size_t asked, std::size_t answered);
     fleet_report make_report();
     void use_grant(const fleet_grant& grant, const std::string& address,
@@ -115,6 +116,8 @@
     bool isolated_ = false;
     /// When a grant was got last, or given to itself.
     time_point granted_at_;
+    /// The same for the holder before the present one.
+    time_point other_granted_at_;
     bool looking_around_ = false;
     unsigned failed_reports_ = 0;
     /// Stamp of the last grant, and the token of the holder that sent it.
--- a/include/oleandergrade/process/serving/target_health.hpp
+++ b/include/oleandergrade/process/serving/target_health.hpp
@@ -28,6 +28,9 @@
     bool on_failure(const std::string& target, time_point now);
     void on_lagging(const std::string& target, time_point now);
 
+    /// Every target is tried again.
+    void forget_failures() { failing_.clear(); }
+
     bool is_avoided(const std::string& target, time_point now) const;
     bool is_lagging(const std::string& target, time_point now) const;
     bool is_failing(const std::string& target) const;
--- a/src/connection/fleet_message_codec.cpp
+++ b/src/connection/fleet_message_codec.cpp
@@ -84,6 +84,7 @@
     out.setToken(in.token);
     out.setConfigurationVersion(in.configuration_version);
     out.setEcho(in.echo);
+    out.setGrantAge(count(in.grant_age));
     auto troubles = out.initTroubles(size_of(in.troubles));
     for (unsigned i = 0; i < in.troubles.size(); ++i)
     {
@@ -108,6 +109,7 @@
     out.token = in.getToken();
     out.configuration_version = in.getConfigurationVersion();
     out.echo = in.getEcho();
+    out.grant_age = ms(in.getGrantAge());
     for (const auto trouble : in.getTroubles())
         out.troubles.push_back(
             {text(trouble.getTarget()), ms(trouble.getSince())});
@@ -171,12 +173,13 @@
     out.setIncarnation(in.incarnation);
     out.setToken(in.token);
     out.setAccepted(in.accepted);
+    out.setGrantAge(count(in.grant_age));
 }
 
 notice_receipt read(wire::NoticeReceipt::Reader in)
 {
     return {text(in.getVm()), in.getIncarnation(), in.getToken(),
-            in.getAccepted()};
+            in.getAccepted(), ms(in.getGrantAge())};
 }
 
 void write(wire::FleetSnapshot::Builder out, const fleet_snapshot& in)
--- a/src/connection/peer_message.capnp
+++ b/src/connection/peer_message.capnp
@@ -60,6 +60,8 @@
   demands @6 :List(AccountDemand);
   # The stamp of the last grant that the holder with this token sent.
   echo @7 :UInt64;
+  # Time since the VM got a grant of another holder.
+  grantAge @8 :UInt64;
 }
 
 # The newest known position of a primary has the age that it had when this
@@ -102,6 +104,8 @@
   incarnation @1 :UInt64;
   token @2 :UInt64;
   accepted @3 :Bool;
+  # Time since the VM got a grant of another holder.
+  grantAge @4 :UInt64;
 }
 
 struct SnapshotItem {
--- a/src/connection/peer_message.capnp.h
+++ b/src/connection/peer_message.capnp.h
@@ -130,7 +130,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c0b5d968c807550f, 5, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c0b5d968c807550f, 6, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -190,7 +190,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ecbecdc9d0055e41, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ecbecdc9d0055e41, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -940,6 +940,8 @@
 
   inline  ::uint64_t getEcho() const;
 
+  inline  ::uint64_t getGrantAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1004,6 +1006,9 @@
   inline  ::uint64_t getEcho();
   inline void setEcho( ::uint64_t value);
 
+  inline  ::uint64_t getGrantAge();
+  inline void setGrantAge( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1409,6 +1414,8 @@
 
   inline bool getAccepted() const;
 
+  inline  ::uint64_t getGrantAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1453,6 +1460,9 @@
   inline bool getAccepted();
   inline void setAccepted(bool value);
 
+  inline  ::uint64_t getGrantAge();
+  inline void setGrantAge( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4011,6 +4021,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FleetReport::Reader::getGrantAge() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetReport::Builder::getGrantAge() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FleetReport::Builder::setGrantAge( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PrimaryState::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4521,6 +4545,20 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t NoticeReceipt::Reader::getGrantAge() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NoticeReceipt::Builder::getGrantAge() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NoticeReceipt::Builder::setGrantAge( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SnapshotItem::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -66,7 +66,8 @@
 void failover_driver::on_report(const fleet_report& report, time_point now)
 {
     auto& contact = vms_[report.vm];
-    if (now - contact.reported_at >= grant_ledger::report_validity)
+    const bool is_first = contact.reported_at == time_point();
+    if (!is_first && now - contact.reported_at >= grant_ledger::report_validity)
         contact.in_touch_since = now;
     contact.reported_at = now;
     const time_point echoed{std::chrono::nanoseconds(report.echo)};
@@ -194,6 +195,11 @@
         if (known != targets_.end() && known->second.failing_since)
             seen.holder_fails = std::chrono::duration_cast<milliseconds>(
                 now - *known->second.failing_since);
+        for (const auto& trouble : state_.view.health.troubles(now))
+            if (trouble.target == target->id)
+                seen.holder_fails =
+                    std::max(seen.holder_fails.value_or(trouble.lasting),
+                             trouble.lasting);
         for (const auto& [vm, contact] : vms_)
         {
             if (now - contact.reported_at >= grant_ledger::report_validity ||
@@ -322,7 +328,8 @@
     if (!receipt || !receipt->accepted || notice.token != duty_.token())
         co_return;
     if (vm != state_.settings.name)
-        ledger_.on_contact(vm, receipt->incarnation, current_time());
+        ledger_.on_contact(vm, receipt->incarnation, receipt->grant_age,
+                           current_time());
     for (const auto& state : notice.primaries)
     {
         auto& confirmed = contact.confirmed[state.record.group];
--- a/src/process/failover/grant_ledger.cpp
+++ b/src/process/failover/grant_ledger.cpp
@@ -6,8 +6,10 @@
 namespace oleandergrade
 {
 
-void grant_ledger::take_over(time_point now)
+void grant_ledger::take_over(time_point heard_at, time_point now)
 {
+    taken_at_ = now;
+    predecessor_heard_at_ = heard_at;
     predecessor_bound_ = now + grant_without_store + grant_validity;
     incarnations_.clear();
     for (auto& [vm, bound] : bounds_)
@@ -27,7 +29,7 @@
 }
 
 void grant_ledger::on_contact(const std::string& vm, std::uint64_t incarnation,
-                              time_point now)
+                              milliseconds grant_age, time_point now)
 {
     const auto [known, is_first] = incarnations_.emplace(vm, incarnation);
     // An earlier grant was asked for before this contact.
@@ -35,11 +37,18 @@
         bounds_[vm] = now + grant_validity;
     else if (std::exchange(known->second, incarnation) != incarnation)
         bounds_[vm] = time_point();
+    if (is_first)
+        predecessor_heard_at_ =
+            std::max(predecessor_heard_at_, now - grant_age);
     // This VM itself counts as well.
     if (!is_first || (incarnations_.size() + 1) * 2 < members_)
         return;
+    // A holder before granted under its lease, which ended before this one
+    // began, or while it heard from most members.
+    const auto last_grant =
+        std::max(taken_at_, predecessor_heard_at_ + report_validity);
     predecessor_bound_ =
-        std::min(predecessor_bound_, now + report_validity + grant_validity);
+        std::min(predecessor_bound_, last_grant + grant_validity);
     for (auto& [member, bound] : bounds_)
         if (!incarnations_.contains(member))
             bound = std::min(bound, predecessor_bound_);
--- a/src/process/limits/share_ledger.cpp
+++ b/src/process/limits/share_ledger.cpp
@@ -34,6 +34,7 @@
         if (!is_new)
             fill(state, now);
         state.budget = budget_of(account, tolerance_);
+        state.takeover_burst = restart_burst(account, tolerance_) / 2;
         state.filled_at = now;
         if (is_new && fills)
             state.reserve = state.budget.reserved_burst();
@@ -56,6 +57,9 @@
     {
         account.vms.clear();
         account.filled_at = now;
+        // What is left of the reserve before is not known.
+        account.reserve = std::max(account.reserve,
+                                   account.takeover_burst * reachable_part());
     }
 }
 
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -380,7 +380,7 @@
                {"members", state_.members.size()}});
     if (holds)
     {
-        ledger_.take_over(now);
+        ledger_.take_over(granted_at_, now);
         ledger_.use_members(state_.members.names());
         shares_.take_over(now);
         state_.view.authority.on_token(duty_.token());
@@ -417,6 +417,8 @@
 {
     if (!may_grant(now))
         return;
+    if (std::exchange(stamp_token_, duty_.token()) != duty_.token())
+        other_granted_at_ = granted_at_;
     granted_at_ = now;
     set_isolated(false, 1, 1);
     state_.view.authority.on_grant(duty_.token(), now,
@@ -495,6 +497,7 @@
     report.configuration_version = state_.configuration.version();
     report.troubles = state_.view.health.troubles(now);
     report.demands = state_.limiter.demands(now);
+    report.grant_age = age_of_other_grant(report.token);
     report.echo = stamp_token_ == report.token ? stamp_ : 0;
     return report;
 }
@@ -552,7 +555,6 @@
         return;
     }
     failed_reports_ = 0;
-    granted_at_ = now;
     set_isolated(false, 1, 1);
     if (!state_.view.authority.on_token(grant.token))
         return;
@@ -567,7 +569,9 @@
                 sent_at - state.position_age);
     }
     stamp_ = grant.stamp;
-    stamp_token_ = grant.token;
+    if (std::exchange(stamp_token_, grant.token) != grant.token)
+        other_granted_at_ = granted_at_;
+    granted_at_ = now;
     const bool had_grant = state_.view.authority.has_grant(now);
     state_.view.authority.on_grant(grant.token, sent_at, grant.validity);
     state_.limiter.use_shares(grant.shares, sent_at, now);
@@ -594,6 +598,13 @@
     looking_around_ = false;
 }
 
+// Grants of the holder with this token do not count.
+milliseconds fleet_service::age_of_other_grant(std::uint64_t token) const
+{
+    const auto last = stamp_token_ == token ? other_granted_at_ : granted_at_;
+    return std::chrono::duration_cast<milliseconds>(current_time() - last);
+}
+
 bool fleet_service::lacks_holder() const
 {
     return current_time() - granted_at_ > silence_of_holder;
@@ -604,6 +615,9 @@
 {
     if (std::exchange(isolated_, isolated) == isolated)
         return;
+    // What could not be reached from inside the cut says nothing now.
+    if (!isolated)
+        state_.view.health.forget_failures();
     log_event(event_level::warning, "membership",
               isolated ? "cut off" : "no longer cut off",
               {{"asked", asked}, {"answered", answered}});
@@ -734,7 +748,8 @@
         std::chrono::nanoseconds(now.time_since_epoch()).count());
     // Only a VM that has seen the token refuses the holder before.
     if (report.token == duty_.token())
-        ledger_.on_contact(report.vm, report.incarnation, now);
+        ledger_.on_contact(report.vm, report.incarnation, report.grant_age,
+                           now);
     ledger_.on_granted(report.vm, now);
     failover_.on_report(report, now);
     return grant;
@@ -820,6 +835,7 @@
         if (!state.record.is_open)
             state_.view.authority.confirm_closed(state.record.group);
     receipt.token = notice.token;
+    receipt.grant_age = age_of_other_grant(notice.token);
     receipt.accepted = state_.view.authority.on_token(notice.token);
     co_return receipt;
 }
