--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <oleandergrade/connection/peer_link.hpp>
-#include <oleandergrade/process/configuration/store_follower.hpp>
+#include <oleandergrade/process/configuration/store_records.hpp>
 #include <oleandergrade/process/failover/failover_driver.hpp>
 #include <oleandergrade/process/failover/grant_ledger.hpp>
 #include <oleandergrade/process/fleet_state.hpp>
@@ -57,15 +57,10 @@
     failover_driver& failover() { return failover_; }
 
 private:
-    void use_configuration(const std::string& record, const char* source);
-    void use_all_targets(const stored_range& range);
-    void use_target(const std::string& key,
-                    const std::optional<std::string>& value);
     void use_all_own_keys(const stored_range& range);
     void use_own_key(const stored_change& change);
     void use_record(const primary_record& record, const char* source);
     void on_members_changed();
-    void on_targets_changed();
 
     boost::asio::awaitable<void> register_member();
     boost::asio::awaitable<void> elect();
@@ -86,14 +81,12 @@
                    time_point sent_at);
     void grant_to_self(time_point now);
     boost::asio::awaitable<void> fetch_snapshot(std::string address);
-    void use_snapshot(const fleet_snapshot& snapshot);
 
     boost::asio::awaitable<void> accept_loop();
     boost::asio::awaitable<peer_body> serve(peer_body body);
     token_grant lend(const token_request& request);
     fleet_grant answer_report(const fleet_report& report);
     boost::asio::awaitable<notice_receipt> take_notice(primary_notice notice);
-    fleet_snapshot make_snapshot(std::uint64_t known_version) const;
     bool may_grant(time_point now) const;
 
     boost::asio::io_context& context_;
@@ -103,8 +96,7 @@
     share_ledger shares_;
     peer_calls peers_;
     failover_driver failover_;
-    store_follower configuration_follower_;
-    store_follower target_follower_;
+    store_records records_;
     store_follower own_follower_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer election_poke_;
--- a/programs/oleanderctl.cpp
+++ b/programs/oleanderctl.cpp
@@ -285,7 +285,8 @@
 
 asio::awaitable<result<http_response>> fetch_state(std::string address)
 {
-    http_client connection(co_await asio::this_coro::executor, address);
+    const auto executor = co_await asio::this_coro::executor;
+    http_client connection(executor, std::move(address));
     http_request request;
     request.method = "GET";
     request.path = "/state";
--- /dev/null
+++ b/src/process/configuration/store_records.cpp
@@ -0,0 +1,151 @@
+#include <oleandergrade/process/configuration/store_records.hpp>
+
+#include <oleandergrade/process/event_log.hpp>
+
+#include <set>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+
+store_records::store_records(asio::any_io_executor executor, fleet_state& state)
+    : state_(state),
+      configuration_follower_(
+          executor, *state.platform.store,
+          state.platform.layout.configuration_prefix,
+          {[this](const stored_range& range)
+           {
+               for (const auto& item : range.items)
+                   if (item.key == state_.platform.layout.configuration_key)
+                       use_configuration(item.value, "store");
+           },
+           [this](const stored_change& change)
+           {
+               if (change.key == state_.platform.layout.configuration_key &&
+                   change.value)
+                   use_configuration(*change.value, "store");
+           }}),
+      target_follower_(
+          executor, *state.platform.store, state.platform.layout.targets_prefix,
+          {[this](const stored_range& range) { use_all_targets(range); },
+           [this](const stored_change& change)
+           {
+               use_target(change.key, change.value);
+               on_targets_changed();
+           }})
+{
+}
+
+void store_records::start()
+{
+    configuration_follower_.start();
+    target_follower_.start();
+}
+
+void store_records::drop_lapsed(time_point now)
+{
+    if (state_.view.registry.drop_lapsed(now))
+        on_targets_changed();
+}
+
+void store_records::use_configuration(const std::string& record,
+                                      const char* source)
+{
+    auto decoded = state_.platform.layout.decode_configuration(record);
+    if (!succeeded(decoded))
+        return log_event(event_level::error, "configuration", "not understood",
+                         {{"error", to_string(error_of(decoded))},
+                          {"in_force", state_.configuration.version()}});
+    const auto before = state_.configuration.version();
+    if (!state_.configuration.use(value_of(decoded)))
+        return;
+    log_event(event_level::info, "configuration", "in force",
+              {{"version", state_.configuration.version()},
+               {"before", before},
+               {"source", source}});
+}
+
+void store_records::use_all_targets(const stored_range& range)
+{
+    std::set<std::string> present;
+    for (const auto& item : range.items)
+        present.insert(item.key);
+    std::vector<std::string> gone;
+    for (const auto& known : state_.target_values)
+        if (!present.contains(known.first))
+            gone.push_back(known.first);
+    for (const auto& key : gone)
+        use_target(key, std::nullopt);
+    for (const auto& item : range.items)
+        use_target(item.key, item.value);
+    on_targets_changed();
+}
+
+void store_records::use_target(const std::string& key,
+                               const std::optional<std::string>& value)
+{
+    const auto id = key.substr(state_.platform.layout.targets_prefix.size());
+    const auto now = current_time();
+    if (!value)
+    {
+        state_.target_values.erase(key);
+        state_.view.registry.remove(id, now);
+        return log_event(event_level::info, "targets", "gone",
+                         {{"target", id}});
+    }
+    state_.target_values[key] = *value;
+    auto decoded = state_.platform.layout.decode_target(id, *value);
+    if (!succeeded(decoded))
+    {
+        state_.view.registry.remove(id, now);
+        return log_event(
+            event_level::warning, "targets", "not understood",
+            {{"target", id}, {"error", to_string(error_of(decoded))}});
+    }
+    const auto& target = value_of(decoded);
+    const auto* known = state_.view.registry.find(id);
+    if (known == nullptr || !(*known == target))
+        log_event(event_level::info, "targets", "registered",
+                  {{"target", id},
+                   {"group", target.group},
+                   {"address", target.address},
+                   {"draining", target.is_draining ? "yes" : "no"},
+                   {"primary", target.claims_primary ? "yes" : "no"}});
+    state_.view.registry.put(target);
+}
+
+void store_records::on_targets_changed()
+{
+    state_.pool.drop_stale();
+    state_.pool.retry_all();
+}
+
+void store_records::use_snapshot(const fleet_snapshot& snapshot)
+{
+    if (snapshot.configuration_version > state_.configuration.version())
+        use_configuration(snapshot.configuration, "peer");
+    // What the store shows goes first.
+    if (target_follower_.has_read() && target_follower_.is_in_touch())
+        return;
+    for (const auto& item : snapshot.targets)
+        use_target(item.key, item.value);
+    on_targets_changed();
+}
+
+fleet_snapshot store_records::make_snapshot(std::uint64_t known_version) const
+{
+    fleet_snapshot snapshot;
+    const auto& table = state_.configuration.current();
+    if (table != nullptr && table->version > known_version)
+    {
+        snapshot.configuration_version = table->version;
+        snapshot.configuration = table->record;
+    }
+    for (const auto& [key, value] : state_.target_values)
+        snapshot.targets.push_back({key, value});
+    for (const auto& [name, member] : state_.members.all())
+        snapshot.members.push_back({name, serialize_fleet_member(member)});
+    return snapshot;
+}
+
+} // namespace oleandergrade
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -12,7 +12,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <set>
 
 namespace oleandergrade
 {
@@ -51,30 +50,7 @@
       shares_(state.settings.tolerance(), state.settings.first_start),
       peers_(context.get_executor()),
       failover_(context.get_executor(), state, duty_, ledger_, peers_),
-      configuration_follower_(
-          context.get_executor(), *state.platform.store,
-          state.platform.layout.configuration_prefix,
-          {[this](const stored_range& range)
-           {
-               for (const auto& item : range.items)
-                   if (item.key == state_.platform.layout.configuration_key)
-                       use_configuration(item.value, "store");
-           },
-           [this](const stored_change& change)
-           {
-               if (change.key == state_.platform.layout.configuration_key &&
-                   change.value)
-                   use_configuration(*change.value, "store");
-           }}),
-      target_follower_(context.get_executor(), *state.platform.store,
-                       state.platform.layout.targets_prefix,
-                       {[this](const stored_range& range)
-                        { use_all_targets(range); },
-                        [this](const stored_change& change)
-                        {
-                            use_target(change.key, change.value);
-                            on_targets_changed();
-                        }}),
+      records_(context.get_executor(), state),
       own_follower_(
           context.get_executor(), *state.platform.store, own_prefix,
           {[this](const stored_range& range) { use_all_own_keys(range); },
@@ -105,8 +81,7 @@
     listen_shared(acceptor_, value_of(endpoint));
     const auto executor = context_.get_executor();
     asio::co_spawn(executor, accept_loop(), asio::detached);
-    configuration_follower_.start();
-    target_follower_.start();
+    records_.start();
     own_follower_.start();
     asio::co_spawn(executor, register_member(), asio::detached);
     asio::co_spawn(executor, elect(), asio::detached);
@@ -128,79 +103,6 @@
     co_await state_.platform.store->end_lease(lease);
 }
 
-void fleet_service::use_configuration(const std::string& record,
-                                      const char* source)
-{
-    auto decoded = state_.platform.layout.decode_configuration(record);
-    if (!succeeded(decoded))
-        return log_event(event_level::error, "configuration", "not understood",
-                         {{"error", to_string(error_of(decoded))},
-                          {"in_force", state_.configuration.version()}});
-    const auto before = state_.configuration.version();
-    if (!state_.configuration.use(value_of(decoded)))
-        return;
-    behind_since_.reset();
-    log_event(event_level::info, "configuration", "in force",
-              {{"version", state_.configuration.version()},
-               {"before", before},
-               {"source", source}});
-}
-
-void fleet_service::use_all_targets(const stored_range& range)
-{
-    std::set<std::string> present;
-    for (const auto& item : range.items)
-        present.insert(item.key);
-    std::vector<std::string> gone;
-    for (const auto& known : state_.target_values)
-        if (!present.contains(known.first))
-            gone.push_back(known.first);
-    for (const auto& key : gone)
-        use_target(key, std::nullopt);
-    for (const auto& item : range.items)
-        use_target(item.key, item.value);
-    on_targets_changed();
-}
-
-void fleet_service::use_target(const std::string& key,
-                               const std::optional<std::string>& value)
-{
-    const auto id = key.substr(state_.platform.layout.targets_prefix.size());
-    const auto now = current_time();
-    if (!value)
-    {
-        state_.target_values.erase(key);
-        state_.view.registry.remove(id, now);
-        return log_event(event_level::info, "targets", "gone",
-                         {{"target", id}});
-    }
-    state_.target_values[key] = *value;
-    auto decoded = state_.platform.layout.decode_target(id, *value);
-    if (!succeeded(decoded))
-    {
-        state_.view.registry.remove(id, now);
-        return log_event(
-            event_level::warning, "targets", "not understood",
-            {{"target", id}, {"error", to_string(error_of(decoded))}});
-    }
-    const auto& target = value_of(decoded);
-    const auto* known = state_.view.registry.find(id);
-    if (known == nullptr || !(*known == target))
-        log_event(event_level::info, "targets", "registered",
-                  {{"target", id},
-                   {"group", target.group},
-                   {"address", target.address},
-                   {"draining", target.is_draining ? "yes" : "no"},
-                   {"primary", target.claims_primary ? "yes" : "no"}});
-    state_.view.registry.put(target);
-}
-
-void fleet_service::on_targets_changed()
-{
-    state_.pool.drop_stale();
-    state_.pool.retry_all();
-}
-
 void fleet_service::use_all_own_keys(const stored_range& range)
 {
     stored_item duty{duty_key, "", 0};
@@ -436,8 +338,7 @@
     for (;;)
     {
         const auto now = current_time();
-        if (state_.view.registry.drop_lapsed(now))
-            on_targets_changed();
+        records_.drop_lapsed(now);
         if (!duty_.is_holder())
             co_await report_once();
         else if (may_grant(now))
@@ -538,7 +439,7 @@
     {
         behind_since_.reset();
     }
-    if (!target_follower_.has_read() && !fetching_)
+    if (!records_.has_targets() && !fetching_)
         asio::co_spawn(context_, fetch_snapshot(address), asio::detached);
     if (!grant.accepted)
     {
@@ -644,45 +545,18 @@
     fetching_ = false;
     if (!succeeded(outcome))
         co_return;
-    if (const auto* snapshot = std::get_if<fleet_snapshot>(&value_of(outcome)))
-        use_snapshot(*snapshot);
-}
-
-void fleet_service::use_snapshot(const fleet_snapshot& snapshot)
-{
-    if (snapshot.configuration_version > state_.configuration.version())
-        use_configuration(snapshot.configuration, "peer");
-    // What the store shows goes first.
-    if (!target_follower_.has_read() || !target_follower_.is_in_touch())
-    {
-        for (const auto& item : snapshot.targets)
-            use_target(item.key, item.value);
-        on_targets_changed();
-    }
+    const auto* snapshot = std::get_if<fleet_snapshot>(&value_of(outcome));
+    if (snapshot == nullptr)
+        co_return;
+    records_.use_snapshot(*snapshot);
     if (own_follower_.has_read())
-        return;
-    for (const auto& item : snapshot.members)
+        co_return;
+    for (const auto& item : snapshot->members)
         if (auto member = parse_fleet_member(item.value); succeeded(member))
             state_.members.put(value_of(member));
     on_members_changed();
 }
 
-fleet_snapshot fleet_service::make_snapshot(std::uint64_t known_version) const
-{
-    fleet_snapshot snapshot;
-    const auto& table = state_.configuration.current();
-    if (table != nullptr && table->version > known_version)
-    {
-        snapshot.configuration_version = table->version;
-        snapshot.configuration = table->record;
-    }
-    for (const auto& [key, value] : state_.target_values)
-        snapshot.targets.push_back({key, value});
-    for (const auto& [name, member] : state_.members.all())
-        snapshot.members.push_back({name, serialize_fleet_member(member)});
-    return snapshot;
-}
-
 asio::awaitable<void> fleet_service::accept_loop()
 {
     for (;;)
@@ -717,7 +591,7 @@
         co_return peer_body(std::move(receipt));
     }
     if (const auto* request = std::get_if<snapshot_request>(&body))
-        co_return make_snapshot(request->known_version);
+        co_return records_.make_snapshot(request->known_version);
     co_return fleet_grant{};
 }
 
