--- a/include/oleandergrade/process/configuration/store_follower.hpp
+++ b/include/oleandergrade/process/configuration/store_follower.hpp
@@ -16,8 +16,10 @@
 class store_follower
 {
 public:
-    /// Answers to a watch may be lost; a later watch repeats what they held.
-    static constexpr milliseconds watch_time{8000};
+    /// Answers to a watch may be lost; the next watch repeats what they held.
+    static constexpr milliseconds longest_watch{8000};
+    /// A leaving target must be noticed this much before it gets no more work.
+    static constexpr milliseconds drain_margin{1500};
     static constexpr milliseconds first_pause{100};
     static constexpr milliseconds longest_pause{800};
 
@@ -29,7 +31,8 @@
     };
 
     store_follower(boost::asio::any_io_executor executor, metadata_store& store,
-                   std::string prefix, handlers behaviour);
+                   std::string prefix, milliseconds drain_time,
+                   handlers behaviour);
 
     void start();
 
@@ -47,6 +50,7 @@
     boost::asio::any_io_executor executor_;
     metadata_store& store_;
     std::string prefix_;
+    milliseconds watch_time_;
     handlers handlers_;
     std::uint64_t as_of_ = 0;
     milliseconds pause_ = first_pause;
--- a/include/oleandergrade/process/configuration/store_records.hpp
+++ b/include/oleandergrade/process/configuration/store_records.hpp
@@ -20,7 +20,8 @@
 class store_records
 {
 public:
-    store_records(boost::asio::any_io_executor executor, fleet_state& state);
+    store_records(const boost::asio::any_io_executor& executor,
+                  fleet_state& state);
 
     void start();
     /// The store has shown the targets since the start.
--- a/programs/oleanderctl.cpp
+++ b/programs/oleanderctl.cpp
@@ -283,10 +283,10 @@
     return exit_done;
 }
 
-asio::awaitable<result<http_response>> fetch_state(std::string address)
+asio::awaitable<result<http_response>> fetch_state(const std::string& address)
 {
     const auto executor = co_await asio::this_coro::executor;
-    http_client connection(executor, std::move(address));
+    http_client connection(executor, address);
     http_request request;
     request.method = "GET";
     request.path = "/state";
@@ -325,9 +325,10 @@
         asio::io_context context;
         result<http_response> outcome =
             error{error_kind::unreachable, "vms", address, "no answer"};
-        asio::co_spawn(context, fetch_state(address),
-                       [&](std::exception_ptr, result<http_response> reply)
-                       { outcome = std::move(reply); });
+        asio::co_spawn(
+            context, fetch_state(address),
+            [&](const std::exception_ptr&, result<http_response> reply)
+            { outcome = std::move(reply); });
         context.run();
         if (!succeeded(outcome))
         {
--- a/src/process/configuration/store_follower.cpp
+++ b/src/process/configuration/store_follower.cpp
@@ -15,8 +15,10 @@
 
 store_follower::store_follower(asio::any_io_executor executor,
                                metadata_store& store, std::string prefix,
-                               handlers behaviour)
+                               milliseconds drain_time, handlers behaviour)
     : executor_(std::move(executor)), store_(store), prefix_(std::move(prefix)),
+      watch_time_(std::clamp<milliseconds>(drain_time - drain_margin,
+                                           seconds(1), longest_watch)),
       handlers_(std::move(behaviour))
 {
 }
@@ -54,7 +56,7 @@
 // Returns false if the prefix must be read anew.
 asio::awaitable<bool> store_follower::watch()
 {
-    auto outcome = co_await store_.watch(prefix_, as_of_, watch_time);
+    auto outcome = co_await store_.watch(prefix_, as_of_, watch_time_);
     if (!succeeded(outcome))
     {
         if (error_of(outcome).kind == error_kind::conflict)
--- a/src/process/configuration/store_records.cpp
+++ b/src/process/configuration/store_records.cpp
@@ -8,11 +8,12 @@
 {
 namespace asio = boost::asio;
 
-store_records::store_records(asio::any_io_executor executor, fleet_state& state)
+store_records::store_records(const asio::any_io_executor& executor,
+                             fleet_state& state)
     : state_(state),
       configuration_follower_(
           executor, *state.platform.store,
-          state.platform.layout.configuration_prefix,
+          state.platform.layout.configuration_prefix, state.settings.drain_time,
           {[this](const stored_range& range)
            {
                for (const auto& item : range.items)
@@ -27,6 +28,7 @@
            }}),
       target_follower_(
           executor, *state.platform.store, state.platform.layout.targets_prefix,
+          state.settings.drain_time,
           {[this](const stored_range& range) { use_all_targets(range); },
            [this](const stored_change& change)
            {
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -53,6 +53,7 @@
       records_(context.get_executor(), state),
       own_follower_(
           context.get_executor(), *state.platform.store, own_prefix,
+          state.settings.drain_time,
           {[this](const stored_range& range) { use_all_own_keys(range); },
            [this](const stored_change& change) { use_own_key(change); }}),
       acceptor_(context), election_poke_(context), report_poke_(context),
