--- a/include/oleandergrade/process/failover/failover_driver.hpp
+++ b/include/oleandergrade/process/failover/failover_driver.hpp
@@ -57,7 +57,6 @@
     /// VMs that surely have not turned to another holder lately, without this
     /// one: their reports answer to recent grants.
     std::uint32_t vms_with_holder(time_point now) const;
-    std::uint64_t promotions() const { return promotions_; }
 
 private:
     struct target_contact
@@ -111,7 +110,6 @@
     std::map<std::string, target_contact> targets_;
     std::map<std::string, vm_contact> vms_;
     bool holds_ = false;
-    std::uint64_t promotions_ = 0;
 };
 
 } // namespace oleandergrade
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -54,7 +54,6 @@
     std::function<void(bool)> on_isolation;
 
     const duty_election& duty() const { return duty_; }
-    failover_driver& failover() { return failover_; }
 
 private:
     void use_all_own_keys(const stored_range& range);
--- a/include/oleandergrade/process/serving/target_pool.hpp
+++ b/include/oleandergrade/process/serving/target_pool.hpp
@@ -92,7 +92,6 @@
     void retry_all();
     /// Closes sessions at targets that are gone, leave or are restarted.
     void drop_stale();
-    void close_all();
 
     const pool_counts& counts() const { return counts_; }
     std::size_t waiting() const { return waiters_.size(); }
--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -359,7 +359,6 @@
                                                std::string target)
 {
     const auto started = current_time();
-    ++promotions_;
     result<bool> outcome =
         error{error_kind::unreachable, "promote", target, "the duty was lost"};
     promotion_order order{group, target, state_.settings.name, duty_.token()};
--- a/src/process/serving/target_pool.cpp
+++ b/src/process/serving/target_pool.cpp
@@ -377,14 +377,4 @@
                   });
 }
 
-void target_pool::close_all()
-{
-    for (auto& [id, entry] : targets_)
-    {
-        for (const auto& session : entry.idle)
-            session->close();
-        entry.idle.clear();
-    }
-}
-
 } // namespace oleandergrade
