Run several VMs' logic in virtual time under faults

tests/fakes/fleet_world drives the real duty election, grants, failover, placement and retries of six VMs, one group and the platform through crashes, pauses, cuts, outages, early ends of leases and failing servers. vm_contacts, holder_contact and attempt_policy were taken out of the services for it.

--- a/include/oleandergrade/process/failover/failover_driver.hpp
+++ b/include/oleandergrade/process/failover/failover_driver.hpp
@@ -5,6 +5,7 @@
 #include <oleandergrade/connection/target_session.hpp>
 #include <oleandergrade/process/failover/grant_ledger.hpp>
 #include <oleandergrade/process/failover/group_failover.hpp>
+#include <oleandergrade/process/failover/vm_contacts.hpp>
 #include <oleandergrade/process/fleet_state.hpp>
 #include <oleandergrade/process/membership/duty_election.hpp>
 #include <oleandergrade/process/membership/peer_calls.hpp>
@@ -33,8 +34,6 @@
     /// Between notices to a VM that has not confirmed.
     static constexpr milliseconds notice_interval{100};
     static constexpr milliseconds notice_timeout{600};
-    /// A VM that was out of touch tells of old failures for this long.
-    static constexpr milliseconds settling_time{1200};
 
     failover_driver(boost::asio::any_io_executor executor, fleet_state& state,
                     duty_election& duty, grant_ledger& ledger,
@@ -52,11 +51,8 @@
     /// Called when this VM must act on a notice of its own.
     std::function<boost::asio::awaitable<notice_receipt>(primary_notice)>
         on_own_notice;
-    /// VMs whose reports arrived lately, without this one.
-    std::uint32_t vms_reporting(time_point now) const;
-    /// VMs that surely have not turned to another holder lately, without this
-    /// one: their reports answer to recent grants.
-    std::uint32_t vms_with_holder(time_point now) const;
+    /// The other VMs, as their reports show them.
+    const vm_contacts& contacts() const { return contacts_; }
 
 private:
     struct target_contact
@@ -66,27 +62,16 @@
         std::optional<time_point> failing_since;
         time_point next_ping;
     };
-    struct vm_contact
+    struct notice_state
     {
-        time_point reported_at;
-        /// When the grant was sent that its last report answers to.
-        time_point echoed_at;
-        /// Since when it has reported without a gap.
-        time_point in_touch_since;
-        std::vector<target_trouble> troubles;
-        /// Revisions that the VM has confirmed, by group.
-        std::map<std::string, std::uint64_t> confirmed;
-        bool notifying = false;
-        time_point next_notice;
+        bool under_way = false;
+        time_point next;
     };
 
     boost::asio::awaitable<void> run();
-    std::uint32_t count_since(time_point vm_contact::*when,
-                              time_point earliest) const;
     milliseconds step(time_point now);
     void add_groups();
     group_sight sight_of(const std::string& group, time_point now);
-    bool is_binding(const primary_record& record, time_point now);
     void carry_out(const std::string& group, const group_action& action);
     void notify_all(time_point now);
     boost::asio::awaitable<void> notify(std::string vm, std::string address);
@@ -108,7 +93,9 @@
     boost::asio::steady_timer timer_;
     std::map<std::string, group_failover> groups_;
     std::map<std::string, target_contact> targets_;
-    std::map<std::string, vm_contact> vms_;
+    vm_contacts contacts_;
+    /// Notices by VM.
+    std::map<std::string, notice_state> notices_;
     bool holds_ = false;
 };
 
--- a/include/oleandergrade/process/failover/grant_ledger.hpp
+++ b/include/oleandergrade/process/failover/grant_ledger.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <oleandergrade/clock.hpp>
+#include <oleandergrade/process/membership/duty_election.hpp>
 
 #include <cstdint>
 #include <map>
@@ -31,6 +32,12 @@
     /// long must not count as new.
     static constexpr milliseconds report_validity{800};
 
+    /// Whether the VM may grant now. `seen_token` is the highest token that it
+    /// has seen; `with_holder` other VMs have answered to its recent grants.
+    static bool may_grant(const duty_election& duty, std::uint64_t seen_token,
+                          std::uint32_t with_holder, std::uint32_t members,
+                          time_point now);
+
     /// The duty was taken over at `now`. VMs may hold grants of the holders
     /// before; this one got its last such grant at `heard_at`.
     void take_over(time_point heard_at, time_point now);
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -8,6 +8,7 @@
 #include <oleandergrade/process/fleet_state.hpp>
 #include <oleandergrade/process/limits/share_ledger.hpp>
 #include <oleandergrade/process/membership/duty_election.hpp>
+#include <oleandergrade/process/membership/holder_contact.hpp>
 #include <oleandergrade/process/membership/peer_calls.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -72,8 +73,7 @@
     boost::asio::awaitable<void> look_around();
     boost::asio::awaitable<void> probe(std::string address,
                                        std::shared_ptr<std::size_t> answers);
-    bool lacks_holder() const;
-    milliseconds age_of_other_grant(std::uint64_t token) const;
+    std::vector<std::string> other_addresses() const;
     void set_isolated(bool isolated, std::size_t asked, std::size_t answered);
     fleet_report make_report();
     void use_grant(const fleet_grant& grant, const std::string& address,
@@ -93,6 +93,7 @@
     duty_election duty_;
     grant_ledger ledger_;
     share_ledger shares_;
+    holder_contact holder_;
     peer_calls peers_;
     failover_driver failover_;
     store_records records_;
@@ -105,19 +106,8 @@
     bool had_grant_ = false;
     bool fetching_ = false;
     bool isolated_ = false;
-    /// When a grant was got last, or given to itself.
-    time_point granted_at_;
-    /// The same for the holder before the present one.
-    time_point other_granted_at_;
     bool looking_around_ = false;
-    unsigned failed_reports_ = 0;
-    /// Stamp of the last grant, and the token of the holder that sent it.
-    std::uint64_t stamp_ = 0;
-    std::uint64_t stamp_token_ = 0;
-    std::size_t next_peer_ = 0;
     std::minstd_rand random_;
-    /// The holder as other VMs name it, if the store does not.
-    std::string hinted_holder_;
     /// Since when another VM has a newer configuration.
     std::optional<time_point> behind_since_;
 };
--- a/include/oleandergrade/process/serving/statement_runner.hpp
+++ b/include/oleandergrade/process/serving/statement_runner.hpp
@@ -5,6 +5,7 @@
 #include <oleandergrade/connection/session_codec.hpp>
 #include <oleandergrade/process/configuration/configuration_holder.hpp>
 #include <oleandergrade/process/limits/operation_limiter.hpp>
+#include <oleandergrade/process/serving/attempt_policy.hpp>
 #include <oleandergrade/process/serving/serving_metrics.hpp>
 #include <oleandergrade/process/serving/target_pool.hpp>
 
@@ -98,6 +99,7 @@
     void pass_on(run_state& run, const target_answer& answer);
     void finish(run_state& run);
     bool can_retry(const run_state& run) const;
+    attempt_facts facts_of(const run_state& run, bool authority_held) const;
     void release(served_session& session);
     placement_request request_for(const run_state& run) const;
     std::string statement_bytes(const run_state& run,
--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -22,10 +22,6 @@
 constexpr auto idle_interval = milliseconds(100);
 constexpr auto open_timeout = milliseconds(400);
 constexpr auto ask_timeout = milliseconds(300);
-/// A VM counts a target as failing once it failed this long.
-constexpr auto trouble_time = milliseconds(250);
-/// Clocks of VMs tell the time of a grant apart by less than this.
-constexpr auto bound_margin = milliseconds(100);
 
 } // namespace
 
@@ -50,7 +46,8 @@
 void failover_driver::on_duty_changed(bool holds)
 {
     holds_ = holds;
-    vms_.clear();
+    contacts_.clear();
+    notices_.clear();
     for (auto& [name, group] : groups_)
         group.abandon();
     if (!holds)
@@ -65,16 +62,7 @@
 
 void failover_driver::on_report(const fleet_report& report, time_point now)
 {
-    auto& contact = vms_[report.vm];
-    const bool is_first = contact.reported_at == time_point();
-    if (!is_first && now - contact.reported_at >= grant_ledger::report_validity)
-        contact.in_touch_since = now;
-    contact.reported_at = now;
-    const time_point echoed{std::chrono::nanoseconds(report.echo)};
-    // A stamp of an earlier holder's clock may lie ahead.
-    if (echoed <= now)
-        contact.echoed_at = std::max(contact.echoed_at, echoed);
-    contact.troubles = report.troubles;
+    contacts_.on_report(report, now);
 }
 
 void failover_driver::on_record(const primary_record& record)
@@ -163,30 +151,10 @@
     return is_active ? step_interval : idle_interval;
 }
 
-std::uint32_t failover_driver::vms_reporting(time_point now) const
-{
-    return count_since(&vm_contact::reported_at,
-                       now - grant_ledger::report_validity);
-}
-
-std::uint32_t failover_driver::vms_with_holder(time_point now) const
-{
-    return count_since(&vm_contact::echoed_at,
-                       now - grant_ledger::report_validity);
-}
-
-std::uint32_t failover_driver::count_since(time_point vm_contact::*when,
-                                           time_point earliest) const
-{
-    return static_cast<std::uint32_t>(std::count_if(
-        vms_.begin(), vms_.end(),
-        [&](const auto& entry) { return entry.second.*when > earliest; }));
-}
-
 group_sight failover_driver::sight_of(const std::string& group, time_point now)
 {
     group_sight sight;
-    sight.vms_in_touch = vms_reporting(now);
+    sight.vms_in_touch = contacts_.reporting(now);
     for (const auto* target : state_.view.registry.in_group(group))
     {
         target_sight seen;
@@ -200,18 +168,7 @@
                 seen.holder_fails =
                     std::max(seen.holder_fails.value_or(trouble.lasting),
                              trouble.lasting);
-        for (const auto& [vm, contact] : vms_)
-        {
-            if (now - contact.reported_at >= grant_ledger::report_validity ||
-                now - contact.in_touch_since < settling_time)
-                continue;
-            seen.vms_failing += static_cast<std::size_t>(
-                std::count_if(contact.troubles.begin(), contact.troubles.end(),
-                              [&](const target_trouble& trouble) {
-                                  return trouble.target == target->id &&
-                                         trouble.lasting >= trouble_time;
-                              }));
-        }
+        seen.vms_failing = contacts_.failing_to_reach(target->id, now);
         sight.targets.push_back(std::move(seen));
     }
     const auto& table = state_.configuration.current();
@@ -220,28 +177,12 @@
         limits == nullptr ? 0 : limits->synchronous_replicas;
     const auto found = groups_.find(group);
     sight.is_binding =
-        found != groups_.end() && is_binding(found->second.record(), now);
+        found != groups_.end() &&
+        contacts_.is_binding(found->second.record(), state_.members, ledger_,
+                             now);
     return sight;
 }
 
-bool failover_driver::is_binding(const primary_record& record, time_point now)
-{
-    for (const auto& [vm, member] : state_.members.all())
-    {
-        const auto found = vms_.find(vm);
-        if (found != vms_.end())
-        {
-            const auto confirmed = found->second.confirmed.find(record.group);
-            if (confirmed != found->second.confirmed.end() &&
-                confirmed->second >= record.revision)
-                continue;
-        }
-        if (now < ledger_.bound_of(vm) + bound_margin)
-            return false;
-    }
-    return true;
-}
-
 void failover_driver::carry_out(const std::string& group,
                                 const group_action& action)
 {
@@ -277,24 +218,21 @@
         return;
     for (const auto& [vm, member] : state_.members.all())
     {
-        auto& contact = vms_[vm];
-        if (contact.notifying || now < contact.next_notice)
+        auto& notice = notices_[vm];
+        if (notice.under_way || now < notice.next)
             continue;
-        const bool lacks_any =
-            std::any_of(groups_.begin(), groups_.end(),
-                        [&](const auto& entry)
-                        {
-                            const auto& record = entry.second.record();
-                            const auto known =
-                                contact.confirmed.find(entry.first);
-                            return record.revision != 0 &&
-                                   (known == contact.confirmed.end() ||
-                                    known->second < record.revision);
-                        });
+        const bool lacks_any = std::any_of(
+            groups_.begin(), groups_.end(),
+            [&](const auto& entry)
+            {
+                const auto& record = entry.second.record();
+                return record.revision != 0 &&
+                       !contacts_.has_confirmed(vm, record);
+            });
         if (!lacks_any)
             continue;
-        contact.notifying = true;
-        contact.next_notice = now + notice_interval;
+        notice.under_way = true;
+        notice.next = now + notice_interval;
         asio::co_spawn(executor_, notify(vm, member.address), asio::detached);
     }
 }
@@ -323,18 +261,14 @@
                     std::get_if<notice_receipt>(&value_of(outcome)))
                 receipt = *reply;
     }
-    auto& contact = vms_[vm];
-    contact.notifying = false;
+    notices_[vm].under_way = false;
     if (!receipt || !receipt->accepted || notice.token != duty_.token())
         co_return;
     if (vm != state_.settings.name)
         ledger_.on_contact(vm, receipt->incarnation, receipt->grant_age,
                            current_time());
     for (const auto& state : notice.primaries)
-    {
-        auto& confirmed = contact.confirmed[state.record.group];
-        confirmed = std::max(confirmed, state.record.revision);
-    }
+        contacts_.on_confirmed(vm, state.record);
     poke();
 }
 
--- a/src/process/failover/grant_ledger.cpp
+++ b/src/process/failover/grant_ledger.cpp
@@ -6,6 +6,21 @@
 namespace oleandergrade
 {
 
+// While the store does not answer, the holder goes on as long as most VMs
+// report to it: those that have turned to a successor do not.
+bool grant_ledger::may_grant(const duty_election& duty,
+                             std::uint64_t seen_token,
+                             std::uint32_t with_holder, std::uint32_t members,
+                             time_point now)
+{
+    if (!duty.is_holder() || duty.token() < seen_token)
+        return false;
+    if (duty.holds(now))
+        return true;
+    return (with_holder + 1) * 2 > members &&
+           now < duty.confirmed_at() + grant_without_store;
+}
+
 void grant_ledger::take_over(time_point heard_at, time_point now)
 {
     taken_at_ = now;
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -24,8 +24,6 @@
 
 /// A VM that waits for nothing looks at the election this often.
 constexpr auto election_interval = milliseconds(250);
-/// After this many lost reports another VM is asked who holds the duty.
-constexpr unsigned patience_with_holder = 2;
 /// Members beyond this rank do not compete for the duty at different times.
 constexpr std::size_t highest_rank = 20;
 /// Longest wait for statements at a primary whose replacement is planned.
@@ -35,8 +33,6 @@
 constexpr auto borrow_timeout = milliseconds(120);
 /// VMs that are asked to find out whether this one is cut off.
 constexpr std::size_t most_probes = 8;
-/// A VM without a grant for this long finds out whether it is cut off.
-constexpr auto silence_of_holder = milliseconds(700);
 constexpr auto probe_margin = milliseconds(50);
 constexpr auto register_pause = milliseconds(300);
 constexpr auto snapshot_timeout = milliseconds(1500);
@@ -185,7 +181,7 @@
     duty_.use_rank(std::min(rank, highest_rank));
     state_.limiter.use_members(std::max(state_.members.size(), 1U));
     shares_.use_members(state_.members.size(),
-                        failover_.vms_reporting(current_time()) + 1);
+                        failover_.contacts().reporting(current_time()) + 1);
     ledger_.use_members(state_.members.names());
     state_.share_limits();
 }
@@ -283,7 +279,7 @@
                {"members", state_.members.size()}});
     if (holds)
     {
-        ledger_.take_over(granted_at_, now);
+        ledger_.take_over(holder_.granted_at(), now);
         ledger_.use_members(state_.members.names());
         shares_.take_over(now);
         state_.view.authority.on_token(duty_.token());
@@ -296,39 +292,30 @@
 // Another VM holds the duty; the next report goes there at once.
 void fleet_service::turn_to_holder(const std::string& address)
 {
-    hinted_holder_ = address;
-    failed_reports_ = 0;
+    holder_.turn_to(address);
     // The regular report may be waiting for a VM that does not answer.
     if (!duty_.is_holder() && !report_address().empty())
         asio::co_spawn(context_, report_once(), asio::detached);
 }
 
-// While the store does not answer, the holder goes on as long as most VMs
-// report to it: those that have turned to a successor do not.
 bool fleet_service::may_grant(time_point now) const
 {
-    if (!duty_.is_holder() || duty_.token() < state_.view.authority.token())
-        return false;
-    if (duty_.holds(now))
-        return true;
-    const auto with_it = failover_.vms_with_holder(now) + 1;
-    return with_it * 2 > state_.members.size() &&
-           now < duty_.confirmed_at() + grant_ledger::grant_without_store;
+    return grant_ledger::may_grant(duty_, state_.view.authority.token(),
+                                   failover_.contacts().with_holder(now),
+                                   state_.members.size(), now);
 }
 
 void fleet_service::grant_to_self(time_point now)
 {
     if (!may_grant(now))
         return;
-    if (std::exchange(stamp_token_, duty_.token()) != duty_.token())
-        other_granted_at_ = granted_at_;
-    granted_at_ = now;
+    holder_.on_grant(duty_.token(), 0, now);
     set_isolated(false, 1, 1);
     state_.view.authority.on_grant(duty_.token(), now,
                                    grant_ledger::grant_validity);
     ledger_.on_granted(state_.settings.name, now);
     shares_.use_members(state_.members.size(),
-                        failover_.vms_reporting(now) + 1);
+                        failover_.contacts().reporting(now) + 1);
     state_.limiter.use_shares(
         shares_.divide(state_.settings.name, state_.limiter.demands(now), now),
         now, now);
@@ -344,7 +331,7 @@
             co_await report_once();
         else if (may_grant(now))
             grant_to_self(now);
-        if (lacks_holder() && !looking_around_)
+        if (holder_.is_silent(now) && !looking_around_)
             asio::co_spawn(context_, look_around(), asio::detached);
         const bool has_grant = state_.view.authority.has_grant(current_time());
         state_.view.outlook.on_grant(has_grant, current_time());
@@ -364,28 +351,19 @@
     }
 }
 
-// The holder as the store shows it, else as other VMs name it, else any VM
-// that may know.
 std::string fleet_service::report_address()
 {
-    const auto& known = duty_.known_holder();
-    if (failed_reports_ < patience_with_holder)
-    {
-        if (!hinted_holder_.empty())
-            return hinted_holder_;
-        if (!known.address.empty())
-            return known.address;
-    }
-    hinted_holder_.clear();
+    return holder_.next_address(duty_.known_holder().address,
+                                other_addresses());
+}
+
+std::vector<std::string> fleet_service::other_addresses() const
+{
     std::vector<std::string> addresses = state_.settings.seeds;
     for (const auto& [name, member] : state_.members.all())
         addresses.push_back(member.address);
-    if (!known.address.empty())
-        addresses.push_back(known.address);
     std::erase(addresses, state_.settings.peer_address);
-    if (addresses.empty())
-        return {};
-    return addresses[next_peer_++ % addresses.size()];
+    return addresses;
 }
 
 fleet_report fleet_service::make_report()
@@ -399,8 +377,8 @@
     report.configuration_version = state_.configuration.version();
     report.troubles = state_.view.health.troubles(now);
     report.demands = state_.limiter.demands(now);
-    report.grant_age = age_of_other_grant(report.token);
-    report.echo = stamp_token_ == report.token ? stamp_ : 0;
+    report.grant_age = holder_.other_grant_age(report.token, now);
+    report.echo = holder_.echo(report.token);
     return report;
 }
 
@@ -414,8 +392,7 @@
     auto outcome = co_await peers_.call(address, std::move(body), call_timeout);
     if (!succeeded(outcome))
     {
-        ++failed_reports_;
-        if (failed_reports_ == patience_with_holder)
+        if (holder_.on_silence())
             log_event(event_level::warning, "grant", "holder does not answer",
                       {{"address", address},
                        {"error", to_string(error_of(outcome))}});
@@ -444,19 +421,10 @@
         asio::co_spawn(context_, fetch_snapshot(address), asio::detached);
     if (!grant.accepted)
     {
-        if (!grant.holder.empty() &&
-            grant.token >= state_.view.authority.token())
-        {
-            hinted_holder_ = grant.holder;
-            failed_reports_ = 0;
-        }
-        else
-        {
-            ++failed_reports_;
-        }
+        holder_.on_declined(
+            grant.token >= state_.view.authority.token() ? grant.holder : "");
         return;
     }
-    failed_reports_ = 0;
     set_isolated(false, 1, 1);
     if (!state_.view.authority.on_token(grant.token))
         return;
@@ -470,10 +438,7 @@
                 {state.record.term, state.position},
                 sent_at - state.position_age);
     }
-    stamp_ = grant.stamp;
-    if (std::exchange(stamp_token_, grant.token) != grant.token)
-        other_granted_at_ = granted_at_;
-    granted_at_ = now;
+    holder_.on_grant(grant.token, grant.stamp, now);
     const bool had_grant = state_.view.authority.has_grant(now);
     state_.view.authority.on_grant(grant.token, sent_at, grant.validity);
     state_.limiter.use_shares(grant.shares, sent_at, now);
@@ -495,23 +460,11 @@
     for (const auto& address : addresses)
         asio::co_spawn(context_, probe(address, answers), asio::detached);
     co_await sleep_for(call_timeout + probe_margin);
-    set_isolated(lacks_holder() && *answers * 2 < addresses.size(),
+    set_isolated(holder_.is_silent(current_time()) && *answers * 2 < addresses.size(),
                  addresses.size(), *answers);
     looking_around_ = false;
 }
 
-// Grants of the holder with this token do not count.
-milliseconds fleet_service::age_of_other_grant(std::uint64_t token) const
-{
-    const auto last = stamp_token_ == token ? other_granted_at_ : granted_at_;
-    return std::chrono::duration_cast<milliseconds>(current_time() - last);
-}
-
-bool fleet_service::lacks_holder() const
-{
-    return current_time() - granted_at_ > silence_of_holder;
-}
-
 void fleet_service::set_isolated(bool isolated, std::size_t asked,
                                  std::size_t answered)
 {
@@ -636,8 +589,7 @@
     if (may_grant(now))
         co_return shares_.borrow(account, now);
     admission refused{false, borrow_timeout, false};
-    const auto address =
-        hinted_holder_.empty() ? duty_.known_holder().address : hinted_holder_;
+    const auto address = holder_.address(duty_.known_holder().address);
     if (address.empty())
         co_return refused;
     token_request request;
@@ -685,8 +637,8 @@
         receipt.token = state_.view.authority.token();
         co_return receipt;
     }
-    if (notice.holder != hinted_holder_ &&
-        notice.holder != duty_.known_holder().address)
+    const auto& known = duty_.known_holder().address;
+    if (notice.holder != known && notice.holder != holder_.address(known))
         turn_to_holder(notice.holder);
     duty_.on_token(notice.token);
     on_duty_changed();
@@ -710,7 +662,7 @@
         if (!state.record.is_open)
             state_.view.authority.confirm_closed(state.record.group);
     receipt.token = notice.token;
-    receipt.grant_age = age_of_other_grant(notice.token);
+    receipt.grant_age = holder_.other_grant_age(notice.token, current_time());
     receipt.accepted = state_.view.authority.on_token(notice.token);
     co_return receipt;
 }
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -446,39 +446,45 @@
         }
         const auto& failure = error_of(outcome);
         run.outcome.reason = to_string(failure);
-        const bool is_timeout = failure.kind == error_kind::timeout;
-        if (!is_timeout)
+        if (failure.kind != error_kind::timeout)
             view_.on_target(target, false, current_time());
         pool_.release(place->session);
+        const auto next = after_loss(failure.kind, facts_of(run, true));
         run.excluded.insert(target);
-        if (run.writes)
+        if (next == attempt_step::in_doubt)
             co_return fail(run, session_error::in_doubt, run.outcome.reason);
-        if (is_timeout || !can_retry(run))
+        if (next == attempt_step::timed_out)
             co_return fail(run, session_error::timeout, run.outcome.reason);
         measured_.on_retry();
     }
 }
 
+attempt_facts statement_runner::facts_of(const run_state& run,
+                                         bool authority_held) const
+{
+    return {run.writes, can_retry(run), !run.excluded.empty(), authority_held};
+}
+
 // Passes an answer on, or leaves the statement unanswered for another attempt.
 void statement_runner::answer_alone(run_state& run, placement& place,
                                     const target_answer& answer,
                                     time_point sent_at)
 {
     const auto& target = place.session->key().target;
+    const bool holds =
+        !place.is_primary ||
+        view_.authority.still_holds(run.used_route->group,
+                                    place.record_revision, current_time());
+    const auto next = after_answer(answer.failure, facts_of(run, holds));
     if (answer.succeeded())
     {
         observe(place, answer, sent_at);
-        if (!run.writes)
-        {
-            measured_.on_read(place.is_primary);
-            return pass_on(run, answer);
-        }
-        // A write that a deposed primary confirmed may be lost.
-        if (!view_.authority.still_holds(run.used_route->group,
-                                         place.record_revision, current_time()))
+        if (next == attempt_step::in_doubt)
             return fail(run, session_error::in_doubt,
                         "the primary was replaced meanwhile");
-        if (answer.position)
+        if (!run.writes)
+            measured_.on_read(place.is_primary);
+        else if (answer.position)
             run.session.agreed.on_commit(*answer.position);
         return pass_on(run, answer);
     }
@@ -486,32 +492,14 @@
     if (answer.state != transaction_state::none)
         // The target takes the statement for part of a transaction.
         place.session->close();
-    if (!can_retry(run))
-        return pass_on(run, answer);
-    switch (answer.failure)
-    {
-    case session_error::busy:
-        if (!run.writes)
-            run.excluded.insert(target);
-        return;
-    case session_error::lagging:
+    if (answer.failure == session_error::lagging)
         view_.health.on_lagging(target, current_time());
-        run.excluded.insert(target);
-        return;
-    case session_error::unknown_prepared:
+    if (answer.failure == session_error::unknown_prepared)
         place.session->prepared.clear();
-        return;
-    case session_error::read_only:
-        // The record of the new primary is on its way.
-        return;
-    case session_error::failed:
-        if (run.writes || !run.excluded.empty())
-            return pass_on(run, answer);
+    if (next == attempt_step::retry_elsewhere)
         run.excluded.insert(target);
-        return;
-    default:
-        return pass_on(run, answer);
-    }
+    else if (next != attempt_step::retry)
+        pass_on(run, answer);
 }
 
 // Binds the open transaction to a session at a target, where it begins.
--- a/standins/group_model.cpp
+++ b/standins/group_model.cpp
@@ -31,10 +31,13 @@
 log_position group_model::applied(const model_server& server,
                                   time_point now) const
 {
-    log_position position{server.term, 0};
+    log_position position{1, 0};
     for (const auto& commit : server.log)
         if (server.is_primary || commit.at + lag_ <= now)
-            position = {server.term, commit.position.position};
+            position = commit.position;
+    // A replica that lags has not come to the newest term yet.
+    if (position.position >= server.term_begins)
+        position.term = server.term;
     return position;
 }
 
@@ -61,13 +64,26 @@
         const model_commit commit{{server.term, number}, item, data, now};
         server.log.push_back(commit);
         for (auto& [id, replica] : servers_)
-            if (id != server.id && replica.is_running &&
+            if (id != server.id && replica.is_running && replica.receives &&
                 replica.term == server.term && !replica.is_primary)
                 replica.log.push_back(commit);
     }
     return true;
 }
 
+void group_model::resume(model_server& replica)
+{
+    replica.receives = true;
+    if (replica.is_primary)
+        return;
+    for (const auto& [id, other] : servers_)
+        if (other.is_running && other.is_primary &&
+            other.term >= replica.term)
+        {
+            follow(replica, other);
+        }
+}
+
 bool group_model::promote(const std::string& id, time_point now)
 {
     auto* server = find(id);
@@ -78,6 +94,13 @@
     return true;
 }
 
+void group_model::follow(model_server& replica, const model_server& primary)
+{
+    replica.term = primary.term;
+    replica.term_begins = primary.term_begins;
+    replica.log = primary.log;
+}
+
 void group_model::demote(model_server& server, std::uint64_t term)
 {
     if (!server.is_primary || server.term >= term)
@@ -86,7 +109,7 @@
     server.term = term;
     for (const auto& [id, other] : servers_)
         if (other.is_primary && other.term == term)
-            server.log = other.log;
+            follow(server, other);
 }
 
 void group_model::advance(time_point now)
@@ -100,17 +123,19 @@
         for (const auto& [other_id, other] : servers_)
             term = std::max(term, other.term);
         server.term = term + 1;
+        server.term_begins =
+            server.log.empty() ? 0 : server.log.back().position.position;
         server.is_primary = true;
         ++promotions_;
         for (auto& [other_id, other] : servers_)
         {
-            if (other_id == id || other.is_primary)
+            if (other_id == id || other.is_primary || !other.is_running ||
+                !other.receives)
                 continue;
-            other.term = server.term;
             other.rolled_back += other.log.size() > server.log.size()
                                      ? other.log.size() - server.log.size()
                                      : 0;
-            other.log = server.log;
+            follow(other, server);
         }
     }
 }
--- a/standins/group_model.hpp
+++ b/standins/group_model.hpp
@@ -29,7 +29,11 @@
     std::string id;
     bool is_running = true;
     bool is_primary = false;
+    /// A replica that does not is deaf: commits pass it by.
+    bool receives = true;
     std::uint64_t term = 1;
+    /// Number of the last commit before the term began.
+    std::uint64_t term_begins = 0;
     std::vector<model_commit> log;
     /// Commits that were not acknowledged by a promoted server.
     std::uint64_t rolled_back = 0;
@@ -49,6 +53,10 @@
 
     const std::string& name() const { return name_; }
     std::map<std::string, model_server>& servers() { return servers_; }
+    const std::map<std::string, model_server>& servers() const
+    {
+        return servers_;
+    }
     model_server* find(const std::string& id);
 
     /// Position of a server's log as far as it is applied.
@@ -61,6 +69,9 @@
     bool commit(model_server& server,
                 const std::vector<std::pair<std::string, std::string>>& writes,
                 oleandergrade::time_point now);
+    /// Commits reach the replica again, those that it missed included.
+    void resume(model_server& replica);
+    void set_lag(oleandergrade::milliseconds lag) { lag_ = lag; }
     /// False if the server does not run.
     bool promote(const std::string& id, oleandergrade::time_point now);
     void demote(model_server& server, std::uint64_t term);
@@ -69,6 +80,8 @@
     std::uint64_t promotions() const { return promotions_; }
 
 private:
+    static void follow(model_server& replica, const model_server& primary);
+
     std::string name_;
     std::map<std::string, model_server> servers_;
     oleandergrade::milliseconds lag_;
--- a/standins/platform_emulator.cpp
+++ b/standins/platform_emulator.cpp
@@ -380,6 +380,7 @@
         for (const auto& [id, other] : state->group.servers())
             if (other.is_primary && other.term > model->term)
                 state->group.demote(*model, other.term);
+        state->group.resume(*model);
         listen_shared(state->acceptor, loopback(state->port));
         asio::co_spawn(context_, accept_loop(*state), asio::detached);
         register_server(*state);
--- a/standins/store_model.cpp
+++ b/standins/store_model.cpp
@@ -117,6 +117,13 @@
     }
 }
 
+void store_model::lapse_leases(time_point now)
+{
+    for (auto& [id, lease] : leases_)
+        lease.ends_at = now;
+    advance(now);
+}
+
 void store_model::drop_keys_of(std::uint64_t lease, time_point now)
 {
     std::vector<std::string> keys;
--- a/standins/store_model.hpp
+++ b/standins/store_model.hpp
@@ -72,6 +72,8 @@
     bool end_lease(std::uint64_t id, oleandergrade::time_point now);
     /// Ends leases whose time is over and forgets old history.
     void advance(oleandergrade::time_point now);
+    /// Ends all leases before their time.
+    void lapse_leases(oleandergrade::time_point now);
     void drop_history()
     {
         events_.clear();
--- /dev/null
+++ b/tests/test_fleet_seeds.cpp
@@ -0,0 +1,195 @@
+/// Seeded runs of several VMs' logic in virtual time: duty, grants, failover,
+/// placement and retries under faults. OLEANDER_SEEDS sets how many seeds each
+/// test runs, OLEANDER_SEED the first one.
+#include "fakes/fleet_world.hpp"
+
+#include <oleandergrade/invariant.hpp>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+
+using namespace fakes;
+
+namespace
+{
+
+constexpr std::uint64_t default_seeds = 60;
+constexpr std::uint64_t planted_bug_seeds = 60;
+constexpr auto faulty_time = seconds(8);
+constexpr fleet_faults all_faults{true, true, true, true, true, true, true};
+
+std::uint64_t number_from_environment(const char* name, std::uint64_t fallback)
+{
+    const char* text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+std::uint64_t run_seeds(const char* name, const fleet_faults& faults,
+                        fleet_bug bug, std::uint64_t seeds)
+{
+    const auto first = number_from_environment("OLEANDER_SEED", 1);
+    fleet_outcome sum;
+    std::uint64_t violations = 0;
+    std::uint64_t unrecovered = 0;
+    for (auto seed = first; seed < first + seeds; ++seed)
+    {
+        fleet_world world(seed, faults, bug);
+        const auto outcome = world.run(faulty_time);
+        violations += outcome.violations.size();
+        unrecovered += outcome.recovered ? 0 : 1;
+        sum.acknowledged += outcome.acknowledged;
+        sum.in_doubt += outcome.in_doubt;
+        sum.refused += outcome.refused;
+        sum.reads += outcome.reads;
+        sum.replica_reads += outcome.replica_reads;
+        sum.promotions += outcome.promotions;
+        sum.faults += outcome.faults;
+        if (bug != fleet_bug::none)
+            continue;
+        for (const auto& line : outcome.violations)
+            std::cerr << name << " seed " << seed << ": " << line << "\n";
+        if (!outcome.recovered)
+            std::cerr << name << " seed " << seed << ": not recovered\n";
+    }
+    std::cerr << name << ": " << seeds << " seeds, " << sum.faults
+              << " faults, " << sum.promotions << " promotions, "
+              << sum.acknowledged << " writes acknowledged, " << sum.in_doubt
+              << " in doubt, " << sum.refused << " refused, " << sum.reads
+              << " reads (" << sum.replica_reads << " by replicas), "
+              << violations << " violations, " << unrecovered
+              << " not recovered\n";
+    return bug == fleet_bug::none ? violations + unrecovered : violations;
+}
+
+void expect_no_violation(const char* name, const fleet_faults& faults)
+{
+    abort_on_invariant_failure(true);
+    const auto seeds = number_from_environment("OLEANDER_SEEDS", default_seeds);
+    cr_assert(run_seeds(name, faults, fleet_bug::none, seeds) == 0);
+}
+
+void expect_violation(const char* name, fleet_bug bug)
+{
+    cr_assert(run_seeds(name, all_faults, bug, planted_bug_seeds) > 0);
+}
+
+} // namespace
+
+Test(fleet_seeds, without_faults)
+{
+    expect_no_violation("no faults", {});
+}
+
+Test(fleet_seeds, lost_and_delayed_messages)
+{
+    expect_no_violation("messages", {.messages = true});
+}
+
+Test(fleet_seeds, vms_that_crash)
+{
+    expect_no_violation("crashes", {.crashes = true, .targets = true});
+}
+
+Test(fleet_seeds, vms_that_stand_still)
+{
+    expect_no_violation("pauses", {.pauses = true, .targets = true});
+}
+
+Test(fleet_seeds, cuts)
+{
+    expect_no_violation("cuts", {.cuts = true, .targets = true});
+}
+
+Test(fleet_seeds, outages_of_the_store)
+{
+    expect_no_violation("store", {.store = true, .targets = true});
+}
+
+Test(fleet_seeds, leases_that_end_early)
+{
+    expect_no_violation("lapses", {.lapses = true, .targets = true});
+}
+
+Test(fleet_seeds, servers_that_fail)
+{
+    expect_no_violation("targets", {.targets = true});
+}
+
+Test(fleet_seeds, everything_together)
+{
+    expect_no_violation("all", all_faults);
+}
+
+Test(fleet_seeds, a_lost_primary_is_replaced_in_time)
+{
+    std::vector<duration> gaps;
+    for (std::uint64_t seed = 1; seed <= 51; ++seed)
+    {
+        fleet_world world(seed, {});
+        world.kill_primary_after(seconds(4));
+        const auto outcome = world.run(seconds(6));
+        cr_assert(outcome.violations.empty());
+        gaps.push_back(outcome.longest_gap);
+    }
+    std::sort(gaps.begin(), gaps.end());
+    const auto median = to_milliseconds(gaps[gaps.size() / 2]);
+    const auto worst = to_milliseconds(gaps.back());
+    std::cerr << "failover gap: median " << median << " ms, worst " << worst
+              << " ms, of which the promotion 300 ms\n";
+    cr_assert(median < 1300);
+    cr_assert(worst < 3000);
+}
+
+Test(fleet_seeds, notices_unbound_promotions)
+{
+    expect_violation("unbound promotion", fleet_bug::unbound_promotion);
+}
+
+Test(fleet_seeds, notices_unheeded_closings)
+{
+    expect_violation("unheeded closing", fleet_bug::unheeded_closing);
+}
+
+Test(fleet_seeds, notices_endless_grants)
+{
+    expect_violation("endless grant", fleet_bug::endless_grant);
+}
+
+Test(fleet_seeds, notices_unchecked_answers)
+{
+    // Only an answer that is on its way while its primary is replaced shows it.
+    const fleet_faults late{.messages = true, .cuts = true, .targets = true};
+    cr_assert(run_seeds("unchecked answer", late, fleet_bug::unchecked_answer,
+                        planted_bug_seeds) > 0);
+}
+
+Test(fleet_seeds, notices_blind_retries)
+{
+    expect_violation("blind retry", fleet_bug::blind_retry);
+}
+
+Test(fleet_seeds, notices_forgotten_positions)
+{
+    expect_violation("forgotten position", fleet_bug::forgotten_position);
+}
+
+Test(fleet_seeds, notices_forgotten_ages)
+{
+    expect_violation("forgotten age", fleet_bug::forgotten_age);
+}
+
+Test(fleet_seeds, notices_false_denials)
+{
+    expect_violation("false denial", fleet_bug::false_denial);
+}
+
+Test(fleet_seeds, notices_endless_leases)
+{
+    const fleet_faults without_lapses{true, true, true, true, true, false,
+                                      true};
+    cr_assert(run_seeds("endless lease", without_lapses,
+                        fleet_bug::endless_lease, planted_bug_seeds) > 0);
+}
