Leave the following of targets to the duty's holder

VMs with a recent grant now compare a digest of the registered targets with the holder's and fetch a copy when it differs; they follow the store themselves once the holder is silent for 0.7 s or has not heard from the store for 2 s. Watches that wake for nothing else last 25 s instead of 8 s.

--- a/include/oleandergrade/connection/fleet_message.hpp
+++ b/include/oleandergrade/connection/fleet_message.hpp
@@ -94,6 +94,10 @@
     std::string holder;
     /// The sender's clock; a report that sends it back is not older than it.
     std::uint64_t stamp = 0;
+    /// Digest of the registered targets as the sender knows them.
+    std::uint64_t targets_digest = 0;
+    /// Time since the store last showed the sender its targets.
+    milliseconds store_age{0};
 
     bool operator==(const fleet_grant&) const = default;
 };
--- a/include/oleandergrade/process/configuration/store_follower.hpp
+++ b/include/oleandergrade/process/configuration/store_follower.hpp
@@ -4,6 +4,7 @@
 #include <oleandergrade/process/metadata_store.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <string>
@@ -17,9 +18,13 @@
 {
 public:
     /// Answers to a watch may be lost; the next watch repeats what they held.
-    static constexpr milliseconds longest_watch{8000};
-    /// A leaving target must be noticed this much before it gets no more work.
-    static constexpr milliseconds drain_margin{1500};
+    static constexpr milliseconds usual_watch{8000};
+    /// The same where other VMs tell that something is new. Below the longest
+    /// wait that the users' store takes.
+    static constexpr milliseconds patient_watch{25'000};
+    /// Between an answer that held changes and the next watch: changes often
+    /// come in groups.
+    static constexpr milliseconds change_pause{50};
     static constexpr milliseconds first_pause{100};
     static constexpr milliseconds longest_pause{800};
 
@@ -31,10 +36,14 @@
     };
 
     store_follower(boost::asio::any_io_executor executor, metadata_store& store,
-                   std::string prefix, milliseconds drain_time,
+                   std::string prefix, milliseconds watch_time,
                    handlers behaviour);
 
     void start();
+    /// While it is idle, no further watch begins; afterwards the prefix is read
+    /// anew.
+    void set_idle(bool idle);
+    bool is_idle() const { return idle_; }
 
     /// The store has answered the last call.
     bool is_in_touch() const { return in_touch_; }
@@ -44,6 +53,7 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> read();
     boost::asio::awaitable<bool> watch();
+    boost::asio::awaitable<void> wait_while_idle();
     boost::asio::awaitable<void> on_failure(const error& failure);
     void on_answer();
 
@@ -56,6 +66,8 @@
     milliseconds pause_ = first_pause;
     bool in_touch_ = false;
     bool has_read_ = false;
+    bool idle_ = false;
+    boost::asio::steady_timer resumed_;
 };
 
 } // namespace oleandergrade
--- a/include/oleandergrade/process/configuration/store_records.hpp
+++ b/include/oleandergrade/process/configuration/store_records.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -24,8 +25,19 @@
                   fleet_state& state);
 
     void start();
-    /// The store has shown the targets since the start.
-    bool has_targets() const { return target_follower_.has_read(); }
+    /// A leaving target must be noticed this much before it gets no more work.
+    static constexpr milliseconds drain_margin{1500};
+
+    /// The targets are known, from the store or from another VM.
+    bool has_targets() const { return has_targets_; }
+    /// Follows the targets in the store, or leaves that to the duty's holder.
+    void follow_targets(bool follow) { target_follower_.set_idle(!follow); }
+    /// The store shows this VM all changes of targets.
+    bool sees_targets() const
+    {
+        return !target_follower_.is_idle() && target_follower_.has_read() &&
+               target_follower_.is_in_touch();
+    }
     /// Forgets targets whose registration lapsed some time ago.
     void drop_lapsed(time_point now);
 
@@ -37,6 +49,7 @@
 private:
     void use_configuration(const std::string& record, const char* source);
     void use_all_targets(const stored_range& range);
+    void use_targets(const std::map<std::string, std::string>& records);
     void use_target(const std::string& key,
                     const std::optional<std::string>& value);
     void on_targets_changed();
@@ -44,6 +57,7 @@
     fleet_state& state_;
     store_follower configuration_follower_;
     store_follower target_follower_;
+    bool has_targets_ = false;
 };
 
 } // namespace oleandergrade
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -108,6 +108,8 @@
     bool isolated_ = false;
     bool looking_around_ = false;
     std::minstd_rand random_;
+    /// Time since the store last answered the holder, as it says.
+    milliseconds holder_store_age_{grant_ledger::grant_without_store};
     /// Since when another VM has a newer configuration.
     std::optional<time_point> behind_since_;
 };
--- a/include/oleandergrade/process/serving/target_registry.hpp
+++ b/include/oleandergrade/process/serving/target_registry.hpp
@@ -36,11 +36,17 @@
     /// All targets of a group, those that drain included.
     std::vector<const target_record*> in_group(const std::string& group) const;
     const std::map<std::string, target_record>& all() const { return targets_; }
+    /// Two VMs with the same digest know the same registrations.
+    std::uint64_t digest() const { return digest_; }
 
 private:
+    void toggle(const target_record& record);
+
     std::map<std::string, target_record> targets_;
     /// When registrations vanished that are still kept.
     std::map<std::string, time_point> lapsed_;
+    /// Exclusive or of the digests of all registrations that have not lapsed.
+    std::uint64_t digest_ = 0;
 };
 
 } // namespace oleandergrade
--- a/src/connection/fleet_message_codec.cpp
+++ b/src/connection/fleet_message_codec.cpp
@@ -127,6 +127,8 @@
     out.setMembers(in.members);
     out.setHolder(in.holder);
     out.setStamp(in.stamp);
+    out.setTargetsDigest(in.targets_digest);
+    out.setStoreAge(count(in.store_age));
     out.setConfigurationVersion(in.configuration_version);
     write(out.initPrimaries(size_of(in.primaries)), in.primaries);
     auto shares = out.initShares(size_of(in.shares));
@@ -147,6 +149,8 @@
     out.members = in.getMembers();
     out.holder = text(in.getHolder());
     out.stamp = in.getStamp();
+    out.targets_digest = in.getTargetsDigest();
+    out.store_age = ms(in.getStoreAge());
     out.configuration_version = in.getConfigurationVersion();
     out.primaries = read(in.getPrimaries());
     for (const auto share : in.getShares())
--- a/src/connection/peer_message.capnp
+++ b/src/connection/peer_message.capnp
@@ -91,6 +91,10 @@
   holder @7 :Text;
   # The holder's clock, which the next report sends back.
   stamp @8 :UInt64;
+  # Digest of the registered targets as the holder knows them.
+  targetsDigest @9 :UInt64;
+  # Time since the holder has followed the store without a gap.
+  storeAge @10 :UInt64;
 }
 
 struct PrimaryNotice {
--- a/src/connection/peer_message.capnp.h
+++ b/src/connection/peer_message.capnp.h
@@ -160,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d24114f6741fb05c, 5, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d24114f6741fb05c, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1199,6 +1199,10 @@
 
   inline  ::uint64_t getStamp() const;
 
+  inline  ::uint64_t getTargetsDigest() const;
+
+  inline  ::uint64_t getStoreAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1266,6 +1270,12 @@
   inline  ::uint64_t getStamp();
   inline void setStamp( ::uint64_t value);
 
+  inline  ::uint64_t getTargetsDigest();
+  inline void setTargetsDigest( ::uint64_t value);
+
+  inline  ::uint64_t getStoreAge();
+  inline void setStoreAge( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4387,6 +4397,34 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FleetGrant::Reader::getTargetsDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetGrant::Builder::getTargetsDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FleetGrant::Builder::setTargetsDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FleetGrant::Reader::getStoreAge() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetGrant::Builder::getStoreAge() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FleetGrant::Builder::setStoreAge( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PrimaryNotice::Reader::getToken() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/process/configuration/store_follower.cpp
+++ b/src/process/configuration/store_follower.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -15,11 +17,10 @@
 
 store_follower::store_follower(asio::any_io_executor executor,
                                metadata_store& store, std::string prefix,
-                               milliseconds drain_time, handlers behaviour)
+                               milliseconds watch_time, handlers behaviour)
     : executor_(std::move(executor)), store_(store), prefix_(std::move(prefix)),
-      watch_time_(std::clamp<milliseconds>(drain_time - drain_margin,
-                                           seconds(1), longest_watch)),
-      handlers_(std::move(behaviour))
+      watch_time_(watch_time), handlers_(std::move(behaviour)),
+      resumed_(executor_)
 {
 }
 
@@ -32,12 +33,33 @@
 {
     for (;;)
     {
+        co_await wait_while_idle();
         bool goes_on = co_await read();
-        while (goes_on)
+        while (goes_on && !idle_)
             goes_on = co_await watch();
     }
 }
 
+void store_follower::set_idle(bool idle)
+{
+    if (std::exchange(idle_, idle) == idle)
+        return;
+    log_event(event_level::info, "store", idle ? "left to holder" : "followed",
+              {{"prefix", prefix_}});
+    resumed_.cancel();
+}
+
+asio::awaitable<void> store_follower::wait_while_idle()
+{
+    while (idle_)
+    {
+        resumed_.expires_at(asio::steady_timer::time_point::max());
+        boost::system::error_code ignored;
+        co_await resumed_.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 asio::awaitable<bool> store_follower::read()
 {
     auto outcome = co_await store_.read_all(prefix_);
@@ -68,6 +90,8 @@
     as_of_ = std::max(as_of_, value_of(outcome).as_of);
     for (const auto& change : value_of(outcome).changes)
         handlers_.on_change(change);
+    if (!value_of(outcome).changes.empty())
+        co_await sleep_for(change_pause);
     co_return true;
 }
 
--- a/src/process/configuration/store_records.cpp
+++ b/src/process/configuration/store_records.cpp
@@ -2,7 +2,7 @@
 
 #include <oleandergrade/process/event_log.hpp>
 
-#include <set>
+#include <algorithm>
 
 namespace oleandergrade
 {
@@ -13,7 +13,8 @@
     : state_(state),
       configuration_follower_(
           executor, *state.platform.store,
-          state.platform.layout.configuration_prefix, state.settings.drain_time,
+          state.platform.layout.configuration_prefix,
+          store_follower::patient_watch,
           {[this](const stored_range& range)
            {
                for (const auto& item : range.items)
@@ -28,7 +29,8 @@
            }}),
       target_follower_(
           executor, *state.platform.store, state.platform.layout.targets_prefix,
-          state.settings.drain_time,
+          std::clamp<milliseconds>(state.settings.drain_time - drain_margin,
+                                   seconds(1), store_follower::usual_watch),
           {[this](const stored_range& range) { use_all_targets(range); },
            [this](const stored_change& change)
            {
@@ -69,17 +71,25 @@
 
 void store_records::use_all_targets(const stored_range& range)
 {
-    std::set<std::string> present;
+    std::map<std::string, std::string> records;
     for (const auto& item : range.items)
-        present.insert(item.key);
+        records[item.key] = item.value;
+    use_targets(records);
+}
+
+// What is missing counts as gone.
+void store_records::use_targets(
+    const std::map<std::string, std::string>& records)
+{
     std::vector<std::string> gone;
     for (const auto& known : state_.target_values)
-        if (!present.contains(known.first))
+        if (!records.contains(known.first))
             gone.push_back(known.first);
     for (const auto& key : gone)
         use_target(key, std::nullopt);
-    for (const auto& item : range.items)
-        use_target(item.key, item.value);
+    for (const auto& [key, value] : records)
+        use_target(key, value);
+    has_targets_ = true;
     on_targets_changed();
 }
 
@@ -127,11 +137,12 @@
     if (snapshot.configuration_version > state_.configuration.version())
         use_configuration(snapshot.configuration, "peer");
     // What the store shows goes first.
-    if (target_follower_.has_read() && target_follower_.is_in_touch())
+    if (sees_targets())
         return;
+    std::map<std::string, std::string> records;
     for (const auto& item : snapshot.targets)
-        use_target(item.key, item.value);
-    on_targets_changed();
+        records[item.key] = item.value;
+    use_targets(records);
 }
 
 fleet_snapshot store_records::make_snapshot(std::uint64_t known_version) const
--- a/src/process/failover/group_failover.cpp
+++ b/src/process/failover/group_failover.cpp
@@ -245,24 +245,37 @@
     }
 }
 
+// A term is adopted only if no other one can be later. An order for the
+// candidate may have taken effect, or still may, so that only the candidate
+// itself can lead the latest term; it is asked to until it answers.
 bool group_failover::adopt_primary(const group_sight& sight, time_point now)
 {
+    const auto& candidate = record_.candidate;
+    const bool awaits_candidate =
+        !candidate.empty() && find(sight, candidate) != nullptr;
+    const target_sight* latest = nullptr;
+    std::uint64_t term = 0;
     for (const auto& target : sight.targets)
     {
         const auto found = reports_.find(target.record.id);
-        if (found == reports_.end() || !found->second.is_primary)
+        if (found == reports_.end() || !found->second.is_primary ||
+            found->second.term <= term ||
+            (awaits_candidate && target.record.id != candidate))
             continue;
         const bool is_later = found->second.term > record_.term;
         // The term cannot have ended, and its log is whole.
         const bool is_same = found->second.term == record_.term &&
-                             record_.candidate.empty() && !record_.is_planned &&
+                             candidate.empty() && !record_.is_planned &&
                              !target.record.is_draining;
         if (!is_later && !is_same)
             continue;
-        open_record(target.record.id, found->second.term, now);
-        return true;
+        latest = &target;
+        term = found->second.term;
     }
-    return false;
+    if (latest == nullptr)
+        return false;
+    open_record(latest->record.id, term, now);
+    return true;
 }
 
 void group_failover::choose(const group_sight& sight, time_point now)
@@ -288,6 +301,9 @@
         // An earlier order may still take effect; it is given again.
         if (id == record_.candidate)
             return promote(id, now);
+        // A candidate that cannot be reached may lead a later term.
+        if (found->second.is_primary && !record_.candidate.empty())
+            continue;
         const auto length = found->second.received;
         const bool drains = target.record.is_draining;
         if (best.empty() || (best_drains && !drains) ||
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -33,6 +33,8 @@
 constexpr auto borrow_timeout = milliseconds(120);
 /// VMs that are asked to find out whether this one is cut off.
 constexpr std::size_t most_probes = 8;
+/// A holder that has heard less from the store does not stand in for it.
+constexpr auto longest_store_age = milliseconds(2000);
 constexpr auto probe_margin = milliseconds(50);
 constexpr auto register_pause = milliseconds(300);
 constexpr auto snapshot_timeout = milliseconds(1500);
@@ -49,7 +51,7 @@
       records_(context.get_executor(), state),
       own_follower_(
           context.get_executor(), *state.platform.store, own_prefix,
-          state.settings.drain_time,
+          store_follower::patient_watch,
           {[this](const stored_range& range) { use_all_own_keys(range); },
            [this](const stored_change& change) { use_own_key(change); }}),
       acceptor_(context), election_poke_(context), report_poke_(context),
@@ -327,6 +329,8 @@
     {
         const auto now = current_time();
         records_.drop_lapsed(now);
+        records_.follow_targets(duty_.is_holder() || holder_.is_silent(now) ||
+                                holder_store_age_ > longest_store_age);
         if (!duty_.is_holder())
             co_await report_once();
         else if (may_grant(now))
@@ -428,6 +432,11 @@
     set_isolated(false, 1, 1);
     if (!state_.view.authority.on_token(grant.token))
         return;
+    holder_store_age_ = grant.store_age;
+    if (!records_.sees_targets() && !fetching_ &&
+        grant.store_age <= longest_store_age &&
+        grant.targets_digest != state_.view.registry.digest())
+        asio::co_spawn(context_, fetch_snapshot(address), asio::detached);
     for (const auto& state : grant.primaries)
     {
         // A closed record is acted on when a notice asks for it to be
@@ -569,6 +578,12 @@
         return grant;
     grant.accepted = true;
     grant.token = duty_.token();
+    grant.targets_digest = state_.view.registry.digest();
+    // A holder that has not followed the targets yet tells nothing of them.
+    grant.store_age = records_.sees_targets()
+                          ? std::chrono::duration_cast<milliseconds>(
+                                now - duty_.confirmed_at())
+                          : grant_ledger::grant_without_store;
     grant.validity = grant_ledger::grant_validity;
     grant.primaries = failover_.primary_states(now);
     grant.shares = shares_.divide(report.vm, report.demands, now);
--- a/src/process/serving/target_registry.cpp
+++ b/src/process/serving/target_registry.cpp
@@ -1,20 +1,52 @@
 #include <oleandergrade/process/serving/target_registry.hpp>
 
+#include <xxhash.h>
+
 #include <set>
 
 namespace oleandergrade
 {
 
+namespace
+{
+
+std::uint64_t digest_of(const target_record& record)
+{
+    const auto text = record.id + '\n' + record.group + '\n' + record.address +
+                      '\n' + record.failure_domain + '\n' +
+                      std::to_string(record.slots) +
+                      (record.is_draining ? 'd' : 'r') +
+                      (record.claims_primary ? 'p' : 'f');
+    return XXH64(text.data(), text.size(), 0);
+}
+
+} // namespace
+
+// Adds a registration to the digest, or takes it out again.
+void target_registry::toggle(const target_record& record)
+{
+    digest_ ^= digest_of(record);
+}
+
 void target_registry::put(const target_record& record)
 {
+    const auto known = targets_.find(record.id);
+    const bool has_lapsed = lapsed_.erase(record.id) > 0;
+    if (known != targets_.end() && !has_lapsed)
+    {
+        if (known->second == record)
+            return;
+        toggle(known->second);
+    }
     targets_[record.id] = record;
-    lapsed_.erase(record.id);
+    toggle(record);
 }
 
 void target_registry::remove(const std::string& id, time_point now)
 {
-    if (targets_.contains(id))
-        lapsed_.emplace(id, now);
+    const auto known = targets_.find(id);
+    if (known != targets_.end() && lapsed_.emplace(id, now).second)
+        toggle(known->second);
 }
 
 void target_registry::replace(const std::vector<target_record>& records,
--- a/tests/test_failover_logic.cpp
+++ b/tests/test_failover_logic.cpp
@@ -164,6 +164,56 @@
     cr_assert(write->record.is_open && write->record.term == 2);
 }
 
+// Seed 27 of the cuts in test_fleet_seeds: the first candidate led term 2 in a
+// domain that was cut off, the second one led term 3, and the holder took the
+// first one's term for the newest. What was acknowledged in it was lost.
+Test(failover_logic, another_primary_than_the_candidate_is_not_adopted)
+{
+    group_fixture group;
+    auto named = record_of(1, "p", false, 12);
+    named.candidate = "r2";
+    group.failover.on_record(named);
+    group.lose_primary();
+    group.tick();
+    group.failover.on_report("r1", report_of(true, 2, 40), group.now);
+    group.failover.on_report("r2", report_of(false, 3, 40), group.now);
+    group.sight.is_binding = true;
+    group.tick();
+    const auto actions = group.tick();
+    cr_assert(find<write_primary_record>(actions) == nullptr);
+    cr_assert(find<promote_target>(actions)->target == "r2");
+}
+
+Test(failover_logic, a_superseded_primary_is_not_named_again)
+{
+    group_fixture group;
+    auto named = record_of(1, "p", false, 12);
+    named.candidate = "r2";
+    group.failover.on_record(named);
+    group.lose_primary();
+    group.sight.targets.push_back(sight_of("r3"));
+    group.sight.is_binding = true;
+    group.tick();
+    group.failover.on_report("r1", report_of(true, 2, 44), group.now);
+    group.failover.on_report("r3", report_of(false, 2, 41), group.now);
+    group.tick();
+    // The candidate may lead a later term where it cannot be reached.
+    const auto actions =
+        group.tick(group_failover::report_time + milliseconds(10));
+    cr_assert(find<write_primary_record>(actions)->record.candidate == "r3");
+}
+
+Test(failover_logic, of_two_primaries_the_later_one_is_adopted)
+{
+    group_fixture group;
+    group.close();
+    group.tick();
+    group.failover.on_report("r1", report_of(true, 2, 40), group.now);
+    group.failover.on_report("r2", report_of(true, 3, 38), group.now);
+    const auto* write = find<write_primary_record>(group.tick());
+    cr_assert(write->record.target == "r2" && write->record.term == 3);
+}
+
 Test(failover_logic, a_planned_successor_first_catches_up)
 {
     group_fixture group;
