--- a/include/oleandergrade/connection/fleet_message.hpp
+++ b/include/oleandergrade/connection/fleet_message.hpp
@@ -125,6 +125,26 @@
     bool operator==(const notice_receipt&) const = default;
 };
 
+/// Asks for one operation of an account out of the holder's reserve.
+struct borrow_request
+{
+    std::string vm;
+    std::string account;
+
+    bool operator==(const borrow_request&) const = default;
+};
+
+struct borrow_reply
+{
+    /// False if the receiver does not hold the duty.
+    bool accepted = false;
+    bool admitted = false;
+    /// When to ask again, if it was not admitted.
+    milliseconds retry_after{0};
+
+    bool operator==(const borrow_reply&) const = default;
+};
+
 /// Asks for copies of what the store holds.
 struct snapshot_request
 {
--- a/include/oleandergrade/connection/session_codec.hpp
+++ b/include/oleandergrade/connection/session_codec.hpp
@@ -34,7 +34,11 @@
     virtual result<target_report>
     parse_target_report(std::string_view line) const = 0;
 
-    /// Opens a session at a target for an account.
+    /// The data of a row.
+    virtual std::string row_text(const target_row& row) const = 0;
+
+    /// Opens a session at a target for an account. Without a target, the names
+    /// are a database and a key: a caller opens its session.
     virtual void append_opening(std::string& out, const std::string& group,
                                 const std::string& account,
                                 const std::string& target) const = 0;
@@ -55,6 +59,10 @@
     virtual std::string execute_text(const std::string& name,
                                      const session_statement& call) const = 0;
     virtual std::string rollback_text() const = 0;
+    virtual std::string commit_text() const = 0;
+    virtual std::string read_text(const std::string& item) const = 0;
+    virtual std::string write_text(const std::string& item,
+                                   const std::string& data) const = 0;
     virtual std::string reset_text() const = 0;
     virtual std::string report_text() const = 0;
     /// Stops a replica from following any term below the given one.
--- a/include/oleandergrade/connection/session_message.hpp
+++ b/include/oleandergrade/connection/session_message.hpp
@@ -2,7 +2,8 @@
 /// encoding.
 #pragma once
 
-#include <oleandergrade/request/statement.hpp>
+#include <oleandergrade/clock.hpp>
+#include <oleandergrade/connection/log_position.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -105,6 +106,8 @@
     bool prepares_write = false;
     /// The statement's text as the caller sent it.
     std::string text;
+    /// A time limit of the caller's own, below the route's; zero if none.
+    milliseconds time_limit{0};
 
     bool operator==(const session_statement&) const = default;
 };
--- a/include/oleandergrade/connection/target_session.hpp
+++ b/include/oleandergrade/connection/target_session.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <oleandergrade/clock.hpp>
+#include <oleandergrade/connection/line_reader.hpp>
 #include <oleandergrade/connection/session_codec.hpp>
 #include <oleandergrade/error.hpp>
 
@@ -80,7 +81,6 @@
     time_point idle_since;
 
 private:
-    boost::asio::awaitable<result<std::string_view>> read_line();
     boost::asio::awaitable<result<target_answer>> read_answer();
     void start_timer(milliseconds timeout);
     void stop_timer();
@@ -90,9 +90,7 @@
     target_session_key key_;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
-    std::string buffer_;
-    /// Start of the bytes in `buffer_` that are not read yet.
-    std::size_t begin_ = 0;
+    line_reader reader_;
     transaction_state state_ = transaction_state::none;
     bool open_ = false;
     /// The target has taken the session.
--- a/include/oleandergrade/process/event_log.hpp
+++ b/include/oleandergrade/process/event_log.hpp
@@ -45,14 +45,18 @@
 /// The part whose lines tell of single statements. They have a budget of their
 /// own, so that a storm of them hides no change of what the process believes.
 inline constexpr std::string_view statement_part = "statement";
+
 /// Lines per second that are written; more are counted and left out.
-inline constexpr unsigned statement_lines_per_second = 20;
-inline constexpr unsigned event_lines_per_second = 50;
+struct event_log_budget
+{
+    std::uint32_t statement_lines = 20;
+    std::uint32_t event_lines = 50;
+};
 
 /// Starts to write lines of the form
 /// `level=info part=duty event="taken over" vm=edge-1 token=17`. Lines before
 /// the start are dropped.
-void start_event_log(const std::string& vm);
+void start_event_log(const std::string& vm, event_log_budget budget);
 
 /// Writes a line if the budget allows it and the output takes it at once. The
 /// number of lines left out since is written with the next one.
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -83,7 +83,7 @@
 
     boost::asio::awaitable<void> accept_loop();
     boost::asio::awaitable<peer_body> serve(peer_body body);
-    token_grant lend(const token_request& request);
+    borrow_reply lend(const borrow_request& request);
     fleet_grant answer_report(const fleet_report& report);
     boost::asio::awaitable<notice_receipt> take_notice(primary_notice notice);
     bool may_grant(time_point now) const;
--- a/include/oleandergrade/process/serving/position_tracker.hpp
+++ b/include/oleandergrade/process/serving/position_tracker.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <oleandergrade/clock.hpp>
-#include <oleandergrade/request/statement.hpp>
+#include <oleandergrade/connection/log_position.hpp>
 
 #include <deque>
 #include <optional>
--- a/include/oleandergrade/process/serving/statement_runner.hpp
+++ b/include/oleandergrade/process/serving/statement_runner.hpp
@@ -42,6 +42,15 @@
     std::string reason;
     std::string target;
     unsigned attempts = 0;
+    /// When to come back; zero if it is not known.
+    milliseconds retry_after{0};
+};
+
+/// An encoded answer, and what it says.
+struct statement_reply
+{
+    std::string bytes;
+    statement_outcome outcome;
 };
 
 /// Answers are whole: what is returned is written to the caller in one piece.
@@ -65,9 +74,8 @@
     std::function<boost::asio::awaitable<admission>(std::string account)>
         borrow;
 
-    /// Returns the encoded answer.
-    boost::asio::awaitable<std::string> run(served_session& session,
-                                            const session_statement& call);
+    boost::asio::awaitable<statement_reply> run(served_session& session,
+                                                const session_statement& call);
 
     /// Ends an open transaction without its caller; nothing of it is kept.
     boost::asio::awaitable<void> abandon(served_session& session);
--- a/include/oleandergrade/process/vm_daemon.hpp
+++ b/include/oleandergrade/process/vm_daemon.hpp
@@ -4,6 +4,8 @@
 #include <oleandergrade/connection/http_server.hpp>
 #include <oleandergrade/process/fleet_state.hpp>
 #include <oleandergrade/process/membership/fleet_service.hpp>
+#include <oleandergrade/process/own_settings.hpp>
+#include <oleandergrade/process/serving/http_entry.hpp>
 #include <oleandergrade/process/serving/session_server.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -27,7 +29,8 @@
     using settings_reader = std::function<result<vm_settings>()>;
 
     vm_daemon(boost::asio::io_context& context, vm_settings settings,
-              platform_parts& platform, settings_reader read_settings);
+              own_settings own, platform_parts& platform,
+              settings_reader read_settings);
 
     /// Starts the parts. Throws boost::system::system_error if an address is
     /// taken.
@@ -53,6 +56,8 @@
     statement_runner runner_;
     fleet_service fleet_;
     session_server sessions_;
+    /// Null if callers' HTTP requests are not taken.
+    std::unique_ptr<http_entry> http_entry_;
     std::unique_ptr<http_server> readiness_;
     std::unique_ptr<http_server> metrics_;
     boost::asio::signal_set signals_;
--- a/include/oleandergrade/process/vm_settings.hpp
+++ b/include/oleandergrade/process/vm_settings.hpp
@@ -22,6 +22,8 @@
     std::string readiness_address;
     /// Where other VMs call.
     std::string peer_address;
+    /// Where other VMs are told to call.
+    std::string advertised_address;
     /// Where metrics and the state dump are served.
     std::string metrics_address;
     /// Peer addresses of some other VMs; they may be down.
--- a/programs/oleander_vm.cpp
+++ b/programs/oleander_vm.cpp
@@ -17,6 +17,8 @@
 DEFINE_string(settings, "",
               "settings file of the platform; by default the one that the "
               "environment names");
+DEFINE_string(own_settings, "",
+              "INI file with the product's own settings; optional");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace
@@ -33,9 +35,8 @@
     return path == nullptr ? "" : path;
 }
 
-oleandergrade::result<oleandergrade::vm_settings> read_settings()
+oleandergrade::result<std::string> read_file(const std::string& path)
 {
-    const auto path = settings_path();
     std::ifstream file(path);
     if (!file)
         return oleandergrade::error{oleandergrade::error_kind::invalid,
@@ -43,15 +44,45 @@
                                     "cannot read '" + path + "'"};
     std::ostringstream text;
     text << file.rdbuf();
-    return oleandergrade::platform::parse_settings_file(path, text.str());
+    return text.str();
+}
+
+oleandergrade::result<oleandergrade::vm_settings> read_settings()
+{
+    const auto path = settings_path();
+    const auto text = read_file(path);
+    if (!succeeded(text))
+        return error_of(text);
+    return oleandergrade::platform::parse_settings_file(path, value_of(text));
+}
+
+oleandergrade::result<oleandergrade::own_settings> read_own_settings()
+{
+    if (FLAGS_own_settings.empty())
+        return oleandergrade::own_settings{};
+    const auto text = read_file(FLAGS_own_settings);
+    if (!succeeded(text))
+        return error_of(text);
+    const auto parsed =
+        oleandergrade::parse_own_settings(FLAGS_own_settings, value_of(text));
+    if (const auto* settings =
+            std::get_if<oleandergrade::own_settings>(&parsed))
+        return *settings;
+    std::string problems;
+    for (const auto& problem :
+         std::get<std::vector<oleandergrade::ini_problem>>(parsed))
+        problems += to_string(problem) + "\n";
+    return oleandergrade::error{oleandergrade::error_kind::invalid,
+                                "read settings", "", problems};
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage("oleander-vm [--settings FILE] [--check]");
-    gflags::SetVersionString("0.2.0");
+    gflags::SetUsageMessage(
+        "oleander-vm [--settings FILE] [--own_settings FILE] [--check]");
+    gflags::SetVersionString("0.3.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto settings = read_settings();
     if (!succeeded(settings))
@@ -59,16 +90,24 @@
         std::cerr << to_string(error_of(settings)) << "\n";
         return usage_error;
     }
+    const auto own = read_own_settings();
+    if (!succeeded(own))
+    {
+        std::cerr << to_string(error_of(own)) << "\n";
+        return usage_error;
+    }
     if (FLAGS_check)
         return 0;
-    oleandergrade::start_event_log(value_of(settings).name);
+    oleandergrade::start_event_log(
+        value_of(settings).name,
+        {value_of(own).statement_lines, value_of(own).event_lines});
     try
     {
         boost::asio::io_context context(1);
         auto parts = oleandergrade::platform::make_platform_parts(
             context.get_executor(), value_of(settings));
-        oleandergrade::vm_daemon daemon(context, value_of(settings), parts,
-                                        read_settings);
+        oleandergrade::vm_daemon daemon(context, value_of(settings),
+                                        value_of(own), parts, read_settings);
         daemon.run();
     }
     catch (const boost::system::system_error& failure)
--- a/programs/oleanderctl.cpp
+++ b/programs/oleanderctl.cpp
@@ -1,403 +1,352 @@
-/// The operators' tool.
+/// The operators' command line.
 #include <oleandergrade/connection/http_client.hpp>
 #include <oleandergrade/connection/json_fields.hpp>
-#include <oleandergrade/version/configuration.hpp>
+#include <oleandergrade/operations/request_explanation.hpp>
+#include <oleandergrade/process/own_settings.hpp>
+#include <oleandergrade/version/fleet_configuration.hpp>
 
+#include <boost/algorithm/string/split.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <gflags/gflags.h>
 
 #include <fstream>
+#include <functional>
+#include <iomanip>
 #include <iostream>
 #include <sstream>
 
-DEFINE_string(node, "127.0.0.1:7401", "admin address of a daemon, IP:PORT");
-DEFINE_bool(json, false, "print JSON for programs");
-DEFINE_uint64(expect, 0,
-              "apply only if this version is in force; 0 takes the present");
-DEFINE_uint32(timeout_ms, 10000, "how long to wait for the daemon");
+DEFINE_string(vm, "",
+              "metrics addresses of the VMs to ask, with commas between them");
+DEFINE_bool(json, false, "print what programs read");
+DEFINE_uint32(window_ms, 2000,
+              "explain: time before and after the request's lines");
 
 namespace
 {
 
-namespace asio = boost::asio;
-namespace json = boost::json;
 using namespace oleandergrade;
+namespace json = boost::json;
 
-/// Exit codes, also described in docs/operators/oleanderctl.md.
 enum exit_code
 {
-    exit_done = 0,
-    exit_refused = 1,
-    exit_usage = 2,
-    exit_unreachable = 3,
-    exit_conflict = 4
+    done = 0,
+    refused = 1,
+    usage = 2,
+    unreachable = 3
 };
 
-constexpr auto usage = R"(oleanderctl [--node IP:PORT] [--json] COMMAND
-
-commands:
-  check FILE            check a configuration file without a daemon
-  apply FILE            put a configuration in force, whole or not at all
-  show                  print the configuration in force
-  diff FILE             compare a file with the configuration in force
-  key issue ACCOUNT     make a key; it is printed once
-  key withdraw ID       withdraw a key
-  status                version, freshness, ownership and contacts of a node
-  dump                  all state of a node
-  stats                 counters and latencies of a node
-  explain REQUEST       what the fleet did with one request, and why
-  vms ADDRESS...        state of oleander-vm daemons, by their metrics addresses
+constexpr auto request_time = seconds(3);
+constexpr const char* usage_text =
+    "oleanderctl COMMAND [ARGUMENTS]\n"
+    "\n"
+    "  status --vm ADDRESS,...    one line a VM: ready, holder, grant, "
+    "targets\n"
+    "  dump --vm ADDRESS,...      all state of each VM as JSON\n"
+    "  metrics --vm ADDRESS,...   counters and histograms of each VM\n"
+    "  explain REQUEST [LOG...]   what the logs tell of a request; reads\n"
+    "                             standard input if no file is named\n"
+    "  check FILE                 all problems of a configuration\n"
+    "  check-own FILE             all problems of a VM's own settings\n"
+    "  diff OLD NEW               what changes between two configurations\n"
+    "\n"
+    "ADDRESS is a VM's metrics address, IP:PORT. --json prints what programs\n"
+    "read. Exit codes: 0 done, 1 refused or problems found, 2 wrong usage,\n"
+    "3 a VM did not answer.\n"
+    "\n"
+    "  oleanderctl status --vm 127.0.0.1:22103,127.0.0.1:22113\n"
+    "  oleanderctl explain 26945bfd7be8788f vm-0.log vm-1.log\n"
+    "  oleanderctl diff before.ini after.ini";
 
-examples:
-  oleanderctl check examples/plant/fleet.ini
-  oleanderctl --node 127.0.0.1:7401 apply examples/plant/fleet.ini
-  oleanderctl --node 127.0.0.1:7401 --json status
-
-exit codes:
-  0 done, 1 refused, 2 wrong usage or file, 3 no answer, 4 conflict)";
+using arguments = std::vector<std::string>;
 
 std::optional<std::string> read_file(const std::string& path)
 {
     std::ifstream file(path);
     if (!file)
+    {
+        std::cerr << "cannot read '" << path << "'\n";
         return std::nullopt;
+    }
     std::ostringstream text;
     text << file.rdbuf();
     return text.str();
 }
 
-/// Sends one request to the daemon and waits for the answer.
-result<http_response> ask(const std::string& path, const json::object& body)
-{
-    asio::io_context context;
-    result<http_response> outcome;
-    const auto exchange = [&]() -> asio::awaitable<void>
-    {
-        http_client client(context.get_executor(), FLAGS_node);
-        http_request request;
-        request.path = path;
-        request.body = json::serialize(body);
-        outcome = co_await client.exchange(std::move(request),
-                                           milliseconds(FLAGS_timeout_ms));
-    };
-    asio::co_spawn(context, exchange(),
-                   [](const std::exception_ptr& failure)
-                   {
-                       if (failure)
-                           std::rethrow_exception(failure);
-                   });
-    context.run();
-    return outcome;
-}
-
-int report_failure(const http_response& response)
+/// Asks all VMs of --vm for a path, one after the other.
+int ask_vms(const char* path,
+            const std::function<void(const std::string& vm,
+                                     const std::string& body)>& show)
 {
-    const auto parsed = parse_json_object(response.body);
-    const auto body = succeeded(parsed) ? value_of(parsed) : json::object{};
-    if (FLAGS_json)
+    if (FLAGS_vm.empty())
     {
-        std::cout << response.body << "\n";
+        std::cerr << "--vm is missing\n";
+        return usage;
     }
-    else if (const auto* problems = body.if_contains("problems"))
-    {
-        for (const auto& line : problems->as_array())
-            std::cerr << std::string(line.as_string()) << "\n";
-    }
-    else
+    std::vector<std::string> addresses;
+    boost::algorithm::split(addresses, FLAGS_vm,
+                            [](char c) { return c == ','; });
+    int code = done;
+    for (const auto& address : addresses)
     {
-        std::cerr << text_field(body, "step") << ": "
-                  << text_field(body, "error") << "\n";
+        boost::asio::io_context context;
+        http_client client(context.get_executor(), address);
+        http_request request;
+        request.method = "GET";
+        request.path = path;
+        std::optional<result<http_response>> answer;
+        boost::asio::co_spawn(
+            context, client.exchange(request, request_time),
+            [&](std::exception_ptr, result<http_response> outcome)
+            { answer = std::move(outcome); });
+        context.run();
+        if (!answer || !succeeded(*answer))
+        {
+            std::cerr << address << ": "
+                      << (answer ? to_string(error_of(*answer)) : "no answer")
+                      << "\n";
+            code = unreachable;
+            continue;
+        }
+        show(address, value_of(*answer).body);
     }
-    if (response.status == 409)
-        return exit_conflict;
-    return response.status == 400 ? exit_usage : exit_refused;
+    return code;
 }
 
-using printer = void (*)(const json::object&);
-
-int run_remote(const std::string& path, const json::object& body, printer print)
+void show_status(const std::string& vm, const std::string& body)
 {
-    const auto outcome = ask(path, body);
-    if (!succeeded(outcome))
-    {
-        std::cerr << to_string(error_of(outcome)) << "\n";
-        return exit_unreachable;
-    }
-    const auto& response = value_of(outcome);
-    if (response.status != 200)
-        return report_failure(response);
-    if (FLAGS_json)
+    const auto parsed = parse_json_object(body);
+    if (!succeeded(parsed))
     {
-        std::cout << response.body << "\n";
-        return exit_done;
+        std::cerr << vm << ": " << to_string(error_of(parsed)) << "\n";
+        return;
     }
-    const auto parsed = parse_json_object(response.body);
-    if (succeeded(parsed))
-        print(value_of(parsed));
-    return exit_done;
+    const auto& state = value_of(parsed);
+    std::size_t open = 0;
+    std::size_t closed = 0;
+    if (const auto* primaries = state.if_contains("primaries");
+        primaries != nullptr && primaries->is_array())
+        for (const auto& primary : primaries->as_array())
+            ++(flag_field(primary.as_object(), "open") ? open : closed);
+    const auto* grant = state.if_contains("grant_left_ms");
+    std::cout << std::left << std::setw(16) << text_field(state, "vm")
+              << (flag_field(state, "ready") ? "ready     " : "not ready ")
+              << "holder " << text_field(state, "holder") << " token "
+              << number_field(state, "token") << " grant "
+              << (grant == nullptr ? "?" : json::serialize(*grant))
+              << " ms, configuration " << number_field(state, "configuration")
+              << ", members " << number_field(state, "members") << ", sessions "
+              << number_field(state, "sessions") << ", primaries " << open
+              << " open " << closed << " closed\n";
 }
 
-void print_indented(const json::value& value, const std::string& indent)
+int run_status(const arguments&)
 {
-    if (value.is_object())
-    {
-        for (const auto& [key, item] : value.get_object())
-        {
-            const bool nested = item.is_object() || item.is_array();
-            std::cout << indent << std::string(key) << ":";
-            if (nested)
-                std::cout << "\n";
-            print_indented(item, nested ? indent + "  " : " ");
-        }
-        return;
-    }
-    if (value.is_array())
-    {
-        for (const auto& item : value.get_array())
-        {
-            std::cout << indent << "-\n";
-            print_indented(item, indent + "  ");
-        }
-        return;
-    }
-    if (value.is_string())
-        std::cout << indent << std::string(value.get_string()) << "\n";
-    else
-        std::cout << indent << json::serialize(value) << "\n";
+    if (!FLAGS_json)
+        return ask_vms("/state", show_status);
+    return ask_vms("/state", [](const std::string&, const std::string& body)
+                   { std::cout << body << "\n"; });
 }
 
-void print_all(const json::object& body)
+int run_dump(const arguments&)
 {
-    print_indented(json::value(body), "");
+    return ask_vms("/state", [](const std::string&, const std::string& body)
+                   { std::cout << body << "\n"; });
 }
 
-void print_applied(const json::object& body)
+int run_metrics(const arguments&)
 {
-    std::cout << "version " << number_field(body, "version")
-              << " is in force\n";
+    return ask_vms("/metrics",
+                   [](const std::string& vm, const std::string& body) {
+                       std::cout << "# " << vm << "\n" << body;
+                   });
 }
 
-void print_key(const json::object& body)
+void read_lines(std::istream& in, std::vector<log_line>& lines)
 {
-    std::cout << "key: " << text_field(body, "key")
-              << "\nidentifier: " << text_field(body, "id")
-              << "\nThe key is not kept and cannot be shown again.\n";
+    std::string text;
+    while (std::getline(in, text))
+        if (auto line = parse_log_line(text))
+            lines.push_back(std::move(*line));
 }
 
-void print_configuration(const json::object& body)
+void show_line(const log_line& line)
 {
-    std::cout << "; version " << number_field(body, "version") << "\n"
-              << text_field(body, "text");
-    for (const auto& item : body.at("keys").as_array())
+    if (FLAGS_json)
     {
-        const auto& key = item.as_object();
-        std::cout << "; key " << text_field(key, "id") << " of "
-                  << text_field(key, "account")
-                  << (flag_field(key, "withdrawn") ? " (withdrawn)" : "")
-                  << "\n";
+        json::object object;
+        for (const auto& [name, value] : line.fields)
+            object[name] = value;
+        std::cout << json::serialize(object) << "\n";
+        return;
     }
+    std::cout << "  " << line.at_ms() << " " << line.find("vm") << " "
+              << line.find("part") << ": " << line.find("event");
+    for (const auto& [name, value] : line.fields)
+        if (name != "at_ms" && name != "vm" && name != "part" &&
+            name != "event" && name != "level")
+            std::cout << " " << name << "=" << value;
+    std::cout << "\n";
 }
 
-void print_explanation(const json::object& body)
+int run_explain(const arguments& rest)
 {
-    bool found = false;
-    for (const auto& item : body.at("nodes").as_array())
+    if (rest.empty())
     {
-        const auto& node = item.as_object();
-        for (const auto& event : node.at("events").as_array())
+        std::cerr << "the request's id is missing\n";
+        return usage;
+    }
+    std::vector<log_line> lines;
+    for (std::size_t i = 1; i < rest.size(); ++i)
+    {
+        std::ifstream file(rest[i]);
+        if (!file)
         {
-            found = true;
-            const auto& fields = event.as_object();
-            std::cout << text_field(node, "node") << " +"
-                      << number_field(fields, "at_us")
-                      << " us: " << text_field(fields, "event") << "\n";
+            std::cerr << "cannot read '" << rest[i] << "'\n";
+            return usage;
         }
+        read_lines(file, lines);
     }
-    if (!found)
-        std::cout << "no VM remembers this request\n";
-}
-
-/// Reads and checks a file; prints its problems.
-std::optional<configuration> load_configuration(const std::string& path)
-{
-    const auto text = read_file(path);
-    if (!text)
+    if (rest.size() == 1)
+        read_lines(std::cin, lines);
+    const auto found = explain_request(lines, rest[0], FLAGS_window_ms);
+    if (found.of_request.empty())
     {
-        std::cerr << "cannot read '" << path << "'\n";
-        return std::nullopt;
+        std::cerr << "no line of request " << rest[0] << " in " << lines.size()
+                  << " lines: it went well, or its line was beyond the budget "
+                     "(left_out= in later lines)\n";
+        return refused;
     }
-    std::vector<ini_problem> problems;
-    auto parsed = parse_configuration(path, *text, problems);
-    for (const auto& problem : problems)
-        std::cerr << to_string(problem) << "\n";
-    if (!problems.empty())
-        return std::nullopt;
-    return parsed;
-}
-
-int run_check(const std::string& path)
-{
-    const auto parsed = load_configuration(path);
-    if (!parsed)
-        return exit_usage;
-    std::cout << path << ": " << parsed->accounts.size() << " accounts, "
-              << parsed->databases.size() << " databases, "
-              << parsed->targets.size() << " targets\n";
-    return exit_done;
+    for (const auto& line : found.of_request)
+    {
+        show_line(line);
+        if (const auto advice = advice_for(line);
+            !advice.empty() && !FLAGS_json)
+            std::cout << "  " << advice << "\n";
+    }
+    if (!FLAGS_json)
+        std::cout << "around it:\n";
+    for (const auto& line : found.around)
+        show_line(line);
+    return done;
 }
 
-int run_apply(const std::string& path)
+void show_problems(const std::vector<ini_problem>& problems)
 {
-    const auto parsed = load_configuration(path);
-    if (!parsed)
-        return exit_usage;
-    json::object body{{"file", path}, {"text", parsed->text}};
-    if (FLAGS_expect > 0)
-        body["expected"] = FLAGS_expect;
-    return run_remote("/admin/apply", body, print_applied);
+    for (const auto& problem : problems)
+    {
+        if (!FLAGS_json)
+        {
+            std::cerr << to_string(problem) << "\n";
+            continue;
+        }
+        std::cout << json::serialize(json::object{{"file", problem.file},
+                                                  {"line", problem.line},
+                                                  {"key", problem.key},
+                                                  {"message", problem.message}})
+                  << "\n";
+    }
 }
 
-int run_diff(const std::string& path)
+std::optional<route_table> read_configuration(const std::string& path,
+                                              int& code)
 {
-    auto next = load_configuration(path);
-    if (!next)
-        return exit_usage;
-    const auto outcome = ask("/admin/configuration", {});
-    if (!succeeded(outcome))
+    const auto text = read_file(path);
+    code = usage;
+    if (!text)
+        return std::nullopt;
+    auto parsed = parse_fleet_configuration(path, *text);
+    if (auto* table = std::get_if<route_table>(&parsed))
     {
-        std::cerr << to_string(error_of(outcome)) << "\n";
-        return exit_unreachable;
+        code = done;
+        return std::move(*table);
     }
-    const auto parsed = parse_json_object(value_of(outcome).body);
-    if (!succeeded(parsed))
-        return exit_refused;
-    std::vector<ini_problem> problems;
-    const auto text = text_field(value_of(parsed), "text");
-    const auto current = text.empty()
-                             ? configuration{}
-                             : parse_configuration("in force", text, problems);
-    for (const auto& line : describe_changes(current, *next))
-        std::cout << line << "\n";
-    return exit_done;
+    show_problems(std::get<std::vector<ini_problem>>(parsed));
+    code = refused;
+    return std::nullopt;
 }
 
-asio::awaitable<result<http_response>> fetch_state(const std::string& address)
+int run_check(const arguments& rest)
 {
-    const auto executor = co_await asio::this_coro::executor;
-    http_client connection(executor, address);
-    http_request request;
-    request.method = "GET";
-    request.path = "/state";
-    auto outcome = co_await connection.exchange(std::move(request),
-                                                milliseconds(FLAGS_timeout_ms));
-    co_return outcome;
+    if (rest.size() != 1)
+        return usage;
+    int code = done;
+    const auto table = read_configuration(rest[0], code);
+    if (table && !FLAGS_json)
+        std::cout << rest[0] << ": version " << table->version << ", "
+                  << table->groups.size() << " groups, " << table->routes.size()
+                  << " routes, " << table->accounts.size() << " accounts\n";
+    return code;
 }
 
-void print_vm(const std::string& address, const json::object& state)
+int run_check_own(const arguments& rest)
 {
-    std::cout << text_field(state, "vm") << " (" << address
-              << "): " << (flag_field(state, "ready") ? "ready" : "not ready")
-              << ", configuration " << number_field(state, "configuration")
-              << ", token " << number_field(state, "token") << " of "
-              << text_field(state, "holder") << ", "
-              << number_field(state, "sessions") << " sessions\n";
-    const auto* primaries = state.if_contains("primaries");
-    if (primaries == nullptr || !primaries->is_array())
-        return;
-    for (const auto& entry : primaries->get_array())
-    {
-        const auto& record = entry.as_object();
-        std::cout << "  " << text_field(record, "group") << ": term "
-                  << number_field(record, "term") << " at "
-                  << text_field(record, "target")
-                  << (flag_field(record, "open") ? "" : ", closed") << "\n";
-    }
+    if (rest.size() != 1)
+        return usage;
+    const auto text = read_file(rest[0]);
+    if (!text)
+        return usage;
+    const auto parsed = parse_own_settings(rest[0], *text);
+    const auto* problems = std::get_if<std::vector<ini_problem>>(&parsed);
+    if (problems == nullptr)
+        return done;
+    show_problems(*problems);
+    return refused;
 }
 
-// Asks each daemon in turn; one that does not answer does not hide the others.
-int run_vms(const std::vector<std::string>& addresses)
+int run_diff(const arguments& rest)
 {
-    int code = exit_done;
-    for (const auto& address : addresses)
-    {
-        asio::io_context context;
-        result<http_response> outcome =
-            error{error_kind::unreachable, "vms", address, "no answer"};
-        asio::co_spawn(
-            context, fetch_state(address),
-            [&](const std::exception_ptr&, result<http_response> reply)
-            { outcome = std::move(reply); });
-        context.run();
-        if (!succeeded(outcome))
-        {
-            std::cerr << to_string(error_of(outcome)) << "\n";
-            code = exit_unreachable;
-            continue;
-        }
-        const auto& body = value_of(outcome).body;
-        const auto state = parse_json_object(body);
-        if (!succeeded(state))
-        {
-            std::cerr << address << ": the answer is not a state\n";
-            code = exit_refused;
-            continue;
-        }
-        if (FLAGS_json)
-            std::cout << body << "\n";
-        else
-            print_vm(address, value_of(state));
-    }
-    return code;
+    if (rest.size() != 2)
+        return usage;
+    int code = done;
+    const auto before = read_configuration(rest[0], code);
+    if (!before)
+        return code;
+    const auto after = read_configuration(rest[1], code);
+    if (!after)
+        return code;
+    for (const auto& line : compare_configurations(*before, *after))
+        std::cout << (FLAGS_json ? json::serialize(json::string(line)) : line)
+                  << "\n";
+    return done;
 }
 
-int run_command(const std::vector<std::string>& words)
+struct command
 {
-    const auto& command = words.front();
-    const auto count = words.size();
-    if (command == "check" && count == 2)
-        return run_check(words[1]);
-    if (command == "apply" && count == 2)
-        return run_apply(words[1]);
-    if (command == "diff" && count == 2)
-        return run_diff(words[1]);
-    if (command == "show" && count == 1)
-        return run_remote("/admin/configuration", {}, print_configuration);
-    if (command == "status" && count == 1)
-        return run_remote("/admin/status", {}, print_all);
-    if (command == "dump" && count == 1)
-        return run_remote("/admin/dump", {}, print_all);
-    if (command == "stats" && count == 1)
-        return run_remote("/admin/stats", {}, print_all);
-    if (command == "explain" && count == 2)
-        return run_remote("/admin/explain", {{"request", words[1]}},
-                          print_explanation);
-    if (command == "key" && count == 3 && words[1] == "issue")
-        return run_remote("/admin/key/issue", {{"account", words[2]}},
-                          print_key);
-    if (command == "key" && count == 3 && words[1] == "withdraw")
-        return run_remote("/admin/key/withdraw", {{"id", words[2]}},
-                          print_applied);
-    if (command == "vms" && count >= 2)
-        return run_vms({words.begin() + 1, words.end()});
-    std::cerr << "unknown command or wrong number of words\n\n"
-              << usage << "\n";
-    return exit_usage;
-}
+    const char* name;
+    int (*run)(const arguments& rest);
+};
+
+constexpr command commands[] = {
+    {"status", run_status},   {"dump", run_dump},
+    {"metrics", run_metrics}, {"explain", run_explain},
+    {"check", run_check},     {"check-own", run_check_own},
+    {"diff", run_diff}};
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage(usage);
-    gflags::SetVersionString("0.1.0");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const std::vector<std::string> words(argv + 1, argv + argc);
-    if (words.empty())
+    gflags::SetUsageMessage(usage_text);
+    gflags::SetVersionString("0.3.0");
+    gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+    const arguments words(argv + 1, argv + argc);
+    std::string help;
+    if (gflags::GetCommandLineOption("help", &help) && help == "true")
     {
-        std::cerr << usage << "\n";
-        return exit_usage;
+        std::cout << usage_text << "\n";
+        return done;
+    }
+    for (const auto& known : commands)
+    {
+        if (words.empty() || words[0] != known.name)
+            continue;
+        const int code = known.run({words.begin() + 1, words.end()});
+        if (code == usage)
+            std::cerr << "see oleanderctl --help\n";
+        return code;
     }
-    return run_command(words);
+    std::cerr << usage_text << "\n";
+    return usage;
 }
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# Runs the fault soak over seeds, some at a time; keeps the logs of seeds that
+# failed.
+#
+#   scripts/soak.sh [FIRST [COUNT [SECONDS [AT-A-TIME]]]]
+set -uo pipefail
+cd "$(dirname "$0")/.."
+first=${1:-1} count=${2:-50} seconds=${3:-12} jobs=${4:-4}
+state=build/soak
+mkdir -p "$state"
+run_seed() {
+    local seed=$1 slot=$2
+    local folder=$state/seed-$seed
+    rm -rf "$folder" && mkdir -p "$folder"
+    if build/release/tests/oleander-soak --programs=build/release \
+        --folder="$folder" --seed="$seed" --seconds="$seconds" \
+        --base_port=$((30000 + slot * 400)) 2>"$folder/soak.log"; then
+        tail -1 "$folder/soak.log"
+        rm -rf "$folder"
+    else
+        echo "seed $seed: logs in $folder"
+        return 1
+    fi
+}
+export -f run_seed
+export state seconds
+# The slot of a seed gives it ports of its own.
+seq "$first" $((first + count - 1)) |
+    xargs -P "$jobs" --process-slot-var=SLOT -I{} \
+        bash -c 'run_seed {} "$SLOT"'
--- a/src/connection/fleet_message_codec.cpp
+++ b/src/connection/fleet_message_codec.cpp
@@ -186,6 +186,29 @@
             in.getAccepted(), ms(in.getGrantAge())};
 }
 
+void write(wire::BorrowRequest::Builder out, const borrow_request& in)
+{
+    out.setVm(in.vm);
+    out.setAccount(in.account);
+}
+
+borrow_request read(wire::BorrowRequest::Reader in)
+{
+    return {text(in.getVm()), text(in.getAccount())};
+}
+
+void write(wire::BorrowReply::Builder out, const borrow_reply& in)
+{
+    out.setAccepted(in.accepted);
+    out.setAdmitted(in.admitted);
+    out.setRetryAfter(count(in.retry_after));
+}
+
+borrow_reply read(wire::BorrowReply::Reader in)
+{
+    return {in.getAccepted(), in.getAdmitted(), ms(in.getRetryAfter())};
+}
+
 void write(wire::FleetSnapshot::Builder out, const fleet_snapshot& in)
 {
     out.setConfigurationVersion(in.configuration_version);
--- a/src/connection/fleet_message_codec.hpp
+++ b/src/connection/fleet_message_codec.hpp
@@ -20,6 +20,12 @@
 void write(wire::NoticeReceipt::Builder out, const notice_receipt& in);
 notice_receipt read(wire::NoticeReceipt::Reader in);
 
+void write(wire::BorrowRequest::Builder out, const borrow_request& in);
+borrow_request read(wire::BorrowRequest::Reader in);
+
+void write(wire::BorrowReply::Builder out, const borrow_reply& in);
+borrow_reply read(wire::BorrowReply::Reader in);
+
 void write(wire::FleetSnapshot::Builder out, const fleet_snapshot& in);
 fleet_snapshot read(wire::FleetSnapshot::Reader in);
 
--- /dev/null
+++ b/src/connection/http_statement.cpp
@@ -0,0 +1,226 @@
+#include <oleandergrade/connection/http_statement.hpp>
+
+#include <oleandergrade/connection/json_fields.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace oleandergrade
+{
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::size_t max_name_bytes = 256;
+constexpr std::uint64_t max_deadline_ms = 30'000;
+constexpr std::string_view session_prefix = "s1.";
+
+error refuse(const std::string& message)
+{
+    return {error_kind::invalid, "parse request", "", message};
+}
+
+/// Items and data travel in lines, between blanks.
+bool is_one_word(const std::string& text)
+{
+    return !text.empty() &&
+           std::none_of(text.begin(), text.end(),
+                        [](unsigned char c) { return c <= ' ' || c == 0x7f; });
+}
+
+struct status_rule
+{
+    session_error code;
+    unsigned status;
+};
+
+constexpr std::array status_rules{
+    status_rule{session_error::none, 200},
+    status_rule{session_error::malformed, 400},
+    status_rule{session_error::unauthorized, 401},
+    status_rule{session_error::unknown_database, 404},
+    status_rule{session_error::aborted, 409},
+    status_rule{session_error::failed, 500},
+    status_rule{session_error::in_doubt, 502},
+    status_rule{session_error::timeout, 504},
+};
+constexpr unsigned unavailable_status = 503;
+
+unsigned status_of(session_error code)
+{
+    for (const auto& rule : status_rules)
+        if (rule.code == code)
+            return rule.status;
+    return unavailable_status;
+}
+
+const char* run_status_of(session_error code)
+{
+    switch (code)
+    {
+    case session_error::none:
+    case session_error::failed:
+        return "ran";
+    case session_error::in_doubt:
+    case session_error::timeout:
+    case session_error::other:
+        return "outcome_unknown";
+    default:
+        return "not_run";
+    }
+}
+
+bool parse_number(std::string_view text, std::uint64_t& number)
+{
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    return !text.empty() && parsed.ec == std::errc() && parsed.ptr == end;
+}
+
+/// Fills in what a read or a write names. Returns what is wrong with it.
+std::string read_subject(const json::object& fields, session_statement& call)
+{
+    const auto* statement = fields.if_contains("statement");
+    if (statement == nullptr || !statement->is_object())
+        return "'statement' must be a JSON object";
+    call.subject = text_field(statement->as_object(), "key");
+    if (!is_one_word(call.subject))
+        return "'statement.key' must be a word without blanks";
+    if (call.verb != session_verb::write)
+        return "";
+    call.data = text_field(statement->as_object(), "value");
+    return is_one_word(call.data)
+               ? ""
+               : "'statement.value' must be a word without blanks";
+}
+
+std::string text_of(const session_statement& call, const session_codec& codec)
+{
+    switch (call.verb)
+    {
+    case session_verb::read:
+        return codec.read_text(call.subject);
+    case session_verb::write:
+        return codec.write_text(call.subject, call.data);
+    case session_verb::begin:
+        return codec.begin_text(false);
+    case session_verb::commit:
+        return codec.commit_text();
+    default:
+        return codec.rollback_text();
+    }
+}
+
+} // namespace
+
+result<http_statement> parse_http_statement(session_verb verb,
+                                            const std::string& body,
+                                            const session_codec& codec)
+{
+    const auto parsed = parse_json_object(body);
+    if (!succeeded(parsed))
+        return refuse("the body is not a JSON object: " +
+                      error_of(parsed).message);
+    const auto& fields = value_of(parsed);
+    for (const char* name : {"database", "session", "transaction"})
+    {
+        const auto* value = fields.if_contains(name);
+        if (value != nullptr && !value->is_string())
+            return refuse(std::string("'") + name + "' must be a string");
+        if (text_field(fields, name).size() > max_name_bytes)
+            return refuse(std::string("'") + name +
+                          "' is longer than 256 bytes");
+    }
+    // Targets keep no identifiers, so that a repeat could run twice.
+    if (fields.contains("request_id"))
+        return refuse("'request_id' is not supported by the targets");
+    http_statement request;
+    request.database = text_field(fields, "database");
+    request.session = text_field(fields, "session");
+    request.transaction = text_field(fields, "transaction");
+    if (!is_one_word(request.database))
+        return refuse("'database' is missing");
+    const auto deadline =
+        number_field(fields, "deadline_ms", max_deadline_ms + 1);
+    if (fields.contains("deadline_ms"))
+    {
+        if (deadline < 1 || deadline > max_deadline_ms)
+            return refuse(
+                "'deadline_ms' must be a whole number from 1 to 30000");
+        request.call.time_limit = milliseconds(deadline);
+    }
+    request.call.verb = verb;
+    if (verb == session_verb::read || verb == session_verb::write)
+    {
+        const auto problem = read_subject(fields, request.call);
+        if (!problem.empty())
+            return refuse(problem);
+    }
+    if ((verb == session_verb::commit || verb == session_verb::rollback) &&
+        request.transaction.empty())
+        return refuse("'transaction' is missing");
+    request.call.text = text_of(request.call, codec);
+    return request;
+}
+
+http_response to_http_response(const http_answer& answer,
+                               const std::string& request)
+{
+    json::object body{{"run", run_status_of(answer.failure)},
+                      {"request", request}};
+    if (!answer.session.empty())
+        body["session"] = answer.session;
+    if (!answer.transaction.empty())
+        body["transaction"] = answer.transaction;
+    if (answer.failure == session_error::none)
+    {
+        body["value"] = answer.value;
+        body["served_by"] = answer.target;
+    }
+    else
+    {
+        body["code"] = to_string(answer.failure);
+        body["message"] = answer.reason;
+        if (!answer.target.empty())
+            body["target"] = answer.target;
+        if (answer.retry_after.count() > 0)
+            body["retry_after_ms"] = answer.retry_after.count();
+    }
+    http_response response;
+    response.status = status_of(answer.failure);
+    response.body = json::serialize(body);
+    return response;
+}
+
+std::string serialize_session_position(const std::string& database,
+                                       const log_position& position)
+{
+    return std::string(session_prefix) + std::to_string(position.term) + "." +
+           std::to_string(position.position) + "." + database;
+}
+
+result<log_position> parse_session_position(const std::string& text,
+                                            const std::string& database)
+{
+    const error refusal{error_kind::invalid, "parse session", "",
+                        "the session is malformed or of another database"};
+    std::string_view rest = text;
+    if (!rest.starts_with(session_prefix))
+        return refusal;
+    rest.remove_prefix(session_prefix.size());
+    const auto first = rest.find('.');
+    const auto second = rest.find('.', first + 1);
+    if (first == std::string_view::npos || second == std::string_view::npos ||
+        rest.substr(second + 1) != database)
+        return refusal;
+    log_position position;
+    if (!parse_number(rest.substr(0, first), position.term) ||
+        !parse_number(rest.substr(first + 1, second - first - 1),
+                      position.position))
+        return refusal;
+    return position;
+}
+
+} // namespace oleandergrade
--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -42,12 +42,8 @@
 
 bool is_reply(const peer_body& body)
 {
-    return std::holds_alternative<answer>(body) ||
-           std::holds_alternative<token_grant>(body) ||
-           std::holds_alternative<heartbeat_reply>(body) ||
-           std::holds_alternative<configuration_reply>(body) ||
-           std::holds_alternative<trace_reply>(body) ||
-           std::holds_alternative<fleet_grant>(body) ||
+    return std::holds_alternative<fleet_grant>(body) ||
+           std::holds_alternative<borrow_reply>(body) ||
            std::holds_alternative<notice_receipt>(body) ||
            std::holds_alternative<fleet_snapshot>(body);
 }
--- a/src/connection/peer_message.capnp.h
+++ b/src/connection/peer_message.capnp.h
@@ -27,15 +27,8 @@
 CAPNP_DECLARE_SCHEMA(ecbecdc9d0055e41);
 CAPNP_DECLARE_SCHEMA(90c1c83ad7399fa3);
 CAPNP_DECLARE_SCHEMA(dbc360e86625f662);
-CAPNP_DECLARE_SCHEMA(de84d8e98bb6f342);
-CAPNP_DECLARE_SCHEMA(ec171a9fc4c536f5);
-CAPNP_DECLARE_SCHEMA(afddb41c1096193a);
-CAPNP_DECLARE_SCHEMA(fe9ee094c32c98d5);
-CAPNP_DECLARE_SCHEMA(d1f8e3aaff48a99f);
-CAPNP_DECLARE_SCHEMA(840a9501ecb8a123);
-CAPNP_DECLARE_SCHEMA(8ffad119ff95d385);
-CAPNP_DECLARE_SCHEMA(c5037c0b6e767052);
-CAPNP_DECLARE_SCHEMA(882372b5b1743300);
+CAPNP_DECLARE_SCHEMA(d352fca691205ee9);
+CAPNP_DECLARE_SCHEMA(de9e778468c8a6d1);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -50,21 +43,12 @@
   class Builder;
   class Pipeline;
   enum Which: uint16_t {
-    STATEMENT,
-    ANSWER,
-    TOKEN_REQUEST,
-    TOKEN_GRANT,
-    HEARTBEAT,
-    HEARTBEAT_REPLY,
-    GROUP_ANNOUNCEMENT,
-    CONFIGURATION_REQUEST,
-    CONFIGURATION,
-    TRACE_REQUEST,
-    TRACE_REPLY,
     FLEET_REPORT,
     FLEET_GRANT,
     PRIMARY_NOTICE,
     NOTICE_RECEIPT,
+    BORROW_REQUEST,
+    BORROW_REPLY,
     SNAPSHOT_REQUEST,
     SNAPSHOT,
   };
@@ -227,135 +211,30 @@
   };
 };
 
-struct Statement {
-  Statement() = delete;
+struct BorrowRequest {
+  BorrowRequest() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(de84d8e98bb6f342, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(d352fca691205ee9, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Answer {
-  Answer() = delete;
+struct BorrowReply {
+  BorrowReply() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ec171a9fc4c536f5, 5, 6)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct TokenReport {
-  TokenReport() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afddb41c1096193a, 2, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct TokenRequest {
-  TokenRequest() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe9ee094c32c98d5, 1, 3)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct TokenGrant {
-  TokenGrant() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d1f8e3aaff48a99f, 4, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct GroupRecord {
-  GroupRecord() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(840a9501ecb8a123, 2, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct DomainLead {
-  DomainLead() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8ffad119ff95d385, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Heartbeat {
-  Heartbeat() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5037c0b6e767052, 11, 6)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct ConfigurationRecord {
-  ConfigurationRecord() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(882372b5b1743300, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(de9e778468c8a6d1, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -384,49 +263,6 @@
   inline Which which() const;
   inline  ::uint64_t getId() const;
 
-  inline bool isStatement() const;
-  inline bool hasStatement() const;
-  inline  ::oleandergrade::wire::Statement::Reader getStatement() const;
-
-  inline bool isAnswer() const;
-  inline bool hasAnswer() const;
-  inline  ::oleandergrade::wire::Answer::Reader getAnswer() const;
-
-  inline bool isTokenRequest() const;
-  inline bool hasTokenRequest() const;
-  inline  ::oleandergrade::wire::TokenRequest::Reader getTokenRequest() const;
-
-  inline bool isTokenGrant() const;
-  inline bool hasTokenGrant() const;
-  inline  ::oleandergrade::wire::TokenGrant::Reader getTokenGrant() const;
-
-  inline bool isHeartbeat() const;
-  inline bool hasHeartbeat() const;
-  inline  ::oleandergrade::wire::Heartbeat::Reader getHeartbeat() const;
-
-  inline bool isHeartbeatReply() const;
-  inline bool hasHeartbeatReply() const;
-  inline  ::oleandergrade::wire::Heartbeat::Reader getHeartbeatReply() const;
-
-  inline bool isGroupAnnouncement() const;
-  inline bool hasGroupAnnouncement() const;
-  inline  ::oleandergrade::wire::GroupRecord::Reader getGroupAnnouncement() const;
-
-  inline bool isConfigurationRequest() const;
-  inline  ::uint64_t getConfigurationRequest() const;
-
-  inline bool isConfiguration() const;
-  inline bool hasConfiguration() const;
-  inline  ::oleandergrade::wire::ConfigurationRecord::Reader getConfiguration() const;
-
-  inline bool isTraceRequest() const;
-  inline bool hasTraceRequest() const;
-  inline  ::capnp::Text::Reader getTraceRequest() const;
-
-  inline bool isTraceReply() const;
-  inline bool hasTraceReply() const;
-  inline  ::capnp::Text::Reader getTraceReply() const;
-
   inline bool isFleetReport() const;
   inline bool hasFleetReport() const;
   inline  ::oleandergrade::wire::FleetReport::Reader getFleetReport() const;
@@ -443,6 +279,14 @@
   inline bool hasNoticeReceipt() const;
   inline  ::oleandergrade::wire::NoticeReceipt::Reader getNoticeReceipt() const;
 
+  inline bool isBorrowRequest() const;
+  inline bool hasBorrowRequest() const;
+  inline  ::oleandergrade::wire::BorrowRequest::Reader getBorrowRequest() const;
+
+  inline bool isBorrowReply() const;
+  inline bool hasBorrowReply() const;
+  inline  ::oleandergrade::wire::BorrowReply::Reader getBorrowReply() const;
+
   inline bool isSnapshotRequest() const;
   inline  ::uint64_t getSnapshotRequest() const;
 
@@ -482,90 +326,6 @@
   inline  ::uint64_t getId();
   inline void setId( ::uint64_t value);
 
-  inline bool isStatement();
-  inline bool hasStatement();
-  inline  ::oleandergrade::wire::Statement::Builder getStatement();
-  inline void setStatement( ::oleandergrade::wire::Statement::Reader value);
-  inline  ::oleandergrade::wire::Statement::Builder initStatement();
-  inline void adoptStatement(::capnp::Orphan< ::oleandergrade::wire::Statement>&& value);
-  inline ::capnp::Orphan< ::oleandergrade::wire::Statement> disownStatement();
-
-  inline bool isAnswer();
-  inline bool hasAnswer();
-  inline  ::oleandergrade::wire::Answer::Builder getAnswer();
-  inline void setAnswer( ::oleandergrade::wire::Answer::Reader value);
-  inline  ::oleandergrade::wire::Answer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::oleandergrade::wire::Answer>&& value);
-  inline ::capnp::Orphan< ::oleandergrade::wire::Answer> disownAnswer();
-
-  inline bool isTokenRequest();
-  inline bool hasTokenRequest();
-  inline  ::oleandergrade::wire::TokenRequest::Builder getTokenRequest();
-  inline void setTokenRequest( ::oleandergrade::wire::TokenRequest::Reader value);
-  inline  ::oleandergrade::wire::TokenRequest::Builder initTokenRequest();
-  inline void adoptTokenRequest(::capnp::Orphan< ::oleandergrade::wire::TokenRequest>&& value);
-  inline ::capnp::Orphan< ::oleandergrade::wire::TokenRequest> disownTokenRequest();
-
-  inline bool isTokenGrant();
-  inline bool hasTokenGrant();
-  inline  ::oleandergrade::wire::TokenGrant::Builder getTokenGrant();
-  inline void setTokenGrant( ::oleandergrade::wire::TokenGrant::Reader value);
-  inline  ::oleandergrade::wire::TokenGrant::Builder initTokenGrant();
-  inline void adoptTokenGrant(::capnp::Orphan< ::oleandergrade::wire::TokenGrant>&& value);
-  inline ::capnp::Orphan< ::oleandergrade::wire::TokenGrant> disownTokenGrant();
-
-  inline bool isHeartbeat();
-  inline bool hasHeartbeat();
-  inline  ::oleandergrade::wire::Heartbeat::Builder getHeartbeat();
-  inline void setHeartbeat( ::oleandergrade::wire::Heartbeat::Reader value);
-  inline  ::oleandergrade::wire::Heartbeat::Builder initHeartbeat();
-  inline void adoptHeartbeat(::capnp::Orphan< ::oleandergrade::wire::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::oleandergrade::wire::Heartbeat> disownHeartbeat();
-
-  inline bool isHeartbeatReply();
-  inline bool hasHeartbeatReply();
-  inline  ::oleandergrade::wire::Heartbeat::Builder getHeartbeatReply();
-  inline void setHeartbeatReply( ::oleandergrade::wire::Heartbeat::Reader value);
-  inline  ::oleandergrade::wire::Heartbeat::Builder initHeartbeatReply();
-  inline void adoptHeartbeatReply(::capnp::Orphan< ::oleandergrade::wire::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::oleandergrade::wire::Heartbeat> disownHeartbeatReply();
-
-  inline bool isGroupAnnouncement();
-  inline bool hasGroupAnnouncement();
-  inline  ::oleandergrade::wire::GroupRecord::Builder getGroupAnnouncement();
-  inline void setGroupAnnouncement( ::oleandergrade::wire::GroupRecord::Reader value);
-  inline  ::oleandergrade::wire::GroupRecord::Builder initGroupAnnouncement();
-  inline void adoptGroupAnnouncement(::capnp::Orphan< ::oleandergrade::wire::GroupRecord>&& value);
-  inline ::capnp::Orphan< ::oleandergrade::wire::GroupRecord> disownGroupAnnouncement();
-
-  inline bool isConfigurationRequest();
-  inline  ::uint64_t getConfigurationRequest();
-  inline void setConfigurationRequest( ::uint64_t value);
-
-  inline bool isConfiguration();
-  inline bool hasConfiguration();
-  inline  ::oleandergrade::wire::ConfigurationRecord::Builder getConfiguration();
-  inline void setConfiguration( ::oleandergrade::wire::ConfigurationRecord::Reader value);
-  inline  ::oleandergrade::wire::ConfigurationRecord::Builder initConfiguration();
-  inline void adoptConfiguration(::capnp::Orphan< ::oleandergrade::wire::ConfigurationRecord>&& value);
-  inline ::capnp::Orphan< ::oleandergrade::wire::ConfigurationRecord> disownConfiguration();
-
-  inline bool isTraceRequest();
-  inline bool hasTraceRequest();
-  inline  ::capnp::Text::Builder getTraceRequest();
-  inline void setTraceRequest( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTraceRequest(unsigned int size);
-  inline void adoptTraceRequest(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTraceRequest();
-
-  inline bool isTraceReply();
-  inline bool hasTraceReply();
-  inline  ::capnp::Text::Builder getTraceReply();
-  inline void setTraceReply( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTraceReply(unsigned int size);
-  inline void adoptTraceReply(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTraceReply();
-
   inline bool isFleetReport();
   inline bool hasFleetReport();
   inline  ::oleandergrade::wire::FleetReport::Builder getFleetReport();
@@ -598,6 +358,22 @@
   inline void adoptNoticeReceipt(::capnp::Orphan< ::oleandergrade::wire::NoticeReceipt>&& value);
   inline ::capnp::Orphan< ::oleandergrade::wire::NoticeReceipt> disownNoticeReceipt();
 
+  inline bool isBorrowRequest();
+  inline bool hasBorrowRequest();
+  inline  ::oleandergrade::wire::BorrowRequest::Builder getBorrowRequest();
+  inline void setBorrowRequest( ::oleandergrade::wire::BorrowRequest::Reader value);
+  inline  ::oleandergrade::wire::BorrowRequest::Builder initBorrowRequest();
+  inline void adoptBorrowRequest(::capnp::Orphan< ::oleandergrade::wire::BorrowRequest>&& value);
+  inline ::capnp::Orphan< ::oleandergrade::wire::BorrowRequest> disownBorrowRequest();
+
+  inline bool isBorrowReply();
+  inline bool hasBorrowReply();
+  inline  ::oleandergrade::wire::BorrowReply::Builder getBorrowReply();
+  inline void setBorrowReply( ::oleandergrade::wire::BorrowReply::Reader value);
+  inline  ::oleandergrade::wire::BorrowReply::Builder initBorrowReply();
+  inline void adoptBorrowReply(::capnp::Orphan< ::oleandergrade::wire::BorrowReply>&& value);
+  inline ::capnp::Orphan< ::oleandergrade::wire::BorrowReply> disownBorrowReply();
+
   inline bool isSnapshotRequest();
   inline  ::uint64_t getSnapshotRequest();
   inline void setSnapshotRequest( ::uint64_t value);
@@ -1696,9 +1472,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Statement::Reader {
+class BorrowRequest::Reader {
 public:
-  typedef Statement Reads;
+  typedef BorrowRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1713,40 +1489,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestNumber() const;
-  inline  ::capnp::Text::Reader getRequestNumber() const;
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
 
   inline bool hasAccount() const;
   inline  ::capnp::Text::Reader getAccount() const;
 
-  inline bool hasDatabase() const;
-  inline  ::capnp::Text::Reader getDatabase() const;
-
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
-
-  inline  ::uint8_t getKind() const;
-
-  inline bool hasText() const;
-  inline  ::capnp::Text::Reader getText() const;
-
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
-
-  inline  ::uint64_t getTerm() const;
-
-  inline  ::uint64_t getMinPosition() const;
-
-  inline  ::uint64_t getMaxAge() const;
-
-  inline  ::uint64_t getBudget() const;
-
-  inline bool hasTransaction() const;
-  inline  ::capnp::Text::Reader getTransaction() const;
-
-  inline bool hasKeyId() const;
-  inline  ::capnp::Text::Reader getKeyId() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1759,9 +1507,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Statement::Builder {
+class BorrowRequest::Builder {
 public:
-  typedef Statement Builds;
+  typedef BorrowRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1775,12 +1523,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestNumber();
-  inline  ::capnp::Text::Builder getRequestNumber();
-  inline void setRequestNumber( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestNumber(unsigned int size);
-  inline void adoptRequestNumber(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestNumber();
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
 
   inline bool hasAccount();
   inline  ::capnp::Text::Builder getAccount();
@@ -1789,63 +1537,6 @@
   inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
-  inline bool hasDatabase();
-  inline  ::capnp::Text::Builder getDatabase();
-  inline void setDatabase( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDatabase(unsigned int size);
-  inline void adoptDatabase(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDatabase();
-
-  inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
-
-  inline  ::uint8_t getKind();
-  inline void setKind( ::uint8_t value);
-
-  inline bool hasText();
-  inline  ::capnp::Text::Builder getText();
-  inline void setText( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownText();
-
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
-
-  inline  ::uint64_t getTerm();
-  inline void setTerm( ::uint64_t value);
-
-  inline  ::uint64_t getMinPosition();
-  inline void setMinPosition( ::uint64_t value);
-
-  inline  ::uint64_t getMaxAge();
-  inline void setMaxAge( ::uint64_t value);
-
-  inline  ::uint64_t getBudget();
-  inline void setBudget( ::uint64_t value);
-
-  inline bool hasTransaction();
-  inline  ::capnp::Text::Builder getTransaction();
-  inline void setTransaction( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTransaction(unsigned int size);
-  inline void adoptTransaction(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTransaction();
-
-  inline bool hasKeyId();
-  inline  ::capnp::Text::Builder getKeyId();
-  inline void setKeyId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKeyId(unsigned int size);
-  inline void adoptKeyId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKeyId();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1856,9 +1547,9 @@
 };
 
 #if !CAPNP_LITE
-class Statement::Pipeline {
+class BorrowRequest::Pipeline {
 public:
-  typedef Statement Pipelines;
+  typedef BorrowRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1872,9 +1563,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Answer::Reader {
+class BorrowReply::Reader {
 public:
-  typedef Answer Reads;
+  typedef BorrowReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1889,38 +1580,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getRun() const;
-
-  inline  ::uint8_t getCode() const;
-
-  inline bool hasValue() const;
-  inline  ::capnp::Text::Reader getValue() const;
-
-  inline  ::uint64_t getTerm() const;
-
-  inline  ::uint64_t getPosition() const;
-
-  inline bool hasStep() const;
-  inline  ::capnp::Text::Reader getStep() const;
-
-  inline bool hasPeer() const;
-  inline  ::capnp::Text::Reader getPeer() const;
+  inline bool getAccepted() const;
 
-  inline bool hasMessage() const;
-  inline  ::capnp::Text::Reader getMessage() const;
+  inline bool getAdmitted() const;
 
   inline  ::uint64_t getRetryAfter() const;
 
-  inline bool hasTransaction() const;
-  inline  ::capnp::Text::Reader getTransaction() const;
-
-  inline bool getRepeated() const;
-
-  inline bool hasServedBy() const;
-  inline  ::capnp::Text::Reader getServedBy() const;
-
-  inline  ::uint64_t getQueued() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1933,9 +1598,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Answer::Builder {
+class BorrowReply::Builder {
 public:
-  typedef Answer Builds;
+  typedef BorrowReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1949,69 +1614,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getRun();
-  inline void setRun( ::uint8_t value);
-
-  inline  ::uint8_t getCode();
-  inline void setCode( ::uint8_t value);
-
-  inline bool hasValue();
-  inline  ::capnp::Text::Builder getValue();
-  inline void setValue( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownValue();
-
-  inline  ::uint64_t getTerm();
-  inline void setTerm( ::uint64_t value);
-
-  inline  ::uint64_t getPosition();
-  inline void setPosition( ::uint64_t value);
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
 
-  inline bool hasStep();
-  inline  ::capnp::Text::Builder getStep();
-  inline void setStep( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initStep(unsigned int size);
-  inline void adoptStep(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownStep();
-
-  inline bool hasPeer();
-  inline  ::capnp::Text::Builder getPeer();
-  inline void setPeer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPeer(unsigned int size);
-  inline void adoptPeer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPeer();
-
-  inline bool hasMessage();
-  inline  ::capnp::Text::Builder getMessage();
-  inline void setMessage( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMessage(unsigned int size);
-  inline void adoptMessage(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMessage();
+  inline bool getAdmitted();
+  inline void setAdmitted(bool value);
 
   inline  ::uint64_t getRetryAfter();
   inline void setRetryAfter( ::uint64_t value);
 
-  inline bool hasTransaction();
-  inline  ::capnp::Text::Builder getTransaction();
-  inline void setTransaction( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTransaction(unsigned int size);
-  inline void adoptTransaction(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTransaction();
-
-  inline bool getRepeated();
-  inline void setRepeated(bool value);
-
-  inline bool hasServedBy();
-  inline  ::capnp::Text::Builder getServedBy();
-  inline void setServedBy( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initServedBy(unsigned int size);
-  inline void adoptServedBy(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownServedBy();
-
-  inline  ::uint64_t getQueued();
-  inline void setQueued( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2022,9 +1633,9 @@
 };
 
 #if !CAPNP_LITE
-class Answer::Pipeline {
+class BorrowReply::Pipeline {
 public:
-  typedef Answer Pipelines;
+  typedef BorrowReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2038,4223 +1649,1637 @@
 };
 #endif  // !CAPNP_LITE
 
-class TokenReport::Reader {
-public:
-  typedef TokenReport Reads;
+// =======================================================================================
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+inline  ::oleandergrade::wire::PeerMessage::Which PeerMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline  ::oleandergrade::wire::PeerMessage::Which PeerMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+inline  ::uint64_t PeerMessage::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+inline  ::uint64_t PeerMessage::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
 
-  inline  ::uint64_t getBatch() const;
+inline bool PeerMessage::Reader::isFleetReport() const {
+  return which() == PeerMessage::FLEET_REPORT;
+}
+inline bool PeerMessage::Builder::isFleetReport() {
+  return which() == PeerMessage::FLEET_REPORT;
+}
+inline bool PeerMessage::Reader::hasFleetReport() const {
+  if (which() != PeerMessage::FLEET_REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasFleetReport() {
+  if (which() != PeerMessage::FLEET_REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::FleetReport::Reader PeerMessage::Reader::getFleetReport() const {
+  KJ_IREQUIRE((which() == PeerMessage::FLEET_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::FleetReport::Builder PeerMessage::Builder::getFleetReport() {
+  KJ_IREQUIRE((which() == PeerMessage::FLEET_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setFleetReport( ::oleandergrade::wire::FleetReport::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_REPORT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::FleetReport::Builder PeerMessage::Builder::initFleetReport() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_REPORT);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptFleetReport(
+    ::capnp::Orphan< ::oleandergrade::wire::FleetReport>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_REPORT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::FleetReport> PeerMessage::Builder::disownFleetReport() {
+  KJ_IREQUIRE((which() == PeerMessage::FLEET_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-  inline  ::uint32_t getSpent() const;
-
-  inline  ::uint32_t getReturned() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class TokenReport::Builder {
-public:
-  typedef TokenReport Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getBatch();
-  inline void setBatch( ::uint64_t value);
-
-  inline  ::uint32_t getSpent();
-  inline void setSpent( ::uint32_t value);
-
-  inline  ::uint32_t getReturned();
-  inline void setReturned( ::uint32_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class TokenReport::Pipeline {
-public:
-  typedef TokenReport Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class TokenRequest::Reader {
-public:
-  typedef TokenRequest Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasBorrower() const;
-  inline  ::capnp::Text::Reader getBorrower() const;
-
-  inline bool hasAccount() const;
-  inline  ::capnp::Text::Reader getAccount() const;
-
-  inline  ::uint32_t getWanted() const;
-
-  inline bool hasReports() const;
-  inline  ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Reader getReports() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class TokenRequest::Builder {
-public:
-  typedef TokenRequest Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasBorrower();
-  inline  ::capnp::Text::Builder getBorrower();
-  inline void setBorrower( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBorrower(unsigned int size);
-  inline void adoptBorrower(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBorrower();
-
-  inline bool hasAccount();
-  inline  ::capnp::Text::Builder getAccount();
-  inline void setAccount( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
-
-  inline  ::uint32_t getWanted();
-  inline void setWanted( ::uint32_t value);
-
-  inline bool hasReports();
-  inline  ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Builder getReports();
-  inline void setReports( ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
-  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>> disownReports();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class TokenRequest::Pipeline {
-public:
-  typedef TokenRequest Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class TokenGrant::Reader {
-public:
-  typedef TokenGrant Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasAccount() const;
-  inline  ::capnp::Text::Reader getAccount() const;
-
-  inline  ::uint64_t getBatch() const;
-
-  inline  ::uint32_t getUnits() const;
-
-  inline  ::uint64_t getValidity() const;
-
-  inline  ::uint64_t getRetryAfter() const;
-
-  inline bool getAccepted() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class TokenGrant::Builder {
-public:
-  typedef TokenGrant Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasAccount();
-  inline  ::capnp::Text::Builder getAccount();
-  inline void setAccount( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
-
-  inline  ::uint64_t getBatch();
-  inline void setBatch( ::uint64_t value);
-
-  inline  ::uint32_t getUnits();
-  inline void setUnits( ::uint32_t value);
-
-  inline  ::uint64_t getValidity();
-  inline void setValidity( ::uint64_t value);
-
-  inline  ::uint64_t getRetryAfter();
-  inline void setRetryAfter( ::uint64_t value);
-
-  inline bool getAccepted();
-  inline void setAccepted(bool value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class TokenGrant::Pipeline {
-public:
-  typedef TokenGrant Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class GroupRecord::Reader {
-public:
-  typedef GroupRecord Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasDatabase() const;
-  inline  ::capnp::Text::Reader getDatabase() const;
-
-  inline  ::uint64_t getTerm() const;
-
-  inline bool hasPrimary() const;
-  inline  ::capnp::Text::Reader getPrimary() const;
-
-  inline bool getSteady() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class GroupRecord::Builder {
-public:
-  typedef GroupRecord Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasDatabase();
-  inline  ::capnp::Text::Builder getDatabase();
-  inline void setDatabase( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDatabase(unsigned int size);
-  inline void adoptDatabase(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDatabase();
-
-  inline  ::uint64_t getTerm();
-  inline void setTerm( ::uint64_t value);
-
-  inline bool hasPrimary();
-  inline  ::capnp::Text::Builder getPrimary();
-  inline void setPrimary( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPrimary(unsigned int size);
-  inline void adoptPrimary(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPrimary();
-
-  inline bool getSteady();
-  inline void setSteady(bool value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class GroupRecord::Pipeline {
-public:
-  typedef GroupRecord Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class DomainLead::Reader {
-public:
-  typedef DomainLead Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
-
-  inline bool hasVm() const;
-  inline  ::capnp::Text::Reader getVm() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class DomainLead::Builder {
-public:
-  typedef DomainLead Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
-
-  inline bool hasVm();
-  inline  ::capnp::Text::Builder getVm();
-  inline void setVm( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVm(unsigned int size);
-  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVm();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class DomainLead::Pipeline {
-public:
-  typedef DomainLead Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Heartbeat::Reader {
-public:
-  typedef Heartbeat Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasNode() const;
-  inline  ::capnp::Text::Reader getNode() const;
-
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint64_t getConfigurationVersion() const;
-
-  inline  ::uint64_t getConfirmationAge() const;
-
-  inline  ::uint64_t getPlatformAge() const;
-
-  inline  ::uint64_t getMajorityAge() const;
-
-  inline bool hasLead() const;
-  inline  ::capnp::Text::Reader getLead() const;
-
-  inline  ::uint64_t getEpoch() const;
-
-  inline  ::uint64_t getClock() const;
-
-  inline  ::uint64_t getEcho() const;
-
-  inline bool hasVms() const;
-  inline  ::capnp::Text::Reader getVms() const;
-
-  inline bool hasLeads() const;
-  inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Reader getLeads() const;
-
-  inline bool hasGroups() const;
-  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
-
-  inline  ::uint64_t getVmsDigest() const;
-
-  inline  ::uint64_t getLeadsDigest() const;
-
-  inline  ::uint64_t getGroupsDigest() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Heartbeat::Builder {
-public:
-  typedef Heartbeat Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasNode();
-  inline  ::capnp::Text::Builder getNode();
-  inline void setNode( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initNode(unsigned int size);
-  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownNode();
-
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getConfigurationVersion();
-  inline void setConfigurationVersion( ::uint64_t value);
-
-  inline  ::uint64_t getConfirmationAge();
-  inline void setConfirmationAge( ::uint64_t value);
-
-  inline  ::uint64_t getPlatformAge();
-  inline void setPlatformAge( ::uint64_t value);
-
-  inline  ::uint64_t getMajorityAge();
-  inline void setMajorityAge( ::uint64_t value);
-
-  inline bool hasLead();
-  inline  ::capnp::Text::Builder getLead();
-  inline void setLead( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initLead(unsigned int size);
-  inline void adoptLead(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownLead();
-
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
-
-  inline  ::uint64_t getClock();
-  inline void setClock( ::uint64_t value);
-
-  inline  ::uint64_t getEcho();
-  inline void setEcho( ::uint64_t value);
-
-  inline bool hasVms();
-  inline  ::capnp::Text::Builder getVms();
-  inline void setVms( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVms(unsigned int size);
-  inline void adoptVms(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVms();
-
-  inline bool hasLeads();
-  inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Builder getLeads();
-  inline void setLeads( ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Builder initLeads(unsigned int size);
-  inline void adoptLeads(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>> disownLeads();
-
-  inline bool hasGroups();
-  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder getGroups();
-  inline void setGroups( ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
-  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>> disownGroups();
-
-  inline  ::uint64_t getVmsDigest();
-  inline void setVmsDigest( ::uint64_t value);
-
-  inline  ::uint64_t getLeadsDigest();
-  inline void setLeadsDigest( ::uint64_t value);
-
-  inline  ::uint64_t getGroupsDigest();
-  inline void setGroupsDigest( ::uint64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Heartbeat::Pipeline {
-public:
-  typedef Heartbeat Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class ConfigurationRecord::Reader {
-public:
-  typedef ConfigurationRecord Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getVersion() const;
-
-  inline bool hasValue() const;
-  inline  ::capnp::Text::Reader getValue() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class ConfigurationRecord::Builder {
-public:
-  typedef ConfigurationRecord Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
-
-  inline bool hasValue();
-  inline  ::capnp::Text::Builder getValue();
-  inline void setValue( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownValue();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class ConfigurationRecord::Pipeline {
-public:
-  typedef ConfigurationRecord Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-// =======================================================================================
-
-inline  ::oleandergrade::wire::PeerMessage::Which PeerMessage::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline  ::oleandergrade::wire::PeerMessage::Which PeerMessage::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t PeerMessage::Reader::getId() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t PeerMessage::Builder::getId() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void PeerMessage::Builder::setId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool PeerMessage::Reader::isStatement() const {
-  return which() == PeerMessage::STATEMENT;
-}
-inline bool PeerMessage::Builder::isStatement() {
-  return which() == PeerMessage::STATEMENT;
-}
-inline bool PeerMessage::Reader::hasStatement() const {
-  if (which() != PeerMessage::STATEMENT) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasStatement() {
-  if (which() != PeerMessage::STATEMENT) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::Statement::Reader PeerMessage::Reader::getStatement() const {
-  KJ_IREQUIRE((which() == PeerMessage::STATEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::Statement::Builder PeerMessage::Builder::getStatement() {
-  KJ_IREQUIRE((which() == PeerMessage::STATEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setStatement( ::oleandergrade::wire::Statement::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STATEMENT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::oleandergrade::wire::Statement::Builder PeerMessage::Builder::initStatement() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STATEMENT);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::adoptStatement(
-    ::capnp::Orphan< ::oleandergrade::wire::Statement>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STATEMENT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::oleandergrade::wire::Statement> PeerMessage::Builder::disownStatement() {
-  KJ_IREQUIRE((which() == PeerMessage::STATEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Statement>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isAnswer() const {
-  return which() == PeerMessage::ANSWER;
-}
-inline bool PeerMessage::Builder::isAnswer() {
-  return which() == PeerMessage::ANSWER;
-}
-inline bool PeerMessage::Reader::hasAnswer() const {
-  if (which() != PeerMessage::ANSWER) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasAnswer() {
-  if (which() != PeerMessage::ANSWER) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::Answer::Reader PeerMessage::Reader::getAnswer() const {
-  KJ_IREQUIRE((which() == PeerMessage::ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::Answer::Builder PeerMessage::Builder::getAnswer() {
-  KJ_IREQUIRE((which() == PeerMessage::ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setAnswer( ::oleandergrade::wire::Answer::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::ANSWER);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::oleandergrade::wire::Answer::Builder PeerMessage::Builder::initAnswer() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::ANSWER);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::adoptAnswer(
-    ::capnp::Orphan< ::oleandergrade::wire::Answer>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::ANSWER);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::oleandergrade::wire::Answer> PeerMessage::Builder::disownAnswer() {
-  KJ_IREQUIRE((which() == PeerMessage::ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Answer>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isTokenRequest() const {
-  return which() == PeerMessage::TOKEN_REQUEST;
-}
-inline bool PeerMessage::Builder::isTokenRequest() {
-  return which() == PeerMessage::TOKEN_REQUEST;
-}
-inline bool PeerMessage::Reader::hasTokenRequest() const {
-  if (which() != PeerMessage::TOKEN_REQUEST) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasTokenRequest() {
-  if (which() != PeerMessage::TOKEN_REQUEST) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::TokenRequest::Reader PeerMessage::Reader::getTokenRequest() const {
-  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::TokenRequest::Builder PeerMessage::Builder::getTokenRequest() {
-  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setTokenRequest( ::oleandergrade::wire::TokenRequest::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REQUEST);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::oleandergrade::wire::TokenRequest::Builder PeerMessage::Builder::initTokenRequest() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REQUEST);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::adoptTokenRequest(
-    ::capnp::Orphan< ::oleandergrade::wire::TokenRequest>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REQUEST);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::oleandergrade::wire::TokenRequest> PeerMessage::Builder::disownTokenRequest() {
-  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isTokenGrant() const {
-  return which() == PeerMessage::TOKEN_GRANT;
-}
-inline bool PeerMessage::Builder::isTokenGrant() {
-  return which() == PeerMessage::TOKEN_GRANT;
-}
-inline bool PeerMessage::Reader::hasTokenGrant() const {
-  if (which() != PeerMessage::TOKEN_GRANT) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasTokenGrant() {
-  if (which() != PeerMessage::TOKEN_GRANT) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::TokenGrant::Reader PeerMessage::Reader::getTokenGrant() const {
-  KJ_IREQUIRE((which() == PeerMessage::TOKEN_GRANT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::TokenGrant::Builder PeerMessage::Builder::getTokenGrant() {
-  KJ_IREQUIRE((which() == PeerMessage::TOKEN_GRANT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setTokenGrant( ::oleandergrade::wire::TokenGrant::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_GRANT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::oleandergrade::wire::TokenGrant::Builder PeerMessage::Builder::initTokenGrant() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_GRANT);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::adoptTokenGrant(
-    ::capnp::Orphan< ::oleandergrade::wire::TokenGrant>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_GRANT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::oleandergrade::wire::TokenGrant> PeerMessage::Builder::disownTokenGrant() {
-  KJ_IREQUIRE((which() == PeerMessage::TOKEN_GRANT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::TokenGrant>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isHeartbeat() const {
-  return which() == PeerMessage::HEARTBEAT;
-}
-inline bool PeerMessage::Builder::isHeartbeat() {
-  return which() == PeerMessage::HEARTBEAT;
-}
-inline bool PeerMessage::Reader::hasHeartbeat() const {
-  if (which() != PeerMessage::HEARTBEAT) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasHeartbeat() {
-  if (which() != PeerMessage::HEARTBEAT) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::Heartbeat::Reader PeerMessage::Reader::getHeartbeat() const {
-  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::Heartbeat::Builder PeerMessage::Builder::getHeartbeat() {
-  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setHeartbeat( ::oleandergrade::wire::Heartbeat::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::oleandergrade::wire::Heartbeat::Builder PeerMessage::Builder::initHeartbeat() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::adoptHeartbeat(
-    ::capnp::Orphan< ::oleandergrade::wire::Heartbeat>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::oleandergrade::wire::Heartbeat> PeerMessage::Builder::disownHeartbeat() {
-  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isHeartbeatReply() const {
-  return which() == PeerMessage::HEARTBEAT_REPLY;
-}
-inline bool PeerMessage::Builder::isHeartbeatReply() {
-  return which() == PeerMessage::HEARTBEAT_REPLY;
-}
-inline bool PeerMessage::Reader::hasHeartbeatReply() const {
-  if (which() != PeerMessage::HEARTBEAT_REPLY) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasHeartbeatReply() {
-  if (which() != PeerMessage::HEARTBEAT_REPLY) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::Heartbeat::Reader PeerMessage::Reader::getHeartbeatReply() const {
-  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::Heartbeat::Builder PeerMessage::Builder::getHeartbeatReply() {
-  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setHeartbeatReply( ::oleandergrade::wire::Heartbeat::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT_REPLY);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::oleandergrade::wire::Heartbeat::Builder PeerMessage::Builder::initHeartbeatReply() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT_REPLY);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::adoptHeartbeatReply(
-    ::capnp::Orphan< ::oleandergrade::wire::Heartbeat>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT_REPLY);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::oleandergrade::wire::Heartbeat> PeerMessage::Builder::disownHeartbeatReply() {
-  KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::Heartbeat>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isGroupAnnouncement() const {
-  return which() == PeerMessage::GROUP_ANNOUNCEMENT;
-}
-inline bool PeerMessage::Builder::isGroupAnnouncement() {
-  return which() == PeerMessage::GROUP_ANNOUNCEMENT;
-}
-inline bool PeerMessage::Reader::hasGroupAnnouncement() const {
-  if (which() != PeerMessage::GROUP_ANNOUNCEMENT) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasGroupAnnouncement() {
-  if (which() != PeerMessage::GROUP_ANNOUNCEMENT) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::GroupRecord::Reader PeerMessage::Reader::getGroupAnnouncement() const {
-  KJ_IREQUIRE((which() == PeerMessage::GROUP_ANNOUNCEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::GroupRecord::Builder PeerMessage::Builder::getGroupAnnouncement() {
-  KJ_IREQUIRE((which() == PeerMessage::GROUP_ANNOUNCEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setGroupAnnouncement( ::oleandergrade::wire::GroupRecord::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::GROUP_ANNOUNCEMENT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::oleandergrade::wire::GroupRecord::Builder PeerMessage::Builder::initGroupAnnouncement() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::GROUP_ANNOUNCEMENT);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::adoptGroupAnnouncement(
-    ::capnp::Orphan< ::oleandergrade::wire::GroupRecord>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::GROUP_ANNOUNCEMENT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::oleandergrade::wire::GroupRecord> PeerMessage::Builder::disownGroupAnnouncement() {
-  KJ_IREQUIRE((which() == PeerMessage::GROUP_ANNOUNCEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::GroupRecord>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isConfigurationRequest() const {
-  return which() == PeerMessage::CONFIGURATION_REQUEST;
-}
-inline bool PeerMessage::Builder::isConfigurationRequest() {
-  return which() == PeerMessage::CONFIGURATION_REQUEST;
-}
-inline  ::uint64_t PeerMessage::Reader::getConfigurationRequest() const {
-  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t PeerMessage::Builder::getConfigurationRequest() {
-  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void PeerMessage::Builder::setConfigurationRequest( ::uint64_t value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION_REQUEST);
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool PeerMessage::Reader::isConfiguration() const {
-  return which() == PeerMessage::CONFIGURATION;
-}
-inline bool PeerMessage::Builder::isConfiguration() {
-  return which() == PeerMessage::CONFIGURATION;
-}
-inline bool PeerMessage::Reader::hasConfiguration() const {
-  if (which() != PeerMessage::CONFIGURATION) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasConfiguration() {
-  if (which() != PeerMessage::CONFIGURATION) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::ConfigurationRecord::Reader PeerMessage::Reader::getConfiguration() const {
-  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::ConfigurationRecord::Builder PeerMessage::Builder::getConfiguration() {
-  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setConfiguration( ::oleandergrade::wire::ConfigurationRecord::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::oleandergrade::wire::ConfigurationRecord::Builder PeerMessage::Builder::initConfiguration() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::adoptConfiguration(
-    ::capnp::Orphan< ::oleandergrade::wire::ConfigurationRecord>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::oleandergrade::wire::ConfigurationRecord> PeerMessage::Builder::disownConfiguration() {
-  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::ConfigurationRecord>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isTraceRequest() const {
-  return which() == PeerMessage::TRACE_REQUEST;
-}
-inline bool PeerMessage::Builder::isTraceRequest() {
-  return which() == PeerMessage::TRACE_REQUEST;
-}
-inline bool PeerMessage::Reader::hasTraceRequest() const {
-  if (which() != PeerMessage::TRACE_REQUEST) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasTraceRequest() {
-  if (which() != PeerMessage::TRACE_REQUEST) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader PeerMessage::Reader::getTraceRequest() const {
-  KJ_IREQUIRE((which() == PeerMessage::TRACE_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder PeerMessage::Builder::getTraceRequest() {
-  KJ_IREQUIRE((which() == PeerMessage::TRACE_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setTraceRequest( ::capnp::Text::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REQUEST);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder PeerMessage::Builder::initTraceRequest(unsigned int size) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REQUEST);
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void PeerMessage::Builder::adoptTraceRequest(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REQUEST);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> PeerMessage::Builder::disownTraceRequest() {
-  KJ_IREQUIRE((which() == PeerMessage::TRACE_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isTraceReply() const {
-  return which() == PeerMessage::TRACE_REPLY;
-}
-inline bool PeerMessage::Builder::isTraceReply() {
-  return which() == PeerMessage::TRACE_REPLY;
-}
-inline bool PeerMessage::Reader::hasTraceReply() const {
-  if (which() != PeerMessage::TRACE_REPLY) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasTraceReply() {
-  if (which() != PeerMessage::TRACE_REPLY) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader PeerMessage::Reader::getTraceReply() const {
-  KJ_IREQUIRE((which() == PeerMessage::TRACE_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder PeerMessage::Builder::getTraceReply() {
-  KJ_IREQUIRE((which() == PeerMessage::TRACE_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setTraceReply( ::capnp::Text::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REPLY);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder PeerMessage::Builder::initTraceReply(unsigned int size) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REPLY);
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void PeerMessage::Builder::adoptTraceReply(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TRACE_REPLY);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> PeerMessage::Builder::disownTraceReply() {
-  KJ_IREQUIRE((which() == PeerMessage::TRACE_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isFleetReport() const {
-  return which() == PeerMessage::FLEET_REPORT;
-}
-inline bool PeerMessage::Builder::isFleetReport() {
-  return which() == PeerMessage::FLEET_REPORT;
-}
-inline bool PeerMessage::Reader::hasFleetReport() const {
-  if (which() != PeerMessage::FLEET_REPORT) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasFleetReport() {
-  if (which() != PeerMessage::FLEET_REPORT) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::FleetReport::Reader PeerMessage::Reader::getFleetReport() const {
-  KJ_IREQUIRE((which() == PeerMessage::FLEET_REPORT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::FleetReport::Builder PeerMessage::Builder::getFleetReport() {
-  KJ_IREQUIRE((which() == PeerMessage::FLEET_REPORT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setFleetReport( ::oleandergrade::wire::FleetReport::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_REPORT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::oleandergrade::wire::FleetReport::Builder PeerMessage::Builder::initFleetReport() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_REPORT);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::adoptFleetReport(
-    ::capnp::Orphan< ::oleandergrade::wire::FleetReport>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_REPORT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::oleandergrade::wire::FleetReport> PeerMessage::Builder::disownFleetReport() {
-  KJ_IREQUIRE((which() == PeerMessage::FLEET_REPORT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isFleetGrant() const {
-  return which() == PeerMessage::FLEET_GRANT;
-}
-inline bool PeerMessage::Builder::isFleetGrant() {
-  return which() == PeerMessage::FLEET_GRANT;
-}
-inline bool PeerMessage::Reader::hasFleetGrant() const {
-  if (which() != PeerMessage::FLEET_GRANT) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasFleetGrant() {
-  if (which() != PeerMessage::FLEET_GRANT) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::FleetGrant::Reader PeerMessage::Reader::getFleetGrant() const {
-  KJ_IREQUIRE((which() == PeerMessage::FLEET_GRANT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::FleetGrant::Builder PeerMessage::Builder::getFleetGrant() {
-  KJ_IREQUIRE((which() == PeerMessage::FLEET_GRANT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setFleetGrant( ::oleandergrade::wire::FleetGrant::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_GRANT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::oleandergrade::wire::FleetGrant::Builder PeerMessage::Builder::initFleetGrant() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_GRANT);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::adoptFleetGrant(
-    ::capnp::Orphan< ::oleandergrade::wire::FleetGrant>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_GRANT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::oleandergrade::wire::FleetGrant> PeerMessage::Builder::disownFleetGrant() {
-  KJ_IREQUIRE((which() == PeerMessage::FLEET_GRANT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isPrimaryNotice() const {
-  return which() == PeerMessage::PRIMARY_NOTICE;
-}
-inline bool PeerMessage::Builder::isPrimaryNotice() {
-  return which() == PeerMessage::PRIMARY_NOTICE;
-}
-inline bool PeerMessage::Reader::hasPrimaryNotice() const {
-  if (which() != PeerMessage::PRIMARY_NOTICE) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasPrimaryNotice() {
-  if (which() != PeerMessage::PRIMARY_NOTICE) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::PrimaryNotice::Reader PeerMessage::Reader::getPrimaryNotice() const {
-  KJ_IREQUIRE((which() == PeerMessage::PRIMARY_NOTICE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::PrimaryNotice::Builder PeerMessage::Builder::getPrimaryNotice() {
-  KJ_IREQUIRE((which() == PeerMessage::PRIMARY_NOTICE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setPrimaryNotice( ::oleandergrade::wire::PrimaryNotice::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::PRIMARY_NOTICE);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::oleandergrade::wire::PrimaryNotice::Builder PeerMessage::Builder::initPrimaryNotice() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::PRIMARY_NOTICE);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::adoptPrimaryNotice(
-    ::capnp::Orphan< ::oleandergrade::wire::PrimaryNotice>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::PRIMARY_NOTICE);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::oleandergrade::wire::PrimaryNotice> PeerMessage::Builder::disownPrimaryNotice() {
-  KJ_IREQUIRE((which() == PeerMessage::PRIMARY_NOTICE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isNoticeReceipt() const {
-  return which() == PeerMessage::NOTICE_RECEIPT;
-}
-inline bool PeerMessage::Builder::isNoticeReceipt() {
-  return which() == PeerMessage::NOTICE_RECEIPT;
-}
-inline bool PeerMessage::Reader::hasNoticeReceipt() const {
-  if (which() != PeerMessage::NOTICE_RECEIPT) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasNoticeReceipt() {
-  if (which() != PeerMessage::NOTICE_RECEIPT) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::NoticeReceipt::Reader PeerMessage::Reader::getNoticeReceipt() const {
-  KJ_IREQUIRE((which() == PeerMessage::NOTICE_RECEIPT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::NoticeReceipt::Builder PeerMessage::Builder::getNoticeReceipt() {
-  KJ_IREQUIRE((which() == PeerMessage::NOTICE_RECEIPT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setNoticeReceipt( ::oleandergrade::wire::NoticeReceipt::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::NOTICE_RECEIPT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::oleandergrade::wire::NoticeReceipt::Builder PeerMessage::Builder::initNoticeReceipt() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::NOTICE_RECEIPT);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::adoptNoticeReceipt(
-    ::capnp::Orphan< ::oleandergrade::wire::NoticeReceipt>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::NOTICE_RECEIPT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::oleandergrade::wire::NoticeReceipt> PeerMessage::Builder::disownNoticeReceipt() {
-  KJ_IREQUIRE((which() == PeerMessage::NOTICE_RECEIPT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerMessage::Reader::isSnapshotRequest() const {
-  return which() == PeerMessage::SNAPSHOT_REQUEST;
-}
-inline bool PeerMessage::Builder::isSnapshotRequest() {
-  return which() == PeerMessage::SNAPSHOT_REQUEST;
-}
-inline  ::uint64_t PeerMessage::Reader::getSnapshotRequest() const {
-  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t PeerMessage::Builder::getSnapshotRequest() {
-  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void PeerMessage::Builder::setSnapshotRequest( ::uint64_t value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SNAPSHOT_REQUEST);
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool PeerMessage::Reader::isSnapshot() const {
-  return which() == PeerMessage::SNAPSHOT;
-}
-inline bool PeerMessage::Builder::isSnapshot() {
-  return which() == PeerMessage::SNAPSHOT;
-}
-inline bool PeerMessage::Reader::hasSnapshot() const {
-  if (which() != PeerMessage::SNAPSHOT) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasSnapshot() {
-  if (which() != PeerMessage::SNAPSHOT) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::oleandergrade::wire::FleetSnapshot::Reader PeerMessage::Reader::getSnapshot() const {
-  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::oleandergrade::wire::FleetSnapshot::Builder PeerMessage::Builder::getSnapshot() {
-  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setSnapshot( ::oleandergrade::wire::FleetSnapshot::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SNAPSHOT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::oleandergrade::wire::FleetSnapshot::Builder PeerMessage::Builder::initSnapshot() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SNAPSHOT);
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::adoptSnapshot(
-    ::capnp::Orphan< ::oleandergrade::wire::FleetSnapshot>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SNAPSHOT);
-  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::oleandergrade::wire::FleetSnapshot> PeerMessage::Builder::disownSnapshot() {
-  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool TargetTrouble::Reader::hasTarget() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool TargetTrouble::Builder::hasTarget() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader TargetTrouble::Reader::getTarget() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder TargetTrouble::Builder::getTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void TargetTrouble::Builder::setTarget( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder TargetTrouble::Builder::initTarget(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void TargetTrouble::Builder::adoptTarget(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> TargetTrouble::Builder::disownTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t TargetTrouble::Reader::getSince() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t TargetTrouble::Builder::getSince() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void TargetTrouble::Builder::setSince( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool AccountDemand::Reader::hasAccount() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AccountDemand::Builder::hasAccount() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader AccountDemand::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder AccountDemand::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AccountDemand::Builder::setAccount( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder AccountDemand::Builder::initAccount(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void AccountDemand::Builder::adoptAccount(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> AccountDemand::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline double AccountDemand::Reader::getWanted() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline double AccountDemand::Builder::getWanted() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void AccountDemand::Builder::setWanted(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline double AccountDemand::Reader::getHeld() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline double AccountDemand::Builder::getHeld() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void AccountDemand::Builder::setHeld(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool AccountShare::Reader::hasAccount() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AccountShare::Builder::hasAccount() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader AccountShare::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder AccountShare::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AccountShare::Builder::setAccount( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder AccountShare::Builder::initAccount(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void AccountShare::Builder::adoptAccount(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> AccountShare::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline double AccountShare::Reader::getRate() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline double AccountShare::Builder::getRate() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void AccountShare::Builder::setRate(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline double AccountShare::Reader::getBurst() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline double AccountShare::Builder::getBurst() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void AccountShare::Builder::setBurst(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool FleetReport::Reader::hasVm() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool FleetReport::Builder::hasVm() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader FleetReport::Reader::getVm() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder FleetReport::Builder::getVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FleetReport::Builder::setVm( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder FleetReport::Builder::initVm(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void FleetReport::Builder::adoptVm(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> FleetReport::Builder::disownVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t FleetReport::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t FleetReport::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void FleetReport::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool FleetReport::Reader::getIsRegistered() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool FleetReport::Builder::getIsRegistered() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void FleetReport::Builder::setIsRegistered(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t FleetReport::Reader::getToken() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t FleetReport::Builder::getToken() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void FleetReport::Builder::setToken( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t FleetReport::Reader::getConfigurationVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t FleetReport::Builder::getConfigurationVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void FleetReport::Builder::setConfigurationVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool FleetReport::Reader::hasTroubles() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool FleetReport::Builder::hasTroubles() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Reader FleetReport::Reader::getTroubles() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Builder FleetReport::Builder::getTroubles() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void FleetReport::Builder::setTroubles( ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Builder FleetReport::Builder::initTroubles(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void FleetReport::Builder::adoptTroubles(
-    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>> FleetReport::Builder::disownTroubles() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool FleetReport::Reader::hasDemands() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool FleetReport::Builder::hasDemands() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Reader FleetReport::Reader::getDemands() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Builder FleetReport::Builder::getDemands() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void FleetReport::Builder::setDemands( ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Builder FleetReport::Builder::initDemands(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void FleetReport::Builder::adoptDemands(
-    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>> FleetReport::Builder::disownDemands() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t FleetReport::Reader::getEcho() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t FleetReport::Builder::getEcho() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void FleetReport::Builder::setEcho( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t FleetReport::Reader::getGrantAge() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t FleetReport::Builder::getGrantAge() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void FleetReport::Builder::setGrantAge( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool PrimaryState::Reader::hasGroup() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PrimaryState::Builder::hasGroup() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader PrimaryState::Reader::getGroup() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder PrimaryState::Builder::getGroup() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PrimaryState::Builder::setGroup( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder PrimaryState::Builder::initGroup(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void PrimaryState::Builder::adoptGroup(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> PrimaryState::Builder::disownGroup() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t PrimaryState::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t PrimaryState::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void PrimaryState::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool PrimaryState::Reader::hasTarget() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool PrimaryState::Builder::hasTarget() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader PrimaryState::Reader::getTarget() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder PrimaryState::Builder::getTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void PrimaryState::Builder::setTarget( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder PrimaryState::Builder::initTarget(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void PrimaryState::Builder::adoptTarget(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> PrimaryState::Builder::disownTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool PrimaryState::Reader::getIsOpen() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool PrimaryState::Builder::getIsOpen() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void PrimaryState::Builder::setIsOpen(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool PrimaryState::Reader::getIsPlanned() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
-}
-
-inline bool PrimaryState::Builder::getIsPlanned() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
-}
-inline void PrimaryState::Builder::setIsPlanned(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t PrimaryState::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t PrimaryState::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void PrimaryState::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t PrimaryState::Reader::getPosition() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t PrimaryState::Builder::getPosition() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void PrimaryState::Builder::setPosition( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t PrimaryState::Reader::getPositionAge() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t PrimaryState::Builder::getPositionAge() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void PrimaryState::Builder::setPositionAge( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool PrimaryState::Reader::getHasPosition() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
-}
-
-inline bool PrimaryState::Builder::getHasPosition() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
-}
-inline void PrimaryState::Builder::setHasPosition(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool FleetGrant::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool FleetGrant::Builder::getAccepted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void FleetGrant::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t FleetGrant::Reader::getToken() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t FleetGrant::Builder::getToken() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void FleetGrant::Builder::setToken( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t FleetGrant::Reader::getValidity() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t FleetGrant::Builder::getValidity() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void FleetGrant::Builder::setValidity( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t FleetGrant::Reader::getMembers() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t FleetGrant::Builder::getMembers() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void FleetGrant::Builder::setMembers( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t FleetGrant::Reader::getConfigurationVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t FleetGrant::Builder::getConfigurationVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void FleetGrant::Builder::setConfigurationVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool FleetGrant::Reader::hasPrimaries() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool FleetGrant::Builder::hasPrimaries() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader FleetGrant::Reader::getPrimaries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder FleetGrant::Builder::getPrimaries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FleetGrant::Builder::setPrimaries( ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder FleetGrant::Builder::initPrimaries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void FleetGrant::Builder::adoptPrimaries(
-    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>> FleetGrant::Builder::disownPrimaries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool FleetGrant::Reader::hasShares() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool FleetGrant::Builder::hasShares() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader FleetGrant::Reader::getShares() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder FleetGrant::Builder::getShares() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void FleetGrant::Builder::setShares( ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder FleetGrant::Builder::initShares(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void FleetGrant::Builder::adoptShares(
-    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>> FleetGrant::Builder::disownShares() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool FleetGrant::Reader::hasHolder() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool FleetGrant::Builder::hasHolder() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader FleetGrant::Reader::getHolder() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder FleetGrant::Builder::getHolder() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void FleetGrant::Builder::setHolder( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder FleetGrant::Builder::initHolder(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void FleetGrant::Builder::adoptHolder(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> FleetGrant::Builder::disownHolder() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t FleetGrant::Reader::getStamp() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t FleetGrant::Builder::getStamp() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void FleetGrant::Builder::setStamp( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t FleetGrant::Reader::getTargetsDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t FleetGrant::Builder::getTargetsDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void FleetGrant::Builder::setTargetsDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t FleetGrant::Reader::getStoreAge() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t FleetGrant::Builder::getStoreAge() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-inline void FleetGrant::Builder::setStoreAge( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t PrimaryNotice::Reader::getToken() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t PrimaryNotice::Builder::getToken() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool PeerMessage::Reader::isFleetGrant() const {
+  return which() == PeerMessage::FLEET_GRANT;
 }
-inline void PrimaryNotice::Builder::setToken( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool PeerMessage::Builder::isFleetGrant() {
+  return which() == PeerMessage::FLEET_GRANT;
 }
-
-inline bool PrimaryNotice::Reader::hasHolder() const {
+inline bool PeerMessage::Reader::hasFleetGrant() const {
+  if (which() != PeerMessage::FLEET_GRANT) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PrimaryNotice::Builder::hasHolder() {
+inline bool PeerMessage::Builder::hasFleetGrant() {
+  if (which() != PeerMessage::FLEET_GRANT) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PrimaryNotice::Reader::getHolder() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::oleandergrade::wire::FleetGrant::Reader PeerMessage::Reader::getFleetGrant() const {
+  KJ_IREQUIRE((which() == PeerMessage::FLEET_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PrimaryNotice::Builder::getHolder() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::oleandergrade::wire::FleetGrant::Builder PeerMessage::Builder::getFleetGrant() {
+  KJ_IREQUIRE((which() == PeerMessage::FLEET_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PrimaryNotice::Builder::setHolder( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void PeerMessage::Builder::setFleetGrant( ::oleandergrade::wire::FleetGrant::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_GRANT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PrimaryNotice::Builder::initHolder(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::oleandergrade::wire::FleetGrant::Builder PeerMessage::Builder::initFleetGrant() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_GRANT);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PrimaryNotice::Builder::adoptHolder(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void PeerMessage::Builder::adoptFleetGrant(
+    ::capnp::Orphan< ::oleandergrade::wire::FleetGrant>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FLEET_GRANT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PrimaryNotice::Builder::disownHolder() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::oleandergrade::wire::FleetGrant> PeerMessage::Builder::disownFleetGrant() {
+  KJ_IREQUIRE((which() == PeerMessage::FLEET_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PrimaryNotice::Reader::hasPrimaries() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool PrimaryNotice::Builder::hasPrimaries() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader PrimaryNotice::Reader::getPrimaries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder PrimaryNotice::Builder::getPrimaries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void PrimaryNotice::Builder::setPrimaries( ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder PrimaryNotice::Builder::initPrimaries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void PrimaryNotice::Builder::adoptPrimaries(
-    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline bool PeerMessage::Reader::isPrimaryNotice() const {
+  return which() == PeerMessage::PRIMARY_NOTICE;
 }
-inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>> PrimaryNotice::Builder::disownPrimaries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool PeerMessage::Builder::isPrimaryNotice() {
+  return which() == PeerMessage::PRIMARY_NOTICE;
 }
-
-inline bool NoticeReceipt::Reader::hasVm() const {
+inline bool PeerMessage::Reader::hasPrimaryNotice() const {
+  if (which() != PeerMessage::PRIMARY_NOTICE) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NoticeReceipt::Builder::hasVm() {
+inline bool PeerMessage::Builder::hasPrimaryNotice() {
+  if (which() != PeerMessage::PRIMARY_NOTICE) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NoticeReceipt::Reader::getVm() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder NoticeReceipt::Builder::getVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void NoticeReceipt::Builder::setVm( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder NoticeReceipt::Builder::initVm(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void NoticeReceipt::Builder::adoptVm(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> NoticeReceipt::Builder::disownVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t NoticeReceipt::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t NoticeReceipt::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void NoticeReceipt::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t NoticeReceipt::Reader::getToken() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t NoticeReceipt::Builder::getToken() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void NoticeReceipt::Builder::setToken( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::oleandergrade::wire::PrimaryNotice::Reader PeerMessage::Reader::getPrimaryNotice() const {
+  KJ_IREQUIRE((which() == PeerMessage::PRIMARY_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool NoticeReceipt::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline  ::oleandergrade::wire::PrimaryNotice::Builder PeerMessage::Builder::getPrimaryNotice() {
+  KJ_IREQUIRE((which() == PeerMessage::PRIMARY_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool NoticeReceipt::Builder::getAccepted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline void PeerMessage::Builder::setPrimaryNotice( ::oleandergrade::wire::PrimaryNotice::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::PRIMARY_NOTICE);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void NoticeReceipt::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+inline  ::oleandergrade::wire::PrimaryNotice::Builder PeerMessage::Builder::initPrimaryNotice() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::PRIMARY_NOTICE);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t NoticeReceipt::Reader::getGrantAge() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void PeerMessage::Builder::adoptPrimaryNotice(
+    ::capnp::Orphan< ::oleandergrade::wire::PrimaryNotice>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::PRIMARY_NOTICE);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::PrimaryNotice> PeerMessage::Builder::disownPrimaryNotice() {
+  KJ_IREQUIRE((which() == PeerMessage::PRIMARY_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::PrimaryNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t NoticeReceipt::Builder::getGrantAge() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool PeerMessage::Reader::isNoticeReceipt() const {
+  return which() == PeerMessage::NOTICE_RECEIPT;
 }
-inline void NoticeReceipt::Builder::setGrantAge( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool PeerMessage::Builder::isNoticeReceipt() {
+  return which() == PeerMessage::NOTICE_RECEIPT;
 }
-
-inline bool SnapshotItem::Reader::hasKey() const {
+inline bool PeerMessage::Reader::hasNoticeReceipt() const {
+  if (which() != PeerMessage::NOTICE_RECEIPT) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SnapshotItem::Builder::hasKey() {
+inline bool PeerMessage::Builder::hasNoticeReceipt() {
+  if (which() != PeerMessage::NOTICE_RECEIPT) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SnapshotItem::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::oleandergrade::wire::NoticeReceipt::Reader PeerMessage::Reader::getNoticeReceipt() const {
+  KJ_IREQUIRE((which() == PeerMessage::NOTICE_RECEIPT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SnapshotItem::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::oleandergrade::wire::NoticeReceipt::Builder PeerMessage::Builder::getNoticeReceipt() {
+  KJ_IREQUIRE((which() == PeerMessage::NOTICE_RECEIPT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SnapshotItem::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void PeerMessage::Builder::setNoticeReceipt( ::oleandergrade::wire::NoticeReceipt::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::NOTICE_RECEIPT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SnapshotItem::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::oleandergrade::wire::NoticeReceipt::Builder PeerMessage::Builder::initNoticeReceipt() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::NOTICE_RECEIPT);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SnapshotItem::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void PeerMessage::Builder::adoptNoticeReceipt(
+    ::capnp::Orphan< ::oleandergrade::wire::NoticeReceipt>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::NOTICE_RECEIPT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SnapshotItem::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::oleandergrade::wire::NoticeReceipt> PeerMessage::Builder::disownNoticeReceipt() {
+  KJ_IREQUIRE((which() == PeerMessage::NOTICE_RECEIPT),
+              "Must check which() before get()ing a union member.");
