+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::NoticeReceipt>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SnapshotItem::Reader::hasValue() const {
+inline bool PeerMessage::Reader::isBorrowRequest() const {
+  return which() == PeerMessage::BORROW_REQUEST;
+}
+inline bool PeerMessage::Builder::isBorrowRequest() {
+  return which() == PeerMessage::BORROW_REQUEST;
+}
+inline bool PeerMessage::Reader::hasBorrowRequest() const {
+  if (which() != PeerMessage::BORROW_REQUEST) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SnapshotItem::Builder::hasValue() {
+inline bool PeerMessage::Builder::hasBorrowRequest() {
+  if (which() != PeerMessage::BORROW_REQUEST) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader SnapshotItem::Reader::getValue() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Builder SnapshotItem::Builder::getValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::oleandergrade::wire::BorrowRequest::Reader PeerMessage::Reader::getBorrowRequest() const {
+  KJ_IREQUIRE((which() == PeerMessage::BORROW_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::BorrowRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SnapshotItem::Builder::setValue( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline  ::oleandergrade::wire::BorrowRequest::Builder PeerMessage::Builder::getBorrowRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::BORROW_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::BorrowRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder SnapshotItem::Builder::initValue(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void PeerMessage::Builder::setBorrowRequest( ::oleandergrade::wire::BorrowRequest::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::BORROW_REQUEST);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::BorrowRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void SnapshotItem::Builder::adoptValue(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::oleandergrade::wire::BorrowRequest::Builder PeerMessage::Builder::initBorrowRequest() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::BORROW_REQUEST);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::BorrowRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Data> SnapshotItem::Builder::disownValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void PeerMessage::Builder::adoptBorrowRequest(
+    ::capnp::Orphan< ::oleandergrade::wire::BorrowRequest>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::BORROW_REQUEST);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::BorrowRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint64_t FleetSnapshot::Reader::getConfigurationVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::oleandergrade::wire::BorrowRequest> PeerMessage::Builder::disownBorrowRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::BORROW_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::BorrowRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t FleetSnapshot::Builder::getConfigurationVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool PeerMessage::Reader::isBorrowReply() const {
+  return which() == PeerMessage::BORROW_REPLY;
 }
-inline void FleetSnapshot::Builder::setConfigurationVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool PeerMessage::Builder::isBorrowReply() {
+  return which() == PeerMessage::BORROW_REPLY;
 }
-
-inline bool FleetSnapshot::Reader::hasConfiguration() const {
+inline bool PeerMessage::Reader::hasBorrowReply() const {
+  if (which() != PeerMessage::BORROW_REPLY) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FleetSnapshot::Builder::hasConfiguration() {
+inline bool PeerMessage::Builder::hasBorrowReply() {
+  if (which() != PeerMessage::BORROW_REPLY) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader FleetSnapshot::Reader::getConfiguration() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::oleandergrade::wire::BorrowReply::Reader PeerMessage::Reader::getBorrowReply() const {
+  KJ_IREQUIRE((which() == PeerMessage::BORROW_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::BorrowReply>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder FleetSnapshot::Builder::getConfiguration() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::oleandergrade::wire::BorrowReply::Builder PeerMessage::Builder::getBorrowReply() {
+  KJ_IREQUIRE((which() == PeerMessage::BORROW_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::BorrowReply>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FleetSnapshot::Builder::setConfiguration( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void PeerMessage::Builder::setBorrowReply( ::oleandergrade::wire::BorrowReply::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::BORROW_REPLY);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::BorrowReply>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder FleetSnapshot::Builder::initConfiguration(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::oleandergrade::wire::BorrowReply::Builder PeerMessage::Builder::initBorrowReply() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::BORROW_REPLY);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::BorrowReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FleetSnapshot::Builder::adoptConfiguration(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void PeerMessage::Builder::adoptBorrowReply(
+    ::capnp::Orphan< ::oleandergrade::wire::BorrowReply>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::BORROW_REPLY);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::BorrowReply>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> FleetSnapshot::Builder::disownConfiguration() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::oleandergrade::wire::BorrowReply> PeerMessage::Builder::disownBorrowReply() {
+  KJ_IREQUIRE((which() == PeerMessage::BORROW_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::BorrowReply>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FleetSnapshot::Reader::hasTargets() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool FleetSnapshot::Builder::hasTargets() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool PeerMessage::Reader::isSnapshotRequest() const {
+  return which() == PeerMessage::SNAPSHOT_REQUEST;
 }
-inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader FleetSnapshot::Reader::getTargets() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool PeerMessage::Builder::isSnapshotRequest() {
+  return which() == PeerMessage::SNAPSHOT_REQUEST;
 }
-inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::getTargets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::uint64_t PeerMessage::Reader::getSnapshotRequest() const {
+  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void FleetSnapshot::Builder::setTargets( ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t PeerMessage::Builder::getSnapshotRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::initTargets(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void PeerMessage::Builder::setSnapshotRequest( ::uint64_t value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SNAPSHOT_REQUEST);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline void FleetSnapshot::Builder::adoptTargets(
-    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool PeerMessage::Reader::isSnapshot() const {
+  return which() == PeerMessage::SNAPSHOT;
 }
-inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>> FleetSnapshot::Builder::disownTargets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool PeerMessage::Builder::isSnapshot() {
+  return which() == PeerMessage::SNAPSHOT;
 }
-
-inline bool FleetSnapshot::Reader::hasMembers() const {
+inline bool PeerMessage::Reader::hasSnapshot() const {
+  if (which() != PeerMessage::SNAPSHOT) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FleetSnapshot::Builder::hasMembers() {
+inline bool PeerMessage::Builder::hasSnapshot() {
+  if (which() != PeerMessage::SNAPSHOT) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader FleetSnapshot::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::oleandergrade::wire::FleetSnapshot::Reader PeerMessage::Reader::getSnapshot() const {
+  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::oleandergrade::wire::FleetSnapshot::Builder PeerMessage::Builder::getSnapshot() {
+  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FleetSnapshot::Builder::setMembers( ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void PeerMessage::Builder::setSnapshot( ::oleandergrade::wire::FleetSnapshot::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SNAPSHOT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::oleandergrade::wire::FleetSnapshot::Builder PeerMessage::Builder::initSnapshot() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SNAPSHOT);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FleetSnapshot::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void PeerMessage::Builder::adoptSnapshot(
+    ::capnp::Orphan< ::oleandergrade::wire::FleetSnapshot>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SNAPSHOT);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>> FleetSnapshot::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::oleandergrade::wire::FleetSnapshot> PeerMessage::Builder::disownSnapshot() {
+  KJ_IREQUIRE((which() == PeerMessage::SNAPSHOT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetSnapshot>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Statement::Reader::hasRequestNumber() const {
+inline bool TargetTrouble::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Statement::Builder::hasRequestNumber() {
+inline bool TargetTrouble::Builder::hasTarget() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Statement::Reader::getRequestNumber() const {
+inline  ::capnp::Text::Reader TargetTrouble::Reader::getTarget() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Statement::Builder::getRequestNumber() {
+inline  ::capnp::Text::Builder TargetTrouble::Builder::getTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setRequestNumber( ::capnp::Text::Reader value) {
+inline void TargetTrouble::Builder::setTarget( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Statement::Builder::initRequestNumber(unsigned int size) {
+inline  ::capnp::Text::Builder TargetTrouble::Builder::initTarget(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Statement::Builder::adoptRequestNumber(
+inline void TargetTrouble::Builder::adoptTarget(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Statement::Builder::disownRequestNumber() {
+inline ::capnp::Orphan< ::capnp::Text> TargetTrouble::Builder::disownTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Statement::Reader::hasAccount() const {
+inline  ::uint64_t TargetTrouble::Reader::getSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetTrouble::Builder::getSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetTrouble::Builder::setSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AccountDemand::Reader::hasAccount() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Statement::Builder::hasAccount() {
+inline bool AccountDemand::Builder::hasAccount() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Statement::Reader::getAccount() const {
+inline  ::capnp::Text::Reader AccountDemand::Reader::getAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Statement::Builder::getAccount() {
+inline  ::capnp::Text::Builder AccountDemand::Builder::getAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setAccount( ::capnp::Text::Reader value) {
+inline void AccountDemand::Builder::setAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Statement::Builder::initAccount(unsigned int size) {
+inline  ::capnp::Text::Builder AccountDemand::Builder::initAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Statement::Builder::adoptAccount(
+inline void AccountDemand::Builder::adoptAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Statement::Builder::disownAccount() {
+inline ::capnp::Orphan< ::capnp::Text> AccountDemand::Builder::disownAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Statement::Reader::hasDatabase() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Statement::Builder::hasDatabase() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Statement::Reader::getDatabase() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline double AccountDemand::Reader::getWanted() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder Statement::Builder::getDatabase() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline double AccountDemand::Builder::getWanted() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Statement::Builder::setDatabase( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void AccountDemand::Builder::setWanted(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder Statement::Builder::initDatabase(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+
+inline double AccountDemand::Reader::getHeld() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Statement::Builder::adoptDatabase(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline double AccountDemand::Builder::getHeld() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Statement::Builder::disownDatabase() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void AccountDemand::Builder::setHeld(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Statement::Reader::hasTarget() const {
+inline bool AccountShare::Reader::hasAccount() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Statement::Builder::hasTarget() {
+inline bool AccountShare::Builder::hasAccount() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Statement::Reader::getTarget() const {
+inline  ::capnp::Text::Reader AccountShare::Reader::getAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Statement::Builder::getTarget() {
+inline  ::capnp::Text::Builder AccountShare::Builder::getAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setTarget( ::capnp::Text::Reader value) {
+inline void AccountShare::Builder::setAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Statement::Builder::initTarget(unsigned int size) {
+inline  ::capnp::Text::Builder AccountShare::Builder::initAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Statement::Builder::adoptTarget(
+inline void AccountShare::Builder::adoptAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Statement::Builder::disownTarget() {
+inline ::capnp::Orphan< ::capnp::Text> AccountShare::Builder::disownAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Statement::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
+inline double AccountShare::Reader::getRate() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Statement::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
+inline double AccountShare::Builder::getRate() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Statement::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void AccountShare::Builder::setRate(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Statement::Reader::hasText() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool Statement::Builder::hasText() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Statement::Reader::getText() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Statement::Builder::getText() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void Statement::Builder::setText( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Statement::Builder::initText(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline double AccountShare::Reader::getBurst() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Statement::Builder::adoptText(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+
+inline double AccountShare::Builder::getBurst() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Statement::Builder::disownText() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void AccountShare::Builder::setBurst(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Statement::Reader::hasRequestId() const {
+inline bool FleetReport::Reader::hasVm() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Statement::Builder::hasRequestId() {
+inline bool FleetReport::Builder::hasVm() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Statement::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader FleetReport::Reader::getVm() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Statement::Builder::getRequestId() {
+inline  ::capnp::Text::Builder FleetReport::Builder::getVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void FleetReport::Builder::setVm( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Statement::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder FleetReport::Builder::initVm(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Statement::Builder::adoptRequestId(
+inline void FleetReport::Builder::adoptVm(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Statement::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> FleetReport::Builder::disownVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Statement::Reader::getTerm() const {
+inline  ::uint64_t FleetReport::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Statement::Builder::getTerm() {
+inline  ::uint64_t FleetReport::Builder::getIncarnation() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Statement::Builder::setTerm( ::uint64_t value) {
+inline void FleetReport::Builder::setIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetReport::Reader::getIsRegistered() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Statement::Reader::getMinPosition() const {
+inline bool FleetReport::Builder::getIsRegistered() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void FleetReport::Builder::setIsRegistered(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FleetReport::Reader::getToken() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Statement::Builder::getMinPosition() {
+inline  ::uint64_t FleetReport::Builder::getToken() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Statement::Builder::setMinPosition( ::uint64_t value) {
+inline void FleetReport::Builder::setToken( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Statement::Reader::getMaxAge() const {
+inline  ::uint64_t FleetReport::Reader::getConfigurationVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Statement::Builder::getMaxAge() {
+inline  ::uint64_t FleetReport::Builder::getConfigurationVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Statement::Builder::setMaxAge( ::uint64_t value) {
+inline void FleetReport::Builder::setConfigurationVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Statement::Reader::getBudget() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Statement::Builder::getBudget() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Statement::Builder::setBudget( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Statement::Reader::hasTransaction() const {
+inline bool FleetReport::Reader::hasTroubles() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Statement::Builder::hasTransaction() {
+inline bool FleetReport::Builder::hasTroubles() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Statement::Reader::getTransaction() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Reader FleetReport::Reader::getTroubles() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Statement::Builder::getTransaction() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Builder FleetReport::Builder::getTroubles() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setTransaction( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline void FleetReport::Builder::setTroubles( ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Statement::Builder::initTransaction(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>::Builder FleetReport::Builder::initTroubles(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Statement::Builder::adoptTransaction(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline void FleetReport::Builder::adoptTroubles(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Statement::Builder::disownTransaction() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>> FleetReport::Builder::disownTroubles() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TargetTrouble,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Statement::Reader::hasKeyId() const {
+inline bool FleetReport::Reader::hasDemands() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Statement::Builder::hasKeyId() {
+inline bool FleetReport::Builder::hasDemands() {
   return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Statement::Reader::getKeyId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Reader FleetReport::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Statement::Builder::getKeyId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Builder FleetReport::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setKeyId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline void FleetReport::Builder::setDemands( ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Statement::Builder::initKeyId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>::Builder FleetReport::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Statement::Builder::adoptKeyId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+inline void FleetReport::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Statement::Builder::disownKeyId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>> FleetReport::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Answer::Reader::getRun() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t FleetReport::Reader::getEcho() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Answer::Builder::getRun() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t FleetReport::Builder::getEcho() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setRun( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void FleetReport::Builder::setEcho( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Answer::Reader::getCode() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t FleetReport::Reader::getGrantAge() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Answer::Builder::getCode() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t FleetReport::Builder::getGrantAge() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setCode( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void FleetReport::Builder::setGrantAge( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Answer::Reader::hasValue() const {
+inline bool PrimaryState::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Answer::Builder::hasValue() {
+inline bool PrimaryState::Builder::hasGroup() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Answer::Reader::getValue() const {
+inline  ::capnp::Text::Reader PrimaryState::Reader::getGroup() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Answer::Builder::getValue() {
+inline  ::capnp::Text::Builder PrimaryState::Builder::getGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Answer::Builder::setValue( ::capnp::Text::Reader value) {
+inline void PrimaryState::Builder::setGroup( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Answer::Builder::initValue(unsigned int size) {
+inline  ::capnp::Text::Builder PrimaryState::Builder::initGroup(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Answer::Builder::adoptValue(
+inline void PrimaryState::Builder::adoptGroup(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownValue() {
+inline ::capnp::Orphan< ::capnp::Text> PrimaryState::Builder::disownGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Answer::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Answer::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Answer::Reader::getPosition() const {
+inline  ::uint64_t PrimaryState::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Answer::Builder::getPosition() {
+inline  ::uint64_t PrimaryState::Builder::getTerm() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setPosition( ::uint64_t value) {
+inline void PrimaryState::Builder::setTerm( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Answer::Reader::hasStep() const {
+inline bool PrimaryState::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Answer::Builder::hasStep() {
+inline bool PrimaryState::Builder::hasTarget() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Answer::Reader::getStep() const {
+inline  ::capnp::Text::Reader PrimaryState::Reader::getTarget() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Answer::Builder::getStep() {
+inline  ::capnp::Text::Builder PrimaryState::Builder::getTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Answer::Builder::setStep( ::capnp::Text::Reader value) {
+inline void PrimaryState::Builder::setTarget( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Answer::Builder::initStep(unsigned int size) {
+inline  ::capnp::Text::Builder PrimaryState::Builder::initTarget(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Answer::Builder::adoptStep(
+inline void PrimaryState::Builder::adoptTarget(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownStep() {
+inline ::capnp::Orphan< ::capnp::Text> PrimaryState::Builder::disownTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Answer::Reader::hasPeer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Answer::Builder::hasPeer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Answer::Reader::getPeer() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Answer::Builder::getPeer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Answer::Builder::setPeer( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Answer::Builder::initPeer(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Answer::Builder::adoptPeer(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownPeer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline bool PrimaryState::Reader::getIsOpen() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool Answer::Reader::hasMessage() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool PrimaryState::Builder::getIsOpen() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline bool Answer::Builder::hasMessage() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline void PrimaryState::Builder::setIsOpen(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Reader Answer::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline bool PrimaryState::Reader::getIsPlanned() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder Answer::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline bool PrimaryState::Builder::getIsPlanned() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setMessage( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void PrimaryState::Builder::setIsPlanned(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder Answer::Builder::initMessage(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t PrimaryState::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::adoptMessage(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t PrimaryState::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void PrimaryState::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Answer::Reader::getRetryAfter() const {
+inline  ::uint64_t PrimaryState::Reader::getPosition() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Answer::Builder::getRetryAfter() {
+inline  ::uint64_t PrimaryState::Builder::getPosition() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setRetryAfter( ::uint64_t value) {
+inline void PrimaryState::Builder::setPosition( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Answer::Reader::hasTransaction() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool Answer::Builder::hasTransaction() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Answer::Reader::getTransaction() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Answer::Builder::getTransaction() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void Answer::Builder::setTransaction( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Answer::Builder::initTransaction(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::uint64_t PrimaryState::Reader::getPositionAge() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::adoptTransaction(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t PrimaryState::Builder::getPositionAge() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownTransaction() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void PrimaryState::Builder::setPositionAge( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Answer::Reader::getRepeated() const {
+inline bool PrimaryState::Reader::getHasPosition() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
 }
 
-inline bool Answer::Builder::getRepeated() {
+inline bool PrimaryState::Builder::getHasPosition() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setRepeated(bool value) {
+inline void PrimaryState::Builder::setHasPosition(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Answer::Reader::hasServedBy() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline bool Answer::Builder::hasServedBy() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Answer::Reader::getServedBy() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Answer::Builder::getServedBy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void Answer::Builder::setServedBy( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Answer::Builder::initServedBy(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline bool FleetGrant::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::adoptServedBy(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool FleetGrant::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownServedBy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void FleetGrant::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Answer::Reader::getQueued() const {
+inline  ::uint64_t FleetGrant::Reader::getToken() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Answer::Builder::getQueued() {
+inline  ::uint64_t FleetGrant::Builder::getToken() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setQueued( ::uint64_t value) {
+inline void FleetGrant::Builder::setToken( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TokenReport::Reader::getBatch() const {
+inline  ::uint64_t FleetGrant::Reader::getValidity() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TokenReport::Builder::getBatch() {
+inline  ::uint64_t FleetGrant::Builder::getValidity() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void TokenReport::Builder::setBatch( ::uint64_t value) {
+inline void FleetGrant::Builder::setValidity( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t TokenReport::Reader::getSpent() const {
+inline  ::uint32_t FleetGrant::Reader::getMembers() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t TokenReport::Builder::getSpent() {
+inline  ::uint32_t FleetGrant::Builder::getMembers() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void TokenReport::Builder::setSpent( ::uint32_t value) {
+inline void FleetGrant::Builder::setMembers( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t TokenReport::Reader::getReturned() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t FleetGrant::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t TokenReport::Builder::getReturned() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t FleetGrant::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void TokenReport::Builder::setReturned( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void FleetGrant::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool TokenRequest::Reader::hasBorrower() const {
+inline bool FleetGrant::Reader::hasPrimaries() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TokenRequest::Builder::hasBorrower() {
+inline bool FleetGrant::Builder::hasPrimaries() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TokenRequest::Reader::getBorrower() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader FleetGrant::Reader::getPrimaries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TokenRequest::Builder::getBorrower() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder FleetGrant::Builder::getPrimaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TokenRequest::Builder::setBorrower( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void FleetGrant::Builder::setPrimaries( ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TokenRequest::Builder::initBorrower(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder FleetGrant::Builder::initPrimaries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void TokenRequest::Builder::adoptBorrower(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void FleetGrant::Builder::adoptPrimaries(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TokenRequest::Builder::disownBorrower() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>> FleetGrant::Builder::disownPrimaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool TokenRequest::Reader::hasAccount() const {
+inline bool FleetGrant::Reader::hasShares() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool TokenRequest::Builder::hasAccount() {
+inline bool FleetGrant::Builder::hasShares() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TokenRequest::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader FleetGrant::Reader::getShares() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TokenRequest::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder FleetGrant::Builder::getShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void TokenRequest::Builder::setAccount( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void FleetGrant::Builder::setShares( ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TokenRequest::Builder::initAccount(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder FleetGrant::Builder::initShares(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void TokenRequest::Builder::adoptAccount(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void FleetGrant::Builder::adoptShares(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TokenRequest::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>> FleetGrant::Builder::disownShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t TokenRequest::Reader::getWanted() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t TokenRequest::Builder::getWanted() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void TokenRequest::Builder::setWanted( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool TokenRequest::Reader::hasReports() const {
+inline bool FleetGrant::Reader::hasHolder() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool TokenRequest::Builder::hasReports() {
+inline bool FleetGrant::Builder::hasHolder() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Reader TokenRequest::Reader::getReports() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Builder TokenRequest::Builder::getReports() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void TokenRequest::Builder::setReports( ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>::Builder TokenRequest::Builder::initReports(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void TokenRequest::Builder::adoptReports(
-    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>> TokenRequest::Builder::disownReports() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::TokenReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool TokenGrant::Reader::hasAccount() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool TokenGrant::Builder::hasAccount() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader TokenGrant::Reader::getAccount() const {
+inline  ::capnp::Text::Reader FleetGrant::Reader::getHolder() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TokenGrant::Builder::getAccount() {
+inline  ::capnp::Text::Builder FleetGrant::Builder::getHolder() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void TokenGrant::Builder::setAccount( ::capnp::Text::Reader value) {
+inline void FleetGrant::Builder::setHolder( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TokenGrant::Builder::initAccount(unsigned int size) {
+inline  ::capnp::Text::Builder FleetGrant::Builder::initHolder(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void TokenGrant::Builder::adoptAccount(
+inline void FleetGrant::Builder::adoptHolder(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TokenGrant::Builder::disownAccount() {
+inline ::capnp::Orphan< ::capnp::Text> FleetGrant::Builder::disownHolder() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t TokenGrant::Reader::getBatch() const {
+inline  ::uint64_t FleetGrant::Reader::getStamp() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TokenGrant::Builder::getBatch() {
+inline  ::uint64_t FleetGrant::Builder::getStamp() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void TokenGrant::Builder::setBatch( ::uint64_t value) {
+inline void FleetGrant::Builder::setStamp( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t TokenGrant::Reader::getUnits() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t TokenGrant::Builder::getUnits() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void TokenGrant::Builder::setUnits( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TokenGrant::Reader::getValidity() const {
+inline  ::uint64_t FleetGrant::Reader::getTargetsDigest() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TokenGrant::Builder::getValidity() {
+inline  ::uint64_t FleetGrant::Builder::getTargetsDigest() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void TokenGrant::Builder::setValidity( ::uint64_t value) {
+inline void FleetGrant::Builder::setTargetsDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TokenGrant::Reader::getRetryAfter() const {
+inline  ::uint64_t FleetGrant::Reader::getStoreAge() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TokenGrant::Builder::getRetryAfter() {
+inline  ::uint64_t FleetGrant::Builder::getStoreAge() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void TokenGrant::Builder::setRetryAfter( ::uint64_t value) {
+inline void FleetGrant::Builder::setStoreAge( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool TokenGrant::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PrimaryNotice::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool TokenGrant::Builder::getAccepted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PrimaryNotice::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TokenGrant::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+inline void PrimaryNotice::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GroupRecord::Reader::hasDatabase() const {
+inline bool PrimaryNotice::Reader::hasHolder() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GroupRecord::Builder::hasDatabase() {
+inline bool PrimaryNotice::Builder::hasHolder() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GroupRecord::Reader::getDatabase() const {
+inline  ::capnp::Text::Reader PrimaryNotice::Reader::getHolder() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GroupRecord::Builder::getDatabase() {
+inline  ::capnp::Text::Builder PrimaryNotice::Builder::getHolder() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GroupRecord::Builder::setDatabase( ::capnp::Text::Reader value) {
+inline void PrimaryNotice::Builder::setHolder( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GroupRecord::Builder::initDatabase(unsigned int size) {
+inline  ::capnp::Text::Builder PrimaryNotice::Builder::initHolder(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GroupRecord::Builder::adoptDatabase(
+inline void PrimaryNotice::Builder::adoptHolder(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GroupRecord::Builder::disownDatabase() {
+inline ::capnp::Orphan< ::capnp::Text> PrimaryNotice::Builder::disownHolder() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t GroupRecord::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t GroupRecord::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void GroupRecord::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool GroupRecord::Reader::hasPrimary() const {
+inline bool PrimaryNotice::Reader::hasPrimaries() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GroupRecord::Builder::hasPrimary() {
+inline bool PrimaryNotice::Builder::hasPrimaries() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GroupRecord::Reader::getPrimary() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader PrimaryNotice::Reader::getPrimaries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GroupRecord::Builder::getPrimary() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder PrimaryNotice::Builder::getPrimaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GroupRecord::Builder::setPrimary( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void PrimaryNotice::Builder::setPrimaries( ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GroupRecord::Builder::initPrimary(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder PrimaryNotice::Builder::initPrimaries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void GroupRecord::Builder::adoptPrimary(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void PrimaryNotice::Builder::adoptPrimaries(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GroupRecord::Builder::disownPrimary() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>> PrimaryNotice::Builder::disownPrimaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool GroupRecord::Reader::getSteady() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool GroupRecord::Builder::getSteady() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void GroupRecord::Builder::setSteady(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool DomainLead::Reader::hasFailureDomain() const {
+inline bool NoticeReceipt::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool DomainLead::Builder::hasFailureDomain() {
+inline bool NoticeReceipt::Builder::hasVm() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader DomainLead::Reader::getFailureDomain() const {
+inline  ::capnp::Text::Reader NoticeReceipt::Reader::getVm() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder DomainLead::Builder::getFailureDomain() {
+inline  ::capnp::Text::Builder NoticeReceipt::Builder::getVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void DomainLead::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+inline void NoticeReceipt::Builder::setVm( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder DomainLead::Builder::initFailureDomain(unsigned int size) {
+inline  ::capnp::Text::Builder NoticeReceipt::Builder::initVm(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void DomainLead::Builder::adoptFailureDomain(
+inline void NoticeReceipt::Builder::adoptVm(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> DomainLead::Builder::disownFailureDomain() {
+inline ::capnp::Orphan< ::capnp::Text> NoticeReceipt::Builder::disownVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool DomainLead::Reader::hasVm() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t NoticeReceipt::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool DomainLead::Builder::hasVm() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t NoticeReceipt::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Reader DomainLead::Reader::getVm() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void NoticeReceipt::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder DomainLead::Builder::getVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t NoticeReceipt::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void DomainLead::Builder::setVm( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t NoticeReceipt::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder DomainLead::Builder::initVm(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void NoticeReceipt::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline void DomainLead::Builder::adoptVm(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool NoticeReceipt::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> DomainLead::Builder::disownVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline bool NoticeReceipt::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void NoticeReceipt::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NoticeReceipt::Reader::getGrantAge() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NoticeReceipt::Builder::getGrantAge() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NoticeReceipt::Builder::setGrantAge( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::hasNode() const {
+inline bool SnapshotItem::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasNode() {
+inline bool SnapshotItem::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Heartbeat::Reader::getNode() const {
+inline  ::capnp::Text::Reader SnapshotItem::Reader::getKey() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getNode() {
+inline  ::capnp::Text::Builder SnapshotItem::Builder::getKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setNode( ::capnp::Text::Reader value) {
+inline void SnapshotItem::Builder::setKey( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::initNode(unsigned int size) {
+inline  ::capnp::Text::Builder SnapshotItem::Builder::initKey(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptNode(
+inline void SnapshotItem::Builder::adoptKey(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownNode() {
+inline ::capnp::Orphan< ::capnp::Text> SnapshotItem::Builder::disownKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasFailureDomain() const {
+inline bool SnapshotItem::Reader::hasValue() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasFailureDomain() {
+inline bool SnapshotItem::Builder::hasValue() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Heartbeat::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader SnapshotItem::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder SnapshotItem::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void SnapshotItem::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder SnapshotItem::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void SnapshotItem::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> SnapshotItem::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getIncarnation() const {
+inline  ::uint64_t FleetSnapshot::Reader::getConfigurationVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getIncarnation() {
+inline  ::uint64_t FleetSnapshot::Builder::getConfigurationVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setIncarnation( ::uint64_t value) {
+inline void FleetSnapshot::Builder::setConfigurationVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getConfigurationVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool FleetSnapshot::Reader::hasConfiguration() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Heartbeat::Builder::getConfigurationVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool FleetSnapshot::Builder::hasConfiguration() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Heartbeat::Builder::setConfigurationVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Data::Reader FleetSnapshot::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Heartbeat::Reader::getConfirmationAge() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder FleetSnapshot::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Heartbeat::Builder::getConfirmationAge() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void FleetSnapshot::Builder::setConfiguration( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Heartbeat::Builder::setConfirmationAge( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Data::Builder FleetSnapshot::Builder::initConfiguration(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t Heartbeat::Reader::getPlatformAge() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void FleetSnapshot::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> FleetSnapshot::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Builder::getPlatformAge() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool FleetSnapshot::Reader::hasTargets() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Heartbeat::Builder::setPlatformAge( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool FleetSnapshot::Builder::hasTargets() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Heartbeat::Reader::getMajorityAge() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader FleetSnapshot::Reader::getTargets() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Heartbeat::Builder::getMajorityAge() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::getTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setMajorityAge( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void FleetSnapshot::Builder::setTargets( ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::initTargets(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FleetSnapshot::Builder::adoptTargets(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>> FleetSnapshot::Builder::disownTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasLead() const {
+inline bool FleetSnapshot::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasLead() {
+inline bool FleetSnapshot::Builder::hasMembers() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Heartbeat::Reader::getLead() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader FleetSnapshot::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getLead() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setLead( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void FleetSnapshot::Builder::setMembers( ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::initLead(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptLead(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void FleetSnapshot::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownLead() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>> FleetSnapshot::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::SnapshotItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Heartbeat::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Heartbeat::Reader::getClock() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Heartbeat::Builder::getClock() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setClock( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Heartbeat::Reader::getEcho() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Heartbeat::Builder::getEcho() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setEcho( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Heartbeat::Reader::hasVms() const {
+inline bool BorrowRequest::Reader::hasVm() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasVms() {
+inline bool BorrowRequest::Builder::hasVm() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Heartbeat::Reader::getVms() const {
+inline  ::capnp::Text::Reader BorrowRequest::Reader::getVm() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getVms() {
+inline  ::capnp::Text::Builder BorrowRequest::Builder::getVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setVms( ::capnp::Text::Reader value) {
+inline void BorrowRequest::Builder::setVm( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::initVms(unsigned int size) {
+inline  ::capnp::Text::Builder BorrowRequest::Builder::initVm(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptVms(
+inline void BorrowRequest::Builder::adoptVm(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownVms() {
+inline ::capnp::Orphan< ::capnp::Text> BorrowRequest::Builder::disownVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline bool Heartbeat::Reader::hasLeads() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool Heartbeat::Builder::hasLeads() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getLeads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getLeads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void Heartbeat::Builder::setLeads( ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initLeads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
-}
-inline void Heartbeat::Builder::adoptLeads(
-    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownLeads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::DomainLead,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasGroups() const {
+inline bool BorrowRequest::Reader::hasAccount() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasGroups() {
+inline bool BorrowRequest::Builder::hasAccount() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getGroups() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getGroups() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void Heartbeat::Builder::setGroups( ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initGroups(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Reader BorrowRequest::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::adoptGroups(
-    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Builder BorrowRequest::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownGroups() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void BorrowRequest::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Heartbeat::Reader::getVmsDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder BorrowRequest::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t Heartbeat::Builder::getVmsDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline void BorrowRequest::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Heartbeat::Builder::setVmsDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> BorrowRequest::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getLeadsDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline bool BorrowReply::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getLeadsDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline bool BorrowReply::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setLeadsDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+inline void BorrowReply::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getGroupsDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline bool BorrowReply::Reader::getAdmitted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getGroupsDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline bool BorrowReply::Builder::getAdmitted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setGroupsDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+inline void BorrowReply::Builder::setAdmitted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConfigurationRecord::Reader::getVersion() const {
+inline  ::uint64_t BorrowReply::Reader::getRetryAfter() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfigurationRecord::Builder::getVersion() {
+inline  ::uint64_t BorrowReply::Builder::getRetryAfter() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ConfigurationRecord::Builder::setVersion( ::uint64_t value) {
+inline void BorrowReply::Builder::setRetryAfter( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ConfigurationRecord::Reader::hasValue() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool ConfigurationRecord::Builder::hasValue() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ConfigurationRecord::Reader::getValue() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ConfigurationRecord::Builder::getValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ConfigurationRecord::Builder::setValue( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ConfigurationRecord::Builder::initValue(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void ConfigurationRecord::Builder::adoptValue(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ConfigurationRecord::Builder::disownValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 }  // namespace
--- a/src/connection/target_session.cpp
+++ b/src/connection/target_session.cpp
@@ -15,17 +15,11 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-namespace
-{
-
-constexpr std::size_t read_bytes = 4096;
-
-} // namespace
-
 target_session::target_session(const asio::any_io_executor& executor,
                                const session_codec& codec,
                                target_session_key key)
-    : codec_(codec), key_(std::move(key)), socket_(executor), timer_(executor)
+    : codec_(codec), key_(std::move(key)), socket_(executor), timer_(executor),
+      reader_(socket_)
 {
 }
 
@@ -155,10 +149,12 @@
     target_answer answer;
     for (;;)
     {
-        auto line = co_await read_line();
-        if (!succeeded(line))
-            co_return error_of(line);
-        auto parsed = codec_.parse_target_message(value_of(line));
+        const auto line = co_await reader_.read();
+        if (!line)
+            co_return broken("read line", reader_.is_too_long()
+                                              ? "the line is too long"
+                                              : reader_.failure().message());
+        auto parsed = codec_.parse_target_message(*line);
         if (!succeeded(parsed))
             co_return error_of(parsed);
         auto& message = value_of(parsed);
@@ -191,36 +187,4 @@
     }
 }
 
-asio::awaitable<result<std::string_view>> target_session::read_line()
-{
-    auto scanned = begin_;
-    for (;;)
-    {
-        const auto end = buffer_.find(session_line_end, scanned);
-        if (end != std::string::npos)
-        {
-            const std::string_view line(buffer_.data() + begin_, end - begin_);
-            begin_ = end + session_line_end.size();
-            co_return line;
-        }
-        if (begin_ > 0)
-        {
-            buffer_.erase(0, begin_);
-            begin_ = 0;
-        }
-        const auto kept = buffer_.size();
-        if (kept > max_session_message_bytes)
-            co_return broken("read line", "the line is too long");
-        scanned = kept > 0 ? kept - 1 : 0;
-        buffer_.resize(kept + read_bytes);
-        error_code failure;
-        const auto size = co_await socket_.async_read_some(
-            asio::buffer(buffer_.data() + kept, read_bytes),
-            asio::redirect_error(asio::use_awaitable, failure));
-        buffer_.resize(kept + size);
-        if (failure)
-            co_return broken("read line", failure.message());
-    }
-}
-
 } // namespace oleandergrade
--- a/src/invariant.cpp
+++ b/src/invariant.cpp
@@ -1,6 +1,6 @@
 #include <oleandergrade/invariant.hpp>
 
-#include <oleandergrade/process/log.hpp>
+#include <oleandergrade/process/event_log.hpp>
 
 #include <atomic>
 #include <cstdlib>
@@ -17,8 +17,8 @@
 void report_invariant_failure(const char* name, const std::string& detail)
 {
     ++failures;
-    log(log_level::error, "invariant",
-        std::string("check failed: ") + name + ": " + detail);
+    log_event(event_level::error, "invariant", "check failed",
+              {{"check", name}, {"detail", detail}});
     if (aborts)
         std::abort();
 }
--- /dev/null
+++ b/src/operations/checked_caller.cpp
@@ -0,0 +1,227 @@
+#include <oleandergrade/operations/checked_caller.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto open_timeout = milliseconds(1000);
+/// Added to the route's time for a statement.
+constexpr auto answer_margin = milliseconds(500);
+
+/// The number in a row; 0 for "none".
+unsigned number_in(const std::string& text)
+{
+    unsigned number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+} // namespace
+
+checked_caller::checked_caller(asio::any_io_executor executor,
+                               const session_codec& codec, route used,
+                               std::string key, std::string item)
+    : executor_(std::move(executor)), codec_(codec), used_(std::move(used)),
+      key_(std::move(key)), item_(std::move(item))
+{
+}
+
+void checked_caller::turn_to(asio::ip::tcp::endpoint vm)
+{
+    vm_ = std::move(vm);
+    if (session_ != nullptr)
+        session_->close();
+}
+
+asio::awaitable<bool> checked_caller::open()
+{
+    if (session_ != nullptr && session_->is_quiet())
+        co_return true;
+    session_floor_ = 0;
+    session_ = std::make_shared<target_session>(
+        executor_, codec_, target_session_key{"", used_.database, key_});
+    const auto opened = co_await session_->open(vm_, open_timeout);
+    co_return succeeded(opened);
+}
+
+asio::awaitable<result<target_answer>>
+checked_caller::exchange(std::string text)
+{
+    std::string bytes;
+    const auto id = item_ + "-" + std::to_string(++next_statement_);
+    codec_.append_statement(bytes, id, text, std::nullopt);
+    auto outcome = co_await session_->exchange(
+        std::move(bytes), 1, used_.statement_timeout + answer_margin);
+    if (!succeeded(outcome))
+        co_return error_of(outcome);
+    co_return std::move(value_of(outcome).front());
+}
+
+void checked_caller::note_write(unsigned number, session_error failure)
+{
+    if (failure == session_error::none)
+    {
+        history_.acknowledged[number] = current_time();
+        session_floor_ = number;
+    }
+    else if (promises_nothing_kept(failure))
+    {
+        history_.denied.insert(number);
+    }
+    else
+    {
+        history_.in_doubt.insert(number);
+    }
+}
+
+asio::awaitable<caller_outcome> checked_caller::write()
+{
+    const auto begun = current_time();
+    const auto number = ++history_.last;
+    caller_outcome outcome;
+    const bool is_open = co_await open();
+    if (!is_open)
+    {
+        history_.denied.insert(number);
+        outcome.lost_session = true;
+        co_return outcome;
+    }
+    auto text = codec_.write_text(item_, std::to_string(number));
+    const auto answer = co_await exchange(std::move(text));
+    outcome.latency = current_time() - begun;
+    outcome.lost_session = !succeeded(answer);
+    outcome.failure =
+        succeeded(answer) ? value_of(answer).failure : session_error::in_doubt;
+    note_write(number, outcome.failure);
+    co_return outcome;
+}
+
+asio::awaitable<caller_outcome> checked_caller::write_in_transaction()
+{
+    const auto begun = current_time();
+    const auto first = ++history_.last;
+    const auto second = ++history_.last;
+    caller_outcome outcome;
+    const bool is_open = co_await open();
+    bool reached_commit = false;
+    std::vector<std::string> texts{
+        codec_.begin_text(false),
+        codec_.write_text(item_, std::to_string(first)),
+        codec_.write_text(item_, std::to_string(second)), codec_.commit_text()};
+    outcome.lost_session = !is_open;
+    for (std::size_t i = 0; is_open && i < texts.size(); ++i)
+    {
+        reached_commit = i + 1 == texts.size();
+        const auto answer = co_await exchange(texts[i]);
+        outcome.lost_session = !succeeded(answer);
+        outcome.failure = succeeded(answer) ? value_of(answer).failure
+                                            : session_error::in_doubt;
+        if (outcome.failure != session_error::none)
+            break;
+    }
+    // Without a commit, nothing of the transaction is kept.
+    if (!reached_commit)
+    {
+        if (outcome.failure == session_error::none || outcome.lost_session)
+            outcome.failure = session_error::aborted;
+        if (session_ != nullptr)
+            session_->close();
+        history_.denied.insert({first, second});
+    }
+    else
+    {
+        note_write(first, outcome.failure);
+        note_write(second, outcome.failure);
+    }
+    outcome.latency = current_time() - begun;
+    co_return outcome;
+}
+
+asio::awaitable<caller_outcome> checked_caller::read()
+{
+    const auto begun = current_time();
+    caller_outcome outcome;
+    const bool is_open = co_await open();
+    if (!is_open)
+    {
+        outcome.lost_session = true;
+        co_return outcome;
+    }
+    const auto floor = floor_at(begun);
+    auto text = codec_.read_text(item_);
+    const auto answer = co_await exchange(std::move(text));
+    outcome.latency = current_time() - begun;
+    outcome.lost_session = !succeeded(answer);
+    outcome.failure =
+        succeeded(answer) ? value_of(answer).failure : session_error::timeout;
+    if (outcome.failure != session_error::none)
+        co_return outcome;
+    const auto& rows = value_of(answer).rows;
+    check_value(codec_.row_text({rows.substr(0, rows.find(session_line_end))}),
+                floor);
+    co_return outcome;
+}
+
+// The least number that a read of the item must show.
+unsigned checked_caller::floor_at(time_point begun) const
+{
+    if (used_.consistency == read_consistency::own_writes)
+        return session_floor_;
+    const auto age = used_.consistency == read_consistency::bounded_age
+                         ? used_.max_age
+                         : milliseconds(0);
+    unsigned floor = 0;
+    for (const auto& [number, when] : history_.acknowledged)
+        if (when <= begun - age)
+            floor = std::max(floor, number);
+    return floor;
+}
+
+void checked_caller::check_value(const std::string& value, unsigned floor)
+{
+    const auto number = number_in(value);
+    // A write whose outcome was not known may land late, over a newer one.
+    if (number >= floor || history_.in_doubt.contains(number))
+        return;
+    violations_.push_back(used_.database + " " + item_ + ": a read shows " +
+                          std::to_string(number) + " instead of " +
+                          std::to_string(floor));
+}
+
+std::vector<std::string> check_log(const checked_caller& caller,
+                                   const std::string& log)
+{
+    std::map<unsigned, unsigned> times;
+    std::istringstream lines(log);
+    std::string item;
+    std::string data;
+    while (lines >> item >> data)
+        if (item == caller.item())
+            ++times[number_in(data)];
+    const auto& history = caller.history();
+    std::vector<std::string> found;
+    const auto note = [&](unsigned number, const char* what)
+    {
+        found.push_back(caller.used().database + " " + caller.item() +
+                        ": write " + std::to_string(number) + " " + what);
+    };
+    for (const auto& [number, when] : history.acknowledged)
+        if (!times.contains(number))
+            note(number, "was acknowledged and is lost");
+    for (const auto number : history.denied)
+        if (times.contains(number))
+            note(number, "was refused and ran");
+    for (const auto& [number, count] : times)
+        if (count > 1)
+            note(number, "ran twice");
+    return found;
+}
+
+} // namespace oleandergrade
--- /dev/null
+++ b/src/operations/load_report.cpp
@@ -0,0 +1,240 @@
+#include <oleandergrade/operations/load_report.hpp>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <iomanip>
+#include <numeric>
+#include <sstream>
+
+namespace oleandergrade
+{
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr double median = 0.5;
+constexpr double nearly_all = 0.99;
+
+// Layout of the picture, in its own units.
+constexpr double width = 900;
+constexpr double height = 360;
+constexpr double left = 60;
+constexpr double bottom = 300;
+constexpr double top = 40;
+constexpr std::array colours{"#1f6f8b", "#c8553d", "#5b8e7d", "#7a5195"};
+
+double quantile_of(std::vector<double> values, double part)
+{
+    if (values.empty())
+        return 0;
+    const auto index = std::min(
+        static_cast<std::size_t>(static_cast<double>(values.size()) * part),
+        values.size() - 1);
+    std::nth_element(values.begin(),
+                     values.begin() + static_cast<std::ptrdiff_t>(index),
+                     values.end());
+    return values[index];
+}
+
+void append_row(std::ostringstream& out, const std::string& fleet,
+                const std::string& database, const load_sample& sample)
+{
+    out << std::left << std::setw(10) << fleet << std::setw(18) << database
+        << std::right << std::setw(8) << sample.total() << std::setw(8)
+        << sample.count(session_error::none) << std::setw(8)
+        << sample.count(session_error::busy) << std::setw(9)
+        << sample.count(session_error::in_doubt) << std::setw(9)
+        << sample.total() - sample.count(session_error::none) -
+               sample.count(session_error::busy) -
+               sample.count(session_error::in_doubt)
+        << std::fixed << std::setprecision(1) << std::setw(9)
+        << sample.quantile(median) << std::setw(9)
+        << sample.quantile(nearly_all) << "\n";
+}
+
+json::object to_object(const load_sample& sample)
+{
+    json::object counts;
+    for (std::size_t i = 0; i < session_error_count; ++i)
+    {
+        const auto code = static_cast<session_error>(i);
+        if (sample.count(code) > 0)
+            counts[to_string(code)] = sample.count(code);
+    }
+    return {{"requests", sample.total()},
+            {"outcomes", std::move(counts)},
+            {"p50_ms", sample.quantile(median)},
+            {"p99_ms", sample.quantile(nearly_all)}};
+}
+
+void append_line(std::ostringstream& out, const load_sample& sample,
+                 std::uint64_t seconds, double part, double scale,
+                 const char* colour, const char* dash)
+{
+    out << "<polyline fill=\"none\" stroke=\"" << colour
+        << "\" stroke-width=\"2\" stroke-dasharray=\"" << dash
+        << "\" points=\"";
+    const auto step = (width - left - 20) / static_cast<double>(seconds);
+    for (std::uint64_t second = 0; second < seconds; ++second)
+        out << left + step * (static_cast<double>(second) + 0.5) << ","
+            << bottom - sample.quantile_in_second(second, part) * scale << " ";
+    out << "\"/>\n";
+}
+
+} // namespace
+
+void load_sample::add(duration arrived, duration latency, session_error failure)
+{
+    const auto second = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<seconds>(arrived).count());
+    ++counts_[static_cast<std::size_t>(failure)];
+    if (failure != session_error::none)
+        ++failures_[second];
+    else
+        latencies_[second].push_back(
+            std::chrono::duration<double, std::milli>(latency).count());
+}
+
+void load_sample::merge(const load_sample& other)
+{
+    for (std::size_t i = 0; i < counts_.size(); ++i)
+        counts_[i] += other.counts_[i];
+    for (const auto& [second, values] : other.latencies_)
+        latencies_[second].insert(latencies_[second].end(), values.begin(),
+                                  values.end());
+    for (const auto& [second, count] : other.failures_)
+        failures_[second] += count;
+}
+
+std::uint64_t load_sample::total() const
+{
+    return std::accumulate(counts_.begin(), counts_.end(), std::uint64_t(0));
+}
+
+std::uint64_t load_sample::count(session_error failure) const
+{
+    return counts_[static_cast<std::size_t>(failure)];
+}
+
+double load_sample::quantile(double part) const
+{
+    std::vector<double> values;
+    for (const auto& [second, some] : latencies_)
+        values.insert(values.end(), some.begin(), some.end());
+    return quantile_of(std::move(values), part);
+}
+
+double load_sample::quantile_in_second(std::uint64_t second, double part) const
+{
+    const auto found = latencies_.find(second);
+    return found == latencies_.end() ? 0 : quantile_of(found->second, part);
+}
+
+std::uint64_t load_sample::failures_in_second(std::uint64_t second) const
+{
+    const auto found = failures_.find(second);
+    return found == failures_.end() ? 0 : found->second;
+}
+
+load_sample fleet_sample::all() const
+{
+    load_sample sum;
+    for (const auto& [database, sample] : by_database)
+        sum.merge(sample);
+    return sum;
+}
+
+std::string load_report::to_text() const
+{
+    std::ostringstream out;
+    out << "fleet     database          requests    good    busy in doubt"
+           "    other   p50 ms   p99 ms\n";
+    for (const auto& fleet : fleets)
+    {
+        for (const auto& [database, sample] : fleet.by_database)
+            append_row(out, fleet.name, database, sample);
+        append_row(out, fleet.name, "all", fleet.all());
+    }
+    for (const auto& fleet : fleets)
+        for (const auto& line : fleet.violations)
+            out << "VIOLATION " << fleet.name << " " << line << "\n";
+    return out.str();
+}
+
+std::string load_report::to_json() const
+{
+    json::array list;
+    for (const auto& fleet : fleets)
+    {
+        json::object databases;
+        for (const auto& [database, sample] : fleet.by_database)
+            databases[database] = to_object(sample);
+        json::array found;
+        for (const auto& line : fleet.violations)
+            found.push_back(json::string(line));
+        list.push_back({{"fleet", fleet.name},
+                        {"databases", std::move(databases)},
+                        {"all", to_object(fleet.all())},
+                        {"violations", std::move(found)}});
+    }
+    json::array injected;
+    for (const auto& fault : faults)
+        injected.push_back({{"at_s", fault.at}, {"fault", fault.line}});
+    return json::serialize(json::object{{"seconds", seconds},
+                                        {"fleets", std::move(list)},
+                                        {"faults", std::move(injected)}});
+}
+
+std::string load_report::to_picture() const
+{
+    double highest = 1;
+    for (const auto& fleet : fleets)
+        for (std::uint64_t second = 0; second < seconds; ++second)
+            highest = std::max(
+                highest, fleet.all().quantile_in_second(second, nearly_all));
+    const auto scale = (bottom - top) / highest;
+    const auto run = std::max<std::uint64_t>(seconds, 1);
+    const auto step = (width - left - 20) / static_cast<double>(run);
+    std::ostringstream out;
+    out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << width
+        << "\" height=\"" << height
+        << "\" font-family=\"sans-serif\" font-size=\"12\">\n"
+        << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
+        << "<text x=\"" << left << "\" y=\"20\">latency in ms by second of "
+        << "arrival: p50 solid, p99 dashed; bars: requests not served</text>\n"
+        << "<text x=\"8\" y=\"" << top + 4 << "\">" << std::fixed
+        << std::setprecision(0) << highest << "</text>\n"
+        << "<text x=\"8\" y=\"" << bottom << "\">0</text>\n"
+        << "<line x1=\"" << left << "\" y1=\"" << bottom << "\" x2=\""
+        << width - 20 << "\" y2=\"" << bottom << "\" stroke=\"black\"/>\n";
+    for (std::size_t i = 0; i < fleets.size(); ++i)
+    {
+        const auto* colour = colours[i % colours.size()];
+        const auto sample = fleets[i].all();
+        append_line(out, sample, run, median, scale, colour, "none");
+        append_line(out, sample, run, nearly_all, scale, colour, "6 4");
+        for (std::uint64_t second = 0; second < seconds; ++second)
+        {
+            const auto failed =
+                static_cast<double>(sample.failures_in_second(second));
+            out << "<rect x=\"" << left + step * static_cast<double>(second)
+                << "\" y=\"" << bottom + 4 << "\" width=\"" << step * 0.9
+                << "\" height=\"" << std::min(failed, 30.0) << "\" fill=\""
+                << colour << "\" opacity=\"0.5\"/>\n";
+        }
+        out << "<text x=\"" << width - 160 << "\" y=\"" << top + 16 * (i + 1)
+            << "\" fill=\"" << colour << "\">" << fleets[i].name << "</text>\n";
+    }
+    for (const auto& fault : faults)
+        out << "<line x1=\"" << left + step * fault.at << "\" y1=\"" << top
+            << "\" x2=\"" << left + step * fault.at << "\" y2=\"" << bottom
+            << "\" stroke=\"grey\" stroke-dasharray=\"2 3\"/>\n<text x=\""
+            << left + step * fault.at + 3 << "\" y=\"" << top + 10
+            << "\" fill=\"grey\">" << fault.line << "</text>\n";
+    out << "</svg>\n";
+    return out.str();
+}
+
+} // namespace oleandergrade
--- a/src/process/event_log.cpp
+++ b/src/process/event_log.cpp
@@ -27,6 +27,7 @@
     std::mutex lock;
     bool started = false;
     std::string vm;
+    event_log_budget budget;
     std::uint64_t dropped = 0;
     std::uint64_t dropped_unreported = 0;
     time_point window;
@@ -113,8 +114,8 @@
     }
     auto& used = part == statement_part ? log.statements_in_window
                                         : log.others_in_window;
-    const auto budget = part == statement_part ? statement_lines_per_second
-                                               : event_lines_per_second;
+    const auto budget = part == statement_part ? log.budget.statement_lines
+                                               : log.budget.event_lines;
     if (used < budget)
     {
         ++used;
@@ -127,11 +128,12 @@
 
 } // namespace
 
-void start_event_log(const std::string& vm)
+void start_event_log(const std::string& vm, event_log_budget budget)
 {
     auto& log = state();
     const std::lock_guard guard(log.lock);
     log.vm = vm;
+    log.budget = budget;
     log.started = true;
     using sink = logging::sinks::unlocked_sink<bounded_output>;
     logging::core::get()->add_sink(boost::make_shared<sink>());
--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -176,10 +176,9 @@
     sight.synchronous_replicas =
         limits == nullptr ? 0 : limits->synchronous_replicas;
     const auto found = groups_.find(group);
-    sight.is_binding =
-        found != groups_.end() &&
-        contacts_.is_binding(found->second.record(), state_.members, ledger_,
-                             now);
+    sight.is_binding = found != groups_.end() &&
+                       contacts_.is_binding(found->second.record(),
+                                            state_.members, ledger_, now);
     return sight;
 }
 
@@ -221,14 +220,14 @@
         auto& notice = notices_[vm];
         if (notice.under_way || now < notice.next)
             continue;
-        const bool lacks_any = std::any_of(
-            groups_.begin(), groups_.end(),
-            [&](const auto& entry)
-            {
-                const auto& record = entry.second.record();
-                return record.revision != 0 &&
-                       !contacts_.has_confirmed(vm, record);
-            });
+        const bool lacks_any =
+            std::any_of(groups_.begin(), groups_.end(),
+                        [&](const auto& entry)
+                        {
+                            const auto& record = entry.second.record();
+                            return record.revision != 0 &&
+                                   !contacts_.has_confirmed(vm, record);
+                        });
         if (!lacks_any)
             continue;
         notice.under_way = true;
@@ -242,7 +241,7 @@
 {
     primary_notice notice;
     notice.token = duty_.token();
-    notice.holder = state_.settings.peer_address;
+    notice.holder = state_.settings.advertised_address;
     for (const auto& [name, group] : groups_)
         if (group.record().revision != 0)
             notice.primaries.push_back({group.record(), false, 0, {}});
--- a/src/process/failover/vm_contacts.cpp
+++ b/src/process/failover/vm_contacts.cpp
@@ -68,8 +68,7 @@
             continue;
         count += static_cast<std::size_t>(
             std::count_if(known.troubles.begin(), known.troubles.end(),
-                          [&](const target_trouble& trouble)
-                          {
+                          [&](const target_trouble& trouble) {
                               return trouble.target == target &&
                                      trouble.lasting >= trouble_time;
                           }));
@@ -81,13 +80,13 @@
                              const member_list& members,
                              const grant_ledger& ledger, time_point now) const
 {
-    return std::all_of(
-        members.all().begin(), members.all().end(),
-        [&](const auto& member)
-        {
-            return has_confirmed(member.first, record) ||
-                   now >= ledger.bound_of(member.first) + bound_margin;
-        });
+    return std::all_of(members.all().begin(), members.all().end(),
+                       [&](const auto& member)
+                       {
+                           return has_confirmed(member.first, record) ||
+                                  now >= ledger.bound_of(member.first) +
+                                             bound_margin;
+                       });
 }
 
 } // namespace oleandergrade
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -44,7 +44,7 @@
 fleet_service::fleet_service(asio::io_context& context, fleet_state& state)
     : context_(context), state_(state),
       duty_({state.settings.name, state.incarnation,
-             state.settings.peer_address}),
+             state.settings.advertised_address}),
       shares_(state.settings.tolerance(), state.settings.first_start),
       peers_(context.get_executor()),
       failover_(context.get_executor(), state, duty_, ledger_, peers_),
@@ -192,7 +192,8 @@
 // every VM that may hold a grant.
 asio::awaitable<void> fleet_service::register_member()
 {
-    const fleet_member self{state_.settings.name, state_.settings.peer_address,
+    const fleet_member self{state_.settings.name,
+                            state_.settings.advertised_address,
                             state_.incarnation};
     for (;;)
     {
@@ -366,7 +367,7 @@
     std::vector<std::string> addresses = state_.settings.seeds;
     for (const auto& [name, member] : state_.members.all())
         addresses.push_back(member.address);
-    std::erase(addresses, state_.settings.peer_address);
+    std::erase(addresses, state_.settings.advertised_address);
     return addresses;
 }
 
@@ -469,7 +470,8 @@
     for (const auto& address : addresses)
         asio::co_spawn(context_, probe(address, answers), asio::detached);
     co_await sleep_for(call_timeout + probe_margin);
-    set_isolated(holder_.is_silent(current_time()) && *answers * 2 < addresses.size(),
+    set_isolated(holder_.is_silent(current_time()) &&
+                     *answers * 2 < addresses.size(),
                  addresses.size(), *answers);
     looking_around_ = false;
 }
@@ -546,7 +548,7 @@
 {
     if (const auto* report = std::get_if<fleet_report>(&body))
         co_return answer_report(*report);
-    if (const auto* request = std::get_if<token_request>(&body))
+    if (const auto* request = std::get_if<borrow_request>(&body))
         co_return lend(*request);
     if (auto* notice = std::get_if<primary_notice>(&body))
     {
@@ -565,7 +567,7 @@
     grant.configuration_version = state_.configuration.version();
     grant.members = state_.members.size();
     grant.token = state_.view.authority.token();
-    grant.holder = duty_.is_holder() ? state_.settings.peer_address
+    grant.holder = duty_.is_holder() ? state_.settings.advertised_address
                                      : duty_.known_holder().address;
     const auto* member = state_.members.find(report.vm);
     if (member != nullptr && !fetching_ &&
@@ -607,35 +609,26 @@
     const auto address = holder_.address(duty_.known_holder().address);
     if (address.empty())
         co_return refused;
-    token_request request;
-    request.borrower = state_.settings.name;
-    request.account = std::move(account);
-    request.wanted = units_per_request;
-    peer_body body = std::move(request);
+    peer_body body = borrow_request{state_.settings.name, std::move(account)};
     auto outcome =
         co_await peers_.call(address, std::move(body), borrow_timeout);
     if (!succeeded(outcome))
         co_return refused;
-    const auto* grant = std::get_if<token_grant>(&value_of(outcome));
-    if (grant == nullptr || !grant->accepted)
+    const auto* reply = std::get_if<borrow_reply>(&value_of(outcome));
+    if (reply == nullptr || !reply->accepted)
         co_return refused;
-    refused.admitted = grant->units >= units_per_request;
-    refused.retry_after = grant->retry_after;
+    refused.admitted = reply->admitted;
+    refused.retry_after = reply->retry_after;
     co_return refused;
 }
 
-token_grant fleet_service::lend(const token_request& request)
+borrow_reply fleet_service::lend(const borrow_request& request)
 {
     const auto now = current_time();
-    token_grant grant;
-    grant.account = request.account;
     if (!may_grant(now))
-        return grant;
-    grant.accepted = true;
+        return {};
     const auto decision = shares_.borrow(request.account, now);
-    grant.units = decision.admitted ? units_per_request : 0;
-    grant.retry_after = decision.retry_after;
-    return grant;
+    return {true, decision.admitted, decision.retry_after};
 }
 
 // Acts on what the duty's holder says of primaries. The receipt promises that
--- a/src/process/membership/holder_contact.cpp
+++ b/src/process/membership/holder_contact.cpp
@@ -5,9 +5,8 @@
 namespace oleandergrade
 {
 
-std::string
-holder_contact::next_address(const std::string& known,
-                             const std::vector<std::string>& others)
+std::string holder_contact::next_address(const std::string& known,
+                                         const std::vector<std::string>& others)
 {
     if (failures_ < patience && !address(known).empty())
         return address(known);
--- /dev/null
+++ b/src/process/own_settings.cpp
@@ -0,0 +1,79 @@
+#include <oleandergrade/process/own_settings.hpp>
+
+namespace oleandergrade
+{
+
+namespace
+{
+
+constexpr std::uint64_t most_sessions_allowed = 1'000'000;
+constexpr std::uint64_t most_lines_allowed = 100'000;
+
+using section_parser = void (*)(ini_reader& reader, own_settings& settings);
+
+void parse_http(ini_reader& reader, own_settings& settings)
+{
+    settings.http_address = reader.address("listen");
+}
+
+void parse_peers(ini_reader& reader, own_settings& settings)
+{
+    settings.advertised_peer_address = reader.address("advertise");
+}
+
+void parse_sessions(ini_reader& reader, own_settings& settings)
+{
+    settings.most_sessions =
+        reader.number("most", settings.most_sessions, 1, most_sessions_allowed);
+}
+
+void parse_log(ini_reader& reader, own_settings& settings)
+{
+    settings.statement_lines = static_cast<std::uint32_t>(reader.number(
+        "statement_lines", settings.statement_lines, 0, most_lines_allowed));
+    settings.event_lines = static_cast<std::uint32_t>(reader.number(
+        "event_lines", settings.event_lines, 0, most_lines_allowed));
+}
+
+struct known_section
+{
+    const char* kind;
+    section_parser parse;
+};
+
+constexpr known_section known_sections[] = {{"http", parse_http},
+                                            {"peers", parse_peers},
+                                            {"sessions", parse_sessions},
+                                            {"log", parse_log}};
+
+} // namespace
+
+std::variant<own_settings, std::vector<ini_problem>>
+parse_own_settings(const std::string& file, const std::string& text)
+{
+    std::vector<ini_problem> problems;
+    const auto document = parse_ini(file, text, problems);
+    own_settings settings;
+    for (const auto& section : document.sections)
+    {
+        const known_section* found = nullptr;
+        for (const auto& known : known_sections)
+            if (section.kind == known.kind && section.name.empty())
+                found = &known;
+        if (found == nullptr)
+        {
+            problems.push_back({file, section.line, section.kind,
+                                "is not a section; allowed are [http], "
+                                "[peers], [sessions] and [log]"});
+            continue;
+        }
+        ini_reader reader(document, section, problems);
+        found->parse(reader, settings);
+        reader.reject_unknown_keys();
+    }
+    if (!problems.empty())
+        return problems;
+    return settings;
+}
+
+} // namespace oleandergrade
--- a/src/process/serving/session_server.cpp
+++ b/src/process/serving/session_server.cpp
@@ -1,6 +1,7 @@
 #include <oleandergrade/process/serving/session_server.hpp>
 
 #include <oleandergrade/connection/async_event.hpp>
+#include <oleandergrade/connection/line_reader.hpp>
 #include <oleandergrade/connection/listener.hpp>
 #include <oleandergrade/connection/socket_options.hpp>
 #include <oleandergrade/process/event_log.hpp>
@@ -24,7 +25,6 @@
 namespace
 {
 
-constexpr std::size_t read_bytes = 4096;
 /// How long a closing session may go on sending before it is dropped.
 constexpr auto linger_time = milliseconds(500);
 constexpr auto start_poll = milliseconds(25);
@@ -34,11 +34,11 @@
 struct session_server::live_session : std::enable_shared_from_this<live_session>
 {
     explicit live_session(tcp::socket accepted)
-        : socket(std::move(accepted)), timer(socket.get_executor())
+        : socket(std::move(accepted)), timer(socket.get_executor()),
+          reader(socket)
     {
     }
 
-    asio::awaitable<std::optional<std::string>> read_line();
     /// Closes the session after a time, unless the timer is cancelled.
     void close_after(milliseconds time)
     {
@@ -61,48 +61,13 @@
     /// Bounds the opening, or the pause inside a transaction.
     asio::steady_timer timer;
     served_session served;
-    std::string buffer;
-    std::size_t begin = 0;
+    line_reader reader;
     /// A statement is under way.
     bool busy = false;
-    bool too_long = false;
     /// The configuration under which the key was found good last.
     std::uint64_t checked_version = 0;
 };
 
-asio::awaitable<std::optional<std::string>>
-session_server::live_session::read_line()
-{
-    auto scanned = begin;
-    for (;;)
-    {
-        const auto end = buffer.find(session_line_end, scanned);
-        if (end != std::string::npos)
-        {
-            auto line = buffer.substr(begin, end - begin);
-            begin = end + session_line_end.size();
-            co_return line;
-        }
-        buffer.erase(0, begin);
-        begin = 0;
-        const auto kept = buffer.size();
-        if (kept > max_session_message_bytes)
-        {
-            too_long = true;
-            co_return std::nullopt;
-        }
-        scanned = kept > 0 ? kept - 1 : 0;
-        buffer.resize(kept + read_bytes);
-        error_code failure;
-        const auto size = co_await socket.async_read_some(
-            asio::buffer(buffer.data() + kept, read_bytes),
-            asio::redirect_error(asio::use_awaitable, failure));
-        buffer.resize(kept + size);
-        if (failure)
-            co_return std::nullopt;
-    }
-}
-
 session_server::session_server(asio::io_context& context,
                                const tcp::endpoint& endpoint,
                                const session_codec& codec,
@@ -169,7 +134,7 @@
 asio::awaitable<bool> session_server::greet(live_session& live)
 {
     live.close_after(limits_.opening_time);
-    const auto line = co_await live.read_line();
+    const auto line = co_await live.reader.read();
     live.timer.cancel();
     if (!line)
         co_return false;
@@ -202,10 +167,10 @@
 
 asio::awaitable<bool> session_server::answer_next(live_session& live)
 {
-    const auto line = co_await live.read_line();
+    const auto line = co_await live.reader.read();
     if (!line)
     {
-        if (live.too_long)
+        if (live.reader.is_too_long())
             co_await refuse(live, session_error::malformed,
                             "the message is too long");
         co_return false;
@@ -223,7 +188,7 @@
         co_return false;
     live.busy = true;
     auto reply = co_await runner_.run(live.served, *call);
-    const bool written = co_await write(live, std::move(reply));
+    const bool written = co_await write(live, std::move(reply.bytes));
     live.busy = false;
     if (!written)
         co_return false;
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -1,4 +1,4 @@
-#include <oleandergrade/process/serving/statement_runner.hpp>
+#include "statement_run.hpp"
 
 #include <oleandergrade/process/event_log.hpp>
 
@@ -18,8 +18,6 @@
 constexpr unsigned most_attempts = 4;
 /// Before a declined statement is sent to a busy target again.
 constexpr auto busy_pause = milliseconds(15);
-/// The least time that an exchange with a target gets.
-constexpr auto least_exchange = milliseconds(5);
 /// Statements that the caller's route gives no latency objective for.
 constexpr auto fallback_objective = milliseconds(500);
 
@@ -32,13 +30,6 @@
         static_cast<std::int64_t>(static_cast<double>(whole.count()) * part));
 }
 
-milliseconds left_until(time_point deadline)
-{
-    return std::max<milliseconds>(
-        std::chrono::duration_cast<milliseconds>(deadline - current_time()),
-        least_exchange);
-}
-
 bool is_plain_name(const std::string& text)
 {
     constexpr std::size_t longest = 64;
@@ -49,30 +40,6 @@
 
 } // namespace
 
-/// What one statement needs while it is under way.
-struct statement_runner::run_state
-{
-    run_state(served_session& owner, const session_statement& statement)
-        : session(owner), call(statement), arrived(current_time())
-    {
-    }
-
-    served_session& session;
-    const session_statement& call;
-    time_point arrived;
-    time_point deadline;
-    const route* used_route = nullptr;
-    route_table_ptr table;
-    std::string account;
-    /// The statement prepared under the name that it executes.
-    const prepared_statement* prepared = nullptr;
-    bool writes = false;
-    std::set<std::string> excluded;
-    std::string reply;
-    statement_outcome outcome;
-    bool answered = false;
-};
-
 statement_runner::statement_runner(const session_codec& codec,
                                    configuration_holder& configuration,
                                    serving_view& view, target_pool& pool,
@@ -98,13 +65,16 @@
     return session_error::none;
 }
 
-asio::awaitable<std::string>
+asio::awaitable<statement_reply>
 statement_runner::run(served_session& session, const session_statement& call)
 {
     run_state run(session, call);
     if (find_route(run))
     {
         run.deadline = run.arrived + run.used_route->statement_timeout;
+        if (call.time_limit.count() > 0)
+            run.deadline =
+                std::min(run.deadline, run.arrived + call.time_limit);
         switch (call.verb)
         {
         case session_verb::begin:
@@ -137,7 +107,7 @@
         }
     }
     finish(run);
-    co_return std::move(run.reply);
+    co_return statement_reply{std::move(run.reply), std::move(run.outcome)};
 }
 
 // Looks up the route and the account anew for each statement, so that a
@@ -193,22 +163,6 @@
     co_return false;
 }
 
-asio::awaitable<void> statement_runner::begin(run_state& run)
-{
-    auto& session = run.session;
-    if (session.agreed.state() != transaction_state::none)
-        co_return fail(run, session_error::malformed,
-                       "a transaction is open already");
-    const bool is_admitted = co_await admit(run);
-    if (!is_admitted)
-        co_return;
-    session.agreed.begin(run.call.verb == session_verb::begin_read_only);
-    session.has_written = false;
-    session.transaction_route = *run.used_route;
-    session.transaction_account = run.account;
-    codec_.append_own_completion(run.reply);
-}
-
 void statement_runner::apply_local(run_state& run)
 {
     const auto failure = run.session.agreed.apply(run.call);
@@ -502,175 +456,6 @@
         pass_on(run, answer);
 }
 
-// Binds the open transaction to a session at a target, where it begins.
-asio::awaitable<void> statement_runner::pin(run_state& run)
-{
-    for (;;)
-    {
-        std::optional<placement> place;
-        const bool has_place = co_await find_place(run, place);
-        if (!has_place)
-        {
-            run.session.agreed.fail();
-            co_return;
-        }
-        bool is_usable =
-            !place->is_primary ||
-            view_.authority.still_holds(run.used_route->group,
-                                        place->record_revision, current_time());
-        if (is_usable)
-            is_usable = co_await prepare_session(run, *place, true);
-        if (is_usable)
-        {
-            run.session.pinned = std::move(place);
-            co_return;
-        }
-        pool_.release(place->session);
-        if (can_retry(run))
-            continue;
-        run.session.agreed.fail();
-        fail(run, session_error::busy, run.outcome.reason);
-        co_return;
-    }
-}
-
-asio::awaitable<void> statement_runner::run_in_transaction(run_state& run)
-{
-    auto& session = run.session;
-    if (session.agreed.state() == transaction_state::failed)
-        co_return fail(run, session_error::malformed,
-                       "the transaction has failed");
-    if (run.call.verb == session_verb::execute)
-    {
-        run.prepared = session.agreed.find_prepared(run.call.name);
-        if (run.prepared == nullptr)
-        {
-            release(session);
-            session.agreed.fail();
-            co_return fail(run, session_error::unknown_prepared,
-                           "the name was not prepared");
-        }
-    }
-    run.writes = run.prepared != nullptr ? run.prepared->writes
-                                         : run.call.verb == session_verb::write;
-    if (!session.pinned)
-        co_await pin(run);
-    if (!session.pinned)
-        co_return;
-    auto& place = *session.pinned;
-    auto& held = *place.session;
-    run.outcome.target = held.key().target;
-    const auto sent_at = current_time();
-    const bool is_usable =
-        !place.is_primary ||
-        view_.authority.still_holds(run.used_route->group,
-                                    place.record_revision, sent_at);
-    bool is_prepared = false;
-    if (is_usable)
-        is_prepared = co_await prepare_session(run, place, false);
-    if (!is_prepared)
-    {
-        held.close();
-        release(session);
-        session.agreed.fail();
-        co_return fail(run, session_error::aborted,
-                       is_usable ? run.outcome.reason
-                                 : "the primary was replaced");
-    }
-    session.has_written = session.has_written || run.writes;
-    auto bytes = statement_bytes(run, std::nullopt);
-    auto outcome =
-        co_await held.exchange(std::move(bytes), 1, left_until(run.deadline));
-    if (!succeeded(outcome))
-    {
-        const auto& failure = error_of(outcome);
-        if (failure.kind != error_kind::timeout)
-            view_.on_target(held.key().target, false, current_time());
-        release(session);
-        session.agreed.fail();
-        // The target rolls back what a closed session left open.
-        co_return fail(run, session_error::aborted, to_string(failure));
-    }
-    const auto& answer = value_of(outcome).front();
-    if (answer.succeeded())
-    {
-        if (!run.writes)
-            measured_.on_read(place.is_primary);
-    }
-    else
-    {
-        run.outcome.reason = to_string(answer.failure);
-        if (answer.state != transaction_state::open)
-            session.agreed.fail();
-    }
-    pass_on(run, answer);
-}
-
-asio::awaitable<void> statement_runner::commit(run_state& run)
-{
-    auto& session = run.session;
-    if (session.agreed.state() == transaction_state::none)
-        co_return fail(run, session_error::malformed, "no transaction is open");
-    if (session.agreed.state() == transaction_state::failed)
-    {
-        co_await abandon(session);
-        co_return fail(run, session_error::aborted,
-                       "the transaction had failed");
-    }
-    if (!session.pinned)
-        co_await pin(run);
-    if (!session.pinned)
-    {
-        session.agreed.end();
-        co_return;
-    }
-    auto& place = *session.pinned;
-    auto& held = *place.session;
-    run.outcome.target = held.key().target;
-    const auto sent_at = current_time();
-    if (place.is_primary &&
-        !view_.authority.still_holds(run.used_route->group,
-                                     place.record_revision, sent_at))
-    {
-        held.close();
-        release(session);
-        session.agreed.end();
-        co_return fail(run, session_error::aborted, "the primary was replaced");
-    }
-    const bool has_written = session.has_written;
-    auto bytes = statement_bytes(run, std::nullopt);
-    auto outcome =
-        co_await held.exchange(std::move(bytes), 1, left_until(run.deadline));
-    session.agreed.end();
-    if (!succeeded(outcome))
-    {
-        const auto& failure = error_of(outcome);
-        if (failure.kind != error_kind::timeout)
-            view_.on_target(held.key().target, false, current_time());
-        release(session);
-        co_return fail(
-            run, has_written ? session_error::in_doubt : session_error::aborted,
-            to_string(failure));
-    }
-    const auto& answer = value_of(outcome).front();
-    observe(place, answer, sent_at);
-    const bool holds =
-        !place.is_primary ||
-        view_.authority.still_holds(run.used_route->group,
-                                    place.record_revision, current_time());
-    if (answer.state != transaction_state::none)
-        held.close();
-    release(session);
-    if (!answer.succeeded())
-        run.outcome.reason = to_string(answer.failure);
-    else if (has_written && !holds)
-        co_return fail(run, session_error::in_doubt,
-                       "the primary was replaced meanwhile");
-    else if (has_written && answer.position)
-        session.agreed.on_commit(*answer.position);
-    pass_on(run, answer);
-}
-
 // Positions that a primary names tell every reader how far its log is.
 void statement_runner::observe(const placement& place,
                                const target_answer& answer, time_point sent_at)
@@ -689,6 +474,7 @@
     run.answered = true;
     run.outcome.failure = code;
     run.outcome.reason = reason;
+    run.outcome.retry_after = retry_after;
     auto text = reason;
     if (retry_after.count() > 0)
         text += "; retry after " + std::to_string(retry_after.count()) + " ms";
@@ -740,30 +526,4 @@
     session.pinned.reset();
 }
 
-void statement_runner::fail_transaction(served_session& session)
-{
-    if (session.agreed.state() != transaction_state::open)
-        return;
-    if (session.pinned)
-        session.pinned->session->close();
-    release(session);
-    session.agreed.fail();
-}
-
-asio::awaitable<void> statement_runner::abandon(served_session& session)
-{
-    if (session.pinned &&
-        session.pinned->session->state() != transaction_state::none)
-    {
-        constexpr auto rollback_time = milliseconds(500);
-        auto& held = *session.pinned->session;
-        std::string bytes;
-        codec_.append_statement(bytes, codec_.own_statement_id(),
-                                codec_.rollback_text(), std::nullopt);
-        co_await held.exchange(std::move(bytes), 1, rollback_time);
-    }
-    release(session);
-    session.agreed.end();
-}
-
 } // namespace oleandergrade
--- /dev/null
+++ b/src/process/serving/statement_transactions.cpp
@@ -0,0 +1,219 @@
+// The part of statement_runner that runs statements of transactions.
+#include "statement_run.hpp"
+
+namespace oleandergrade
+{
+namespace asio = boost::asio;
+
+asio::awaitable<void> statement_runner::begin(run_state& run)
+{
+    auto& session = run.session;
+    if (session.agreed.state() != transaction_state::none)
+        co_return fail(run, session_error::malformed,
+                       "a transaction is open already");
+    const bool is_admitted = co_await admit(run);
+    if (!is_admitted)
+        co_return;
+    session.agreed.begin(run.call.verb == session_verb::begin_read_only);
+    session.has_written = false;
+    session.transaction_route = *run.used_route;
+    session.transaction_account = run.account;
+    codec_.append_own_completion(run.reply);
+}
+
+// Binds the open transaction to a session at a target, where it begins.
+asio::awaitable<void> statement_runner::pin(run_state& run)
+{
+    for (;;)
+    {
+        std::optional<placement> place;
+        const bool has_place = co_await find_place(run, place);
+        if (!has_place)
+        {
+            run.session.agreed.fail();
+            co_return;
+        }
+        bool is_usable =
+            !place->is_primary ||
+            view_.authority.still_holds(run.used_route->group,
+                                        place->record_revision, current_time());
+        if (is_usable)
+            is_usable = co_await prepare_session(run, *place, true);
+        if (is_usable)
+        {
+            run.session.pinned = std::move(place);
+            co_return;
+        }
+        pool_.release(place->session);
+        if (can_retry(run))
+            continue;
+        run.session.agreed.fail();
+        fail(run, session_error::busy, run.outcome.reason);
+        co_return;
+    }
+}
+
+asio::awaitable<void> statement_runner::run_in_transaction(run_state& run)
+{
+    auto& session = run.session;
+    if (session.agreed.state() == transaction_state::failed)
+        co_return fail(run, session_error::malformed,
+                       "the transaction has failed");
+    if (run.call.verb == session_verb::execute)
+    {
+        run.prepared = session.agreed.find_prepared(run.call.name);
+        if (run.prepared == nullptr)
+        {
+            release(session);
+            session.agreed.fail();
+            co_return fail(run, session_error::unknown_prepared,
+                           "the name was not prepared");
+        }
+    }
+    run.writes = run.prepared != nullptr ? run.prepared->writes
+                                         : run.call.verb == session_verb::write;
+    if (!session.pinned)
+        co_await pin(run);
+    if (!session.pinned)
+        co_return;
+    auto& place = *session.pinned;
+    auto& held = *place.session;
+    run.outcome.target = held.key().target;
+    const auto sent_at = current_time();
+    const bool is_usable =
+        !place.is_primary ||
+        view_.authority.still_holds(run.used_route->group,
+                                    place.record_revision, sent_at);
+    bool is_prepared = false;
+    if (is_usable)
+        is_prepared = co_await prepare_session(run, place, false);
+    if (!is_prepared)
+    {
+        held.close();
+        release(session);
+        session.agreed.fail();
+        co_return fail(run, session_error::aborted,
+                       is_usable ? run.outcome.reason
+                                 : "the primary was replaced");
+    }
+    session.has_written = session.has_written || run.writes;
+    auto bytes = statement_bytes(run, std::nullopt);
+    auto outcome =
+        co_await held.exchange(std::move(bytes), 1, left_until(run.deadline));
+    if (!succeeded(outcome))
+    {
+        const auto& failure = error_of(outcome);
+        if (failure.kind != error_kind::timeout)
+            view_.on_target(held.key().target, false, current_time());
+        release(session);
+        session.agreed.fail();
+        // The target rolls back what a closed session left open.
+        co_return fail(run, session_error::aborted, to_string(failure));
+    }
+    const auto& answer = value_of(outcome).front();
+    if (answer.succeeded())
+    {
+        if (!run.writes)
+            measured_.on_read(place.is_primary);
+    }
+    else
+    {
+        run.outcome.reason = to_string(answer.failure);
+        if (answer.state != transaction_state::open)
+            session.agreed.fail();
+    }
+    pass_on(run, answer);
+}
+
+asio::awaitable<void> statement_runner::commit(run_state& run)
+{
+    auto& session = run.session;
+    if (session.agreed.state() == transaction_state::none)
+        co_return fail(run, session_error::malformed, "no transaction is open");
+    if (session.agreed.state() == transaction_state::failed)
+    {
+        co_await abandon(session);
+        co_return fail(run, session_error::aborted,
+                       "the transaction had failed");
+    }
+    if (!session.pinned)
+        co_await pin(run);
+    if (!session.pinned)
+    {
+        session.agreed.end();
+        co_return;
+    }
+    auto& place = *session.pinned;
+    auto& held = *place.session;
+    run.outcome.target = held.key().target;
+    const auto sent_at = current_time();
+    if (place.is_primary &&
+        !view_.authority.still_holds(run.used_route->group,
+                                     place.record_revision, sent_at))
+    {
+        held.close();
+        release(session);
+        session.agreed.end();
+        co_return fail(run, session_error::aborted, "the primary was replaced");
+    }
+    const bool has_written = session.has_written;
+    auto bytes = statement_bytes(run, std::nullopt);
+    auto outcome =
+        co_await held.exchange(std::move(bytes), 1, left_until(run.deadline));
+    session.agreed.end();
+    if (!succeeded(outcome))
+    {
+        const auto& failure = error_of(outcome);
+        if (failure.kind != error_kind::timeout)
+            view_.on_target(held.key().target, false, current_time());
+        release(session);
+        co_return fail(
+            run, has_written ? session_error::in_doubt : session_error::aborted,
+            to_string(failure));
+    }
+    const auto& answer = value_of(outcome).front();
+    observe(place, answer, sent_at);
+    const bool holds =
+        !place.is_primary ||
+        view_.authority.still_holds(run.used_route->group,
+                                    place.record_revision, current_time());
+    if (answer.state != transaction_state::none)
+        held.close();
+    release(session);
+    if (!answer.succeeded())
+        run.outcome.reason = to_string(answer.failure);
+    else if (has_written && !holds)
+        co_return fail(run, session_error::in_doubt,
+                       "the primary was replaced meanwhile");
+    else if (has_written && answer.position)
+        session.agreed.on_commit(*answer.position);
+    pass_on(run, answer);
+}
+
+void statement_runner::fail_transaction(served_session& session)
+{
+    if (session.agreed.state() != transaction_state::open)
+        return;
+    if (session.pinned)
+        session.pinned->session->close();
+    release(session);
+    session.agreed.fail();
+}
+
+asio::awaitable<void> statement_runner::abandon(served_session& session)
+{
+    if (session.pinned &&
+        session.pinned->session->state() != transaction_state::none)
+    {
+        constexpr auto rollback_time = milliseconds(500);
+        auto& held = *session.pinned->session;
+        std::string bytes;
+        codec_.append_statement(bytes, codec_.own_statement_id(),
+                                codec_.rollback_text(), std::nullopt);
+        co_await held.exchange(std::move(bytes), 1, rollback_time);
+    }
+    release(session);
+    session.agreed.end();
+}
+
+} // namespace oleandergrade
--- a/src/process/serving/target_registry.cpp
+++ b/src/process/serving/target_registry.cpp
@@ -12,11 +12,10 @@
 
 std::uint64_t digest_of(const target_record& record)
 {
-    const auto text = record.id + '\n' + record.group + '\n' + record.address +
-                      '\n' + record.failure_domain + '\n' +
-                      std::to_string(record.slots) +
-                      (record.is_draining ? 'd' : 'r') +
-                      (record.claims_primary ? 'p' : 'f');
+    const auto text =
+        record.id + '\n' + record.group + '\n' + record.address + '\n' +
+        record.failure_domain + '\n' + std::to_string(record.slots) +
+        (record.is_draining ? 'd' : 'r') + (record.claims_primary ? 'p' : 'f');
     return XXH64(text.data(), text.size(), 0);
 }
 
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -31,6 +31,14 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
+vm_settings with_own(vm_settings settings, const own_settings& own)
+{
+    settings.advertised_address = own.advertised_peer_address.empty()
+                                      ? settings.peer_address
+                                      : own.advertised_peer_address;
+    return settings;
+}
+
 asio::ip::tcp::endpoint endpoint_of(const std::string& address)
 {
     const auto endpoint = parse_endpoint(address);
@@ -50,16 +58,23 @@
 } // namespace
 
 vm_daemon::vm_daemon(asio::io_context& context, vm_settings settings,
-                     platform_parts& platform, settings_reader read_settings)
+                     own_settings own, platform_parts& platform,
+                     settings_reader read_settings)
     : context_(context), read_settings_(std::move(read_settings)),
-      state_(context.get_executor(), std::move(settings), platform),
+      state_(context.get_executor(), with_own(std::move(settings), own),
+             platform),
       runner_(*platform.codec, state_.configuration, state_.view, state_.pool,
               state_.limiter, measured_),
       fleet_(context, state_),
       sessions_(context, endpoint_of(state_.settings.session_address),
-                *platform.codec, runner_, state_.configuration, {}),
+                *platform.codec, runner_, state_.configuration,
+                session_limits{.sessions = own.most_sessions}),
       signals_(context, SIGTERM, SIGINT, SIGHUP)
 {
+    if (!own.http_address.empty())
+        http_entry_ = std::make_unique<http_entry>(
+            context, endpoint_of(own.http_address), *platform.codec, runner_,
+            state_.configuration);
 }
 
 void vm_daemon::run()
@@ -82,6 +97,8 @@
     start_http();
     fleet_.start();
     sessions_.start();
+    if (http_entry_ != nullptr)
+        http_entry_->start();
     asio::co_spawn(context_, wait_for_signals(), asio::detached);
     log_event(event_level::info, "daemon", "started",
               {{"failure_domain", state_.settings.failure_domain},
@@ -245,7 +262,11 @@
         const auto elapsed = current_time() - started;
         if (elapsed >= part_of(stop_time, transaction_part) &&
             !std::exchange(ended_transactions, true))
+        {
             sessions_.end_transactions();
+            if (http_entry_ != nullptr)
+                http_entry_->drain();
+        }
         if (elapsed >= part_of(stop_time, session_part))
             break;
         co_await sleep_for(stop_poll);
--- /dev/null
+++ b/standins/emulator_control.cpp
@@ -0,0 +1,53 @@
+#include "emulator_control.hpp"
+
+#include "platform_emulator_parts.hpp"
+
+#include <boost/json.hpp>
+
+namespace standins
+{
+namespace asio = boost::asio;
+using namespace oleandergrade;
+
+emulator_control::emulator_control(asio::io_context& context,
+                                   unsigned short port,
+                                   platform_emulator& emulator)
+    : emulator_(emulator), server_(context, loopback(port), http_limits{},
+                                   {[this](http_request request)
+                                    { return serve(std::move(request)); },
+                                    {},
+                                    {}})
+{
+}
+
+asio::awaitable<http_response> emulator_control::serve(http_request request)
+{
+    constexpr std::string_view log_path = "/log/";
+    http_response response;
+    response.content_type = "text/plain";
+    if (request.path == "/fault")
+    {
+        const auto outcome = emulator_.apply_fault(request.body);
+        response.status = succeeded(outcome) ? 200 : 400;
+        if (!succeeded(outcome))
+            response.body = to_string(error_of(outcome)) + "\n";
+        co_return response;
+    }
+    if (request.path.starts_with(log_path))
+    {
+        response.body =
+            emulator_.log_text(request.path.substr(log_path.size()));
+        co_return response;
+    }
+    const auto& findings = emulator_.findings();
+    response.content_type = "application/json";
+    response.body = boost::json::serialize(boost::json::object{
+        {"foreign_accounts", findings.foreign_accounts},
+        {"statements", findings.statements},
+        {"connections", findings.connections},
+        {"refused_connections", findings.refused_connections},
+        {"store_calls", findings.store_calls}});
+    co_return response;
+}
+
+} // namespace standins
--- a/standins/group_model.cpp
+++ b/standins/group_model.cpp
@@ -77,8 +77,7 @@
     if (replica.is_primary)
         return;
     for (const auto& [id, other] : servers_)
-        if (other.is_running && other.is_primary &&
-            other.term >= replica.term)
+        if (other.is_running && other.is_primary && other.term >= replica.term)
         {
             follow(replica, other);
         }
--- a/standins/platform_emulator.cpp
+++ b/standins/platform_emulator.cpp
@@ -1,4 +1,4 @@
-#include "platform_emulator.hpp"
+#include "platform_emulator_parts.hpp"
 
 #include "../platform/base64.hpp"
 
@@ -30,11 +30,6 @@
 constexpr auto away_time = milliseconds(3000);
 constexpr std::size_t longest_queue = 24;
 
-tcp::endpoint loopback(unsigned short port)
-{
-    return {asio::ip::address_v4::loopback(), port};
-}
-
 std::string query_field(const std::string& path, const std::string& name)
 {
     const auto begin = path.find(name + "=");
@@ -63,43 +58,6 @@
 
 } // namespace
 
-struct platform_emulator::server_session
-{
-    explicit server_session(tcp::socket accepted) : socket(std::move(accepted))
-    {
-    }
-
-    tcp::socket socket;
-    std::string account;
-    transaction_state state = transaction_state::none;
-    bool read_only = false;
-    std::vector<std::pair<std::string, std::string>> writes;
-    std::map<std::string, std::string> values;
-    /// Shape and whether it writes, by name.
-    std::map<std::string, bool> prepared;
-};
-
-struct platform_emulator::server_state
-{
-    server_state(asio::io_context& context, group_model& owner,
-                 std::string server, unsigned short server_port)
-        : acceptor(context), group(owner), id(std::move(server)),
-          port(server_port)
-    {
-    }
-
-    tcp::acceptor acceptor;
-    group_model& group;
-    std::string id;
-    unsigned short port;
-    bool is_draining = false;
-    /// The role that the store shows.
-    bool registered_primary = false;
-    unsigned busy = 0;
-    unsigned waiting = 0;
-    std::set<std::shared_ptr<server_session>> sessions;
-};
-
 platform_emulator::platform_emulator(asio::io_context& context,
                                      emulator_settings settings)
     : context_(context), settings_(settings), store_(history)
@@ -117,14 +75,15 @@
         context, loopback(settings.promotion_port), http_limits{},
         std::move(promotions));
     auto port = settings.first_server_port;
-    for (unsigned g = 0; g < settings.groups; ++g)
+    if (settings_.groups.empty())
+        settings_.groups = {"group-0", "group-1"};
+    for (unsigned g = 0; g < settings_.groups.size(); ++g)
     {
         std::vector<std::string> ids;
         for (unsigned s = 0; s < settings.servers_per_group; ++s)
             ids.push_back(server_id(g, s));
         groups_.push_back(std::make_unique<group_model>(
-            "group-" + std::to_string(g), ids, settings.lag,
-            settings.promotion_time));
+            settings_.groups[g], ids, settings.lag, settings.promotion_time));
         for (const auto& id : ids)
         {
             servers_.push_back(std::make_unique<server_state>(
@@ -164,7 +123,8 @@
     server.registered_primary = model->is_primary;
     const json::object record{
         {"Service", server.group.name()},
-        {"Address", "127.0.0.1:" + std::to_string(server.port)},
+        {"Address", "127.0.0.1:" + std::to_string(server.port +
+                                                  settings_.advertised_offset)},
         {"Zone", "a"},
         {"Version", "v1"},
         {"Slots", settings_.slots},
@@ -180,56 +140,106 @@
     std::uint64_t version,
     const std::vector<std::pair<std::string, std::string>>& keys, unsigned rate)
 {
-    json::array routes;
-    json::array services;
-    const std::vector<std::pair<const char*, const char*>> kinds{
-        {"strict", "primary"},
-        {"own", "read_your_writes"},
-        {"aged", "bounded_staleness"}};
-    for (unsigned g = 0; g < settings_.groups; ++g)
+    constexpr std::array kinds{"strict-", "own-", "aged-"};
+    route_table table;
+    table.version = version;
+    table.transaction_idle = milliseconds(3000);
+    for (std::size_t g = 0; g < groups_.size(); ++g)
     {
-        for (const auto& [prefix, kind] : kinds)
-            routes.push_back(
-                {{"Database", std::string(prefix) + "-" + std::to_string(g)},
-                 {"RouteType", kind},
-                 {"MaxStalenessMs", 1500},
-                 {"TimeoutMs", 1000},
-                 {"TargetLatencyMs", 400},
-                 {"Priority", 1},
-                 {"Service", groups_[g]->name()},
-                 {"Public", false}});
-        services.push_back({{"Name", groups_[g]->name()},
-                            {"MaxConns", settings_.connections},
-                            {"SyncReplicas", 0}});
+        const auto& group = groups_[g]->name();
+        for (std::size_t kind = 0; kind < kinds.size(); ++kind)
+        {
+            route added;
+            added.database = kinds[kind] + std::to_string(g);
+            added.group = group;
+            added.consistency = static_cast<read_consistency>(kind);
+            added.max_age = milliseconds(1500);
+            added.statement_timeout = milliseconds(1000);
+            added.latency_objective = milliseconds(400);
+            added.priority = 1;
+            table.routes[added.database] = added;
+        }
+        table.groups[group] = {group, settings_.connections, 0};
     }
+    for (const auto& [account, key] : keys)
+    {
+        table.accounts[account] = {account, 1, static_cast<double>(rate),
+                                   static_cast<double>(rate)};
+        table.account_of_key[key] = account;
+    }
+    put_configuration(table);
+}
+
+void platform_emulator::put_configuration(const route_table& table)
+{
+    constexpr std::array kinds{"primary", "read_your_writes",
+                               "bounded_staleness"};
+    json::array routes;
+    for (const auto& [database, known] : table.routes)
+        routes.push_back(
+            {{"Database", database},
+             {"RouteType", kinds[static_cast<std::size_t>(known.consistency)]},
+             {"MaxStalenessMs", known.max_age.count()},
+             {"TimeoutMs", known.statement_timeout.count()},
+             {"TargetLatencyMs", known.latency_objective.count()},
+             {"Priority", known.priority},
+             {"Service", known.group},
+             {"Public", known.open_to_all}});
+    json::array services;
+    for (const auto& [name, group] : table.groups)
+        services.push_back({{"Name", name},
+                            {"MaxConns", group.connections_per_target},
+                            {"SyncReplicas", group.synchronous_replicas}});
     json::array tenants;
     accounts_.clear();
-    for (const auto& [account, key] : keys)
+    for (const auto& [name, account] : table.accounts)
     {
-        accounts_.insert(account);
-        tenants.push_back({{"Name", account},
-                           {"ApiKeys", json::array{json::string(key)}},
-                           {"Priority", 1},
-                           {"RatePerS", rate},
-                           {"Burst", rate}});
+        accounts_.insert(name);
+        json::array keys;
+        for (const auto& [key, owner] : table.account_of_key)
+            if (owner == name)
+                keys.push_back(json::string(key));
+        tenants.push_back(
+            {{"Name", name},
+             {"ApiKeys", std::move(keys)},
+             {"Priority", account.priority},
+             {"RatePerS", static_cast<std::uint64_t>(account.rate)},
+             {"Burst", static_cast<std::uint64_t>(account.burst)}});
     }
-    const json::object record{{"Version", version},
-                              {"Routes", std::move(routes)},
-                              {"Services", std::move(services)},
-                              {"Limits", json::object{{"TxIdleMs", 3000}}},
-                              {"Tenants", std::move(tenants)}};
+    const json::object record{
+        {"Version", table.version},
+        {"Routes", std::move(routes)},
+        {"Services", std::move(services)},
+        {"Limits", json::object{{"TxIdleMs", table.transaction_idle.count()}}},
+        {"Tenants", std::move(tenants)}};
     const model_change change{"op/config", json::serialize(record), 0};
     store_.write({}, {change}, current_time());
 }
 
+// An answer that is lost leaves its caller without knowledge of the outcome.
 asio::awaitable<http_response>
 platform_emulator::serve_store(http_request request)
 {
-    if (store_away_)
+    ++findings_.store_calls;
+    if (!store_away_)
     {
-        co_await sleep_for(away_time);
-        co_return respond(503);
+        if (store_delay_.count() > 0)
+            co_await sleep_for(store_delay_);
+        auto response = co_await answer_store(std::move(request));
+        const bool is_lost =
+            std::uniform_real_distribution<>(0, 1)(random_) < lost_answers_;
+        if (!is_lost && !store_away_)
+            co_return response;
     }
+    co_await sleep_for(away_time);
+    http_response none = respond(503);
+    none.close = true;
+    co_return none;
+}
+
+asio::awaitable<http_response>
+platform_emulator::answer_store(http_request request)
+{
     const auto now = current_time();
     store_.advance(now);
     const auto& path = request.path;
@@ -341,61 +351,14 @@
 {
     const auto parsed = parse_json_object(request.body);
     const auto& fields = value_of(parsed);
-    for (const auto& group : groups_)
-    {
-        if (group->name() != text_field(fields, "Service"))
-            continue;
-        const bool accepted =
-            group->promote(text_field(fields, "Id"), current_time());
-        co_return respond(accepted ? 200 : 409);
-    }
-    co_return respond(404);
-}
-
-void platform_emulator::crash(const std::string& server)
-{
-    for (const auto& state : servers_)
-    {
-        if (state->id != server)
-            continue;
-        auto* model = state->group.find(server);
-        model->is_running = false;
-        error_code ignored;
-        state->acceptor.close(ignored);
-        for (const auto& session : state->sessions)
-            session->socket.close(ignored);
-        const model_change gone{"servers/" + server, std::nullopt, 0};
-        store_.write({}, {gone}, current_time());
-    }
-}
-
-void platform_emulator::restart(const std::string& server)
-{
-    for (const auto& state : servers_)
-    {
-        if (state->id != server)
-            continue;
-        auto* model = state->group.find(server);
-        model->is_running = true;
-        for (const auto& [id, other] : state->group.servers())
-            if (other.is_primary && other.term > model->term)
-                state->group.demote(*model, other.term);
-        state->group.resume(*model);
-        listen_shared(state->acceptor, loopback(state->port));
-        asio::co_spawn(context_, accept_loop(*state), asio::detached);
-        register_server(*state);
-    }
-}
-
-void platform_emulator::set_draining(const std::string& server)
-{
-    for (const auto& state : servers_)
-    {
-        if (state->id != server)
-            continue;
-        state->is_draining = true;
-        register_server(*state);
-    }
+    auto* group = find_group(text_field(fields, "Service"));
+    if (group == nullptr)
+        co_return respond(404);
+    const bool accepted =
+        group->promote(text_field(fields, "Id"), current_time());
+    if (promotions_lost_)
+        co_await sleep_for(away_time);
+    co_return respond(accepted ? 200 : 409);
 }
 
 asio::awaitable<void> platform_emulator::accept_loop(server_state& server)
@@ -437,6 +400,8 @@
             auto line = buffer.substr(0, end);
             buffer.erase(0, end + session_line_end.size());
             auto reply = co_await answer(server, *session, std::move(line));
+            while (server.is_silent)
+                co_await sleep_for(watch_poll);
             co_await asio::async_write(
                 session->socket, asio::buffer(reply),
                 asio::redirect_error(asio::use_awaitable, failure));
