--- /dev/null
+++ b/standins/platform_emulator_faults.cpp
@@ -0,0 +1,187 @@
+// The faults of platform_emulator; they come by name, from tests and from
+// outside the process.
+#include "platform_emulator_parts.hpp"
+
+#include <oleandergrade/connection/listener.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <sstream>
+
+namespace standins
+{
+namespace asio = boost::asio;
+using namespace oleandergrade;
+using boost::system::error_code;
+
+/// A fault that comes by name, with a server or a number.
+struct platform_emulator::known_fault
+{
+    const char* name;
+    void (*apply)(platform_emulator& platform, const std::string& argument);
+    bool takes_server = false;
+};
+
+namespace
+{
+
+std::uint64_t number_of(const std::string& argument)
+{
+    std::uint64_t number = 0;
+    std::istringstream(argument) >> number;
+    return number;
+}
+
+} // namespace
+
+const std::vector<platform_emulator::known_fault>&
+platform_emulator::known_faults()
+{
+    using self = platform_emulator;
+    using text = const std::string&;
+    static const std::vector<known_fault> faults{
+        {"crash", [](self& p, text id) { p.crash(id); }, true},
+        {"restart", [](self& p, text id) { p.restart(id); }, true},
+        {"drain", [](self& p, text id) { p.set_draining(id); }, true},
+        {"silent", [](self& p, text id) { p.set_silent(id, true); }, true},
+        {"answering", [](self& p, text id) { p.set_silent(id, false); }, true},
+        {"deaf", [](self& p, text id) { p.set_deaf(id, true); }, true},
+        {"hearing", [](self& p, text id) { p.set_deaf(id, false); }, true},
+        {"lag",
+         [](self& p, text ms)
+         {
+             for (const auto& group : p.groups_)
+                 group->set_lag(milliseconds(number_of(ms)));
+         }},
+        {"store-away", [](self& p, text) { p.set_store_away(true); }},
+        {"store-back", [](self& p, text) { p.set_store_away(false); }},
+        {"store-slow", [](self& p, text ms)
+         { p.set_store_delay(milliseconds(number_of(ms))); }},
+        {"store-loses",
+         [](self& p, text percent) {
+             p.set_lost_answers(static_cast<double>(number_of(percent)) / 100);
+         }},
+        {"store-lapses",
+         [](self& p, text) { p.store_.lapse_leases(current_time()); }},
+        {"store-compacts", [](self& p, text) { p.store_.drop_history(); }},
+        {"promotions-lost",
+         [](self& p, text) { p.set_promotion_answers_lost(true); }},
+        {"promotions-answered",
+         [](self& p, text) { p.set_promotion_answers_lost(false); }}};
+    return faults;
+}
+
+std::vector<std::string> platform_emulator::fault_names()
+{
+    std::vector<std::string> names;
+    for (const auto& fault : known_faults())
+        names.emplace_back(fault.name);
+    return names;
+}
+
+result<bool> platform_emulator::apply_fault(const std::string& line)
+{
+    std::istringstream words(line);
+    std::string name;
+    std::string argument;
+    words >> name >> argument;
+    for (const auto& fault : known_faults())
+    {
+        if (name != fault.name)
+            continue;
+        if (fault.takes_server && find_server(argument) == nullptr)
+            return error{error_kind::invalid, "fault", argument,
+                         "no such server"};
+        fault.apply(*this, argument);
+        return true;
+    }
+    return error{error_kind::invalid, "fault", "", "no fault '" + name + "'"};
+}
+
+platform_emulator::server_state*
+platform_emulator::find_server(const std::string& id)
+{
+    for (const auto& server : servers_)
+        if (server->id == id)
+            return server.get();
+    return nullptr;
+}
+
+group_model* platform_emulator::find_group(const std::string& name)
+{
+    for (const auto& group : groups_)
+        if (group->name() == name)
+            return group.get();
+    return nullptr;
+}
+
+void platform_emulator::crash(const std::string& id)
+{
+    auto& server = *find_server(id);
+    server.group.advance(current_time());
+    server.group.find(id)->is_running = false;
+    error_code ignored;
+    server.acceptor.close(ignored);
+    for (const auto& session : server.sessions)
+        session->socket.close(ignored);
+    const model_change gone{"servers/" + id, std::nullopt, 0};
+    store_.write({}, {gone}, current_time());
+}
+
+void platform_emulator::restart(const std::string& id)
+{
+    auto& server = *find_server(id);
+    auto* model = server.group.find(id);
+    if (model->is_running)
+        return;
+    server.group.advance(current_time());
+    model->is_running = true;
+    server.is_draining = false;
+    for (const auto& [other_id, other] : server.group.servers())
+        if (other.is_primary && other.term > model->term)
+            server.group.demote(*model, other.term);
+    server.group.resume(*model);
+    listen_shared(server.acceptor, loopback(server.port));
+    asio::co_spawn(context_, accept_loop(server), asio::detached);
+    register_server(server);
+}
+
+void platform_emulator::set_draining(const std::string& id)
+{
+    auto& server = *find_server(id);
+    server.is_draining = true;
+    register_server(server);
+}
+
+void platform_emulator::set_silent(const std::string& id, bool silent)
+{
+    find_server(id)->is_silent = silent;
+}
+
+void platform_emulator::set_deaf(const std::string& id, bool deaf)
+{
+    auto& server = *find_server(id);
+    if (deaf)
+        server.group.find(id)->receives = false;
+    else
+        server.group.resume(*server.group.find(id));
+}
+
+std::string platform_emulator::log_text(const std::string& group) const
+{
+    const model_server* leader = nullptr;
+    for (const auto& known : groups_)
+        if (known->name() == group)
+            for (const auto& [id, server] : known->servers())
+                if (server.is_primary &&
+                    (leader == nullptr || leader->term < server.term))
+                    leader = &server;
+    std::string text;
+    if (leader != nullptr)
+        for (const auto& commit : leader->log)
+            text += commit.item + " " + commit.data + "\n";
+    return text;
+}
+
+} // namespace standins
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -134,10 +134,10 @@
     {
         const error refused{error_kind::unreachable, "connect", id, "refused"};
         network_.after(refusal_delay,
-                       [this, from, done, refused] {
+                       [this, from, done, refused]
+                       {
                            network_.on_host(from->machine, from->run,
-                                            [done, refused]
-                                            { done(refused); });
+                                            [done, refused] { done(refused); });
                        });
         return;
     }
--- a/tests/fakes/fleet_world.hpp
+++ b/tests/fakes/fleet_world.hpp
@@ -110,10 +110,10 @@
                      milliseconds timeout,
                      std::function<server_reply(standins::model_server&)> serve,
                      std::function<void(const result<server_reply>&)> done);
-    store_reply write_store(const std::string& key, const std::string& value,
-                            std::uint64_t lease,
-                            std::vector<std::pair<std::string, std::uint64_t>>
-                                expected);
+    store_reply
+    write_store(const std::string& key, const std::string& value,
+                std::uint64_t lease,
+                std::vector<std::pair<std::string, std::uint64_t>> expected);
     static target_report report_of(const standins::model_server& server);
 
     // A VM. The functions follow what fleet_service and failover_driver do.
@@ -132,8 +132,7 @@
     void on_duty_changed(const vm_ptr& node);
     void report(const vm_ptr& node);
     void report_once(const vm_ptr& node);
-    fleet_grant answer_report(const vm_ptr& holder,
-                              const fleet_report& report);
+    fleet_grant answer_report(const vm_ptr& holder, const fleet_report& report);
     void use_grant(const vm_ptr& node, const fleet_grant& grant,
                    time_point sent_at);
     void grant_to_self(const vm_ptr& node);
@@ -157,8 +156,7 @@
     void send(const session_ptr& user, const placement_candidate& place);
     void on_answer(const session_ptr& user, const sent_statement& sent,
                    const result<server_reply>& outcome);
-    void finish(const session_ptr& user, session_error failure,
-                unsigned value);
+    void finish(const session_ptr& user, session_error failure, unsigned value);
     void check_read(const session& user, unsigned value);
     void check_logs();
     void violation(const std::string& line);
--- a/tests/fakes/fleet_world_sessions.cpp
+++ b/tests/fakes/fleet_world_sessions.cpp
@@ -38,10 +38,10 @@
         user->position.reset();
         user->own_floor = 0;
     }
-    constexpr std::array kinds{
-        operation_kind::write, operation_kind::write,
-        operation_kind::strict_read, operation_kind::own_read,
-        operation_kind::aged_read};
+    constexpr std::array kinds{operation_kind::write, operation_kind::write,
+                               operation_kind::strict_read,
+                               operation_kind::own_read,
+                               operation_kind::aged_read};
     user->kind = kinds[network_.below(kinds.size())];
     user->subject =
         user->kind == operation_kind::own_read
@@ -53,9 +53,8 @@
     user->floor = 0;
     if (user->kind == operation_kind::own_read)
         user->floor = user->own_floor;
-    const auto age = user->kind == operation_kind::aged_read
-                         ? most_age
-                         : milliseconds(0);
+    const auto age =
+        user->kind == operation_kind::aged_read ? most_age : milliseconds(0);
     for (const auto& [number, when] : acknowledged)
         if (user->kind != operation_kind::own_read &&
             when <= user->started_at - age)
@@ -85,19 +84,17 @@
     placement_request request;
     request.group = group_name;
     request.needs_primary = user->kind == operation_kind::write;
-    request.consistency = user->kind == operation_kind::aged_read
-                              ? read_consistency::bounded_age
-                          : user->kind == operation_kind::own_read
-                              ? read_consistency::own_writes
-                              : read_consistency::current;
+    request.consistency =
+        user->kind == operation_kind::aged_read  ? read_consistency::bounded_age
+        : user->kind == operation_kind::own_read ? read_consistency::own_writes
+                                                 : read_consistency::current;
     request.max_age = bug_ == fleet_bug::forgotten_age
                           ? position_tracker::longest_age
                           : most_age;
     if (bug_ != fleet_bug::forgotten_position)
         request.session_position = user->position;
     request.excluded = user->excluded;
-    const auto candidates =
-        choose_candidates(user->entry->view, request, now);
+    const auto candidates = choose_candidates(user->entry->view, request, now);
     if (!candidates.empty())
         return send(user, candidates[network_.below(candidates.size())]);
     if (now >= user->started_at + primary_wait)
@@ -120,9 +117,9 @@
                        const placement_candidate& place)
 {
     ++user->attempts;
-    sent_statement sent{user->operation,       place.target->id,
-                        place.is_primary,      place.record_revision,
-                        place.term,            network_.now()};
+    sent_statement sent{user->operation,  place.target->id,
+                        place.is_primary, place.record_revision,
+                        place.term,       network_.now()};
     const bool writes = user->kind == operation_kind::write;
     const auto number = user->number;
     const auto writer = user->index;
@@ -164,16 +161,14 @@
         });
 }
 
-void fleet_world::on_answer(const session_ptr& user,
-                            const sent_statement& sent,
+void fleet_world::on_answer(const session_ptr& user, const sent_statement& sent,
                             const result<server_reply>& outcome)
 {
     const auto now = network_.now();
     auto& view = user->entry->view;
     const bool writes = user->kind == operation_kind::write;
-    const bool holds =
-        !sent.is_primary ||
-        view.authority.still_holds(group_name, sent.revision, now);
+    const bool holds = !sent.is_primary || view.authority.still_holds(
+                                               group_name, sent.revision, now);
     attempt_facts facts{writes,
                         user->attempts < most_attempts &&
                             now < user->started_at + statement_time,
@@ -185,8 +180,7 @@
         const auto& reply = value_of(outcome);
         view.on_target(sent.target, true, now);
         if (sent.is_primary && reply.position.term == sent.term &&
-            view.authority.still_holds(group_name, sent.revision,
-                                       sent.sent_at))
+            view.authority.still_holds(group_name, sent.revision, sent.sent_at))
             view.positions[group_name].observe(reply.position, sent.sent_at);
         next = after_answer(reply.failure, facts);
         if (reply.failure == session_error::lagging)
@@ -219,9 +213,8 @@
     }
     if (next == attempt_step::in_doubt)
         return finish(user,
-                      bug_ == fleet_bug::false_denial
-                          ? session_error::busy
-                          : session_error::in_doubt,
+                      bug_ == fleet_bug::false_denial ? session_error::busy
+                                                      : session_error::in_doubt,
                       0);
     if (next == attempt_step::timed_out)
         return finish(user, session_error::timeout, 0);
@@ -273,12 +266,11 @@
 {
     if (value >= user.floor)
         return;
-    constexpr std::array names{"write", "strict read", "own read",
-                               "aged read"};
-    violation(std::string(names[static_cast<std::size_t>(user.kind)]) +
-              " of " + item_of(user.subject) + " at " +
-              user.entry->machine->name + " shows " + std::to_string(value) +
-              " instead of " + std::to_string(user.floor));
+    constexpr std::array names{"write", "strict read", "own read", "aged read"};
+    violation(std::string(names[static_cast<std::size_t>(user.kind)]) + " of " +
+              item_of(user.subject) + " at " + user.entry->machine->name +
+              " shows " + std::to_string(value) + " instead of " +
+              std::to_string(user.floor));
 }
 
 void fleet_world::check_logs()
--- a/tests/fakes/fleet_world_vm.cpp
+++ b/tests/fakes/fleet_world_vm.cpp
@@ -150,8 +150,7 @@
                     reply.outcome = standins::model_outcome::no_lease;
                 return reply;
             },
-            [this, node, sent_at,
-             conflict](const result<store_reply>& outcome)
+            [this, node, sent_at, conflict](const result<store_reply>& outcome)
             {
                 result<bool> renewed = true;
                 if (!succeeded(outcome))
@@ -318,10 +317,9 @@
 
 bool fleet_world::may_grant(const vm_ptr& node) const
 {
-    return grant_ledger::may_grant(
-        node->duty, node->view.authority.token(),
-        node->contacts.with_holder(network_.now()), node->members.size(),
-        network_.now());
+    return grant_ledger::may_grant(node->duty, node->view.authority.token(),
+                                   node->contacts.with_holder(network_.now()),
+                                   node->members.size(), network_.now());
 }
 
 void fleet_world::grant_to_self(const vm_ptr& node)
@@ -340,8 +338,8 @@
         grant_to_self(node);
     else
         report_once(node);
-    node->view.outlook.on_grant(
-        node->view.authority.has_grant(network_.now()), network_.now());
+    node->view.outlook.on_grant(node->view.authority.has_grant(network_.now()),
+                                network_.now());
 }
 
 void fleet_world::report_once(const vm_ptr& node)
@@ -350,8 +348,8 @@
     for (const auto& machine : machines_)
         if (machine != node->machine)
             others.push_back(machine->name);
-    const auto address = node->holder.next_address(
-        node->duty.known_holder().address, others);
+    const auto address =
+        node->holder.next_address(node->duty.known_holder().address, others);
     const auto receiver = find_vm(address);
     if (receiver == nullptr)
         return;
@@ -438,9 +436,8 @@
     }
     node->holder.on_grant(grant.token, grant.stamp, network_.now());
     authority.on_grant(grant.token, sent_at,
-                       bug_ == fleet_bug::endless_grant
-                           ? milliseconds(60'000)
-                           : grant.validity);
+                       bug_ == fleet_bug::endless_grant ? milliseconds(60'000)
+                                                        : grant.validity);
 }
 
 notice_receipt fleet_world::take_notice(const vm_ptr& node,
@@ -550,8 +547,7 @@
                 error{error_kind::conflict, "write", "", "not done"};
             if (!succeeded(outcome))
                 written = error_of(outcome);
-            else if (value_of(outcome).outcome ==
-                     standins::model_outcome::done)
+            else if (value_of(outcome).outcome == standins::model_outcome::done)
                 written = value_of(outcome).revision;
             node->failover.on_written(written, network_.now());
         });
@@ -559,16 +555,14 @@
 
 void fleet_world::promote(const vm_ptr& node, const std::string& target)
 {
-    if (!node->duty.holds(network_.now()) &&
-        bug_ != fleet_bug::unfenced_holder)
+    if (!node->duty.holds(network_.now()) && bug_ != fleet_bug::unfenced_holder)
         return node->failover.on_promoted(
             target,
             error{error_kind::unreachable, "promote", target, "lost the duty"},
             network_.now());
     note(node->machine->name + " promotes " + target);
     store_.advance(network_.now());
-    if (!faults_.lapses &&
-        store_.read(duty_key).revision != node->duty.token())
+    if (!faults_.lapses && store_.read(duty_key).revision != node->duty.token())
         violation(node->machine->name + " ordered a promotion without duty");
     network_.call<store_reply>(
         node->machine, platform_, call_timeout,
@@ -584,8 +578,7 @@
             result<bool> promoted = true;
             if (!succeeded(outcome))
                 promoted = error_of(outcome);
-            else if (value_of(outcome).outcome !=
-                     standins::model_outcome::done)
+            else if (value_of(outcome).outcome != standins::model_outcome::done)
                 promoted = error{error_kind::refused, "promote", target, ""};
             node->failover.on_promoted(target, promoted, network_.now());
         },
--- /dev/null
+++ b/tests/soak/child_process.cpp
@@ -0,0 +1,77 @@
+#include "child_process.hpp"
+
+#include <cerrno>
+#include <csignal>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <system_error>
+
+extern char** environ;
+
+namespace soak
+{
+
+child_process::child_process(std::vector<std::string> command,
+                             std::string output)
+    : command_(std::move(command)), output_(std::move(output))
+{
+    start();
+}
+
+child_process::~child_process()
+{
+    if (pid_ <= 0)
+        return;
+    signal(SIGCONT);
+    signal(SIGKILL);
+    wait();
+}
+
+void child_process::start()
+{
+    if (pid_ > 0)
+        return;
+    std::vector<char*> words;
+    for (auto& word : command_)
+        words.push_back(word.data());
+    words.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output_.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    pid_t pid = 0;
+    const int failure =
+        ::posix_spawn(&pid, words[0], &actions, nullptr, words.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failure != 0)
+        throw std::system_error(failure, std::generic_category(), command_[0]);
+    pid_ = pid;
+}
+
+void child_process::signal(int number) const
+{
+    if (pid_ > 0)
+        ::kill(pid_, number);
+}
+
+int child_process::wait()
+{
+    int status = 0;
+    while (pid_ > 0 && ::waitpid(pid_, &status, 0) < 0 && errno == EINTR)
+        continue;
+    pid_ = 0;
+    return status;
+}
+
+bool child_process::has_ended()
+{
+    int status = 0;
+    if (pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) != pid_)
+        return false;
+    pid_ = 0;
+    return true;
+}
+
+} // namespace soak
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -122,6 +122,11 @@
         return static_cast<unsigned short>(base_ + 20 + vm * 4);
     }
 
+    unsigned short http_port(unsigned vm) const
+    {
+        return static_cast<unsigned short>(base_ + 40 + vm);
+    }
+
     test_caller caller(unsigned vm) { return {context, session_port(vm)}; }
 
     /// Runs a scenario; fails if it takes longer than 20 s.
@@ -180,10 +185,12 @@
         settings.limit_overshoot = 0.1;
         settings.limit_slack = 20;
         settings.first_start = true;
+        own_settings own;
+        own.http_address = address_of(http_port(index));
         parts.push_back(std::make_unique<platform_parts>(
             platform::make_platform_parts(context.get_executor(), settings)));
         daemons.push_back(std::make_unique<vm_daemon>(
-            context, settings, *parts.back(),
+            context, settings, own, *parts.back(),
             [settings] { return result<vm_settings>(settings); }));
     }
 
--- a/tests/test_fleet_seeds.cpp
+++ b/tests/test_fleet_seeds.cpp
@@ -19,7 +19,7 @@
 constexpr std::uint64_t default_seeds = 60;
 constexpr std::uint64_t planted_bug_seeds = 60;
 constexpr auto faulty_time = seconds(8);
-constexpr fleet_faults all_faults{true, true, true, true,
+constexpr fleet_faults all_faults{true, true, true,  true,
                                   true, true, false, true};
 
 std::uint64_t number_from_environment(const char* name, std::uint64_t fallback)
