--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -6,6 +6,8 @@
 #include "platform_emulator.hpp"
 
 #include <oleandergrade/connection/async_event.hpp>
+#include <oleandergrade/connection/http_client.hpp>
+#include <oleandergrade/connection/json_fields.hpp>
 #include <oleandergrade/process/vm_daemon.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -444,3 +446,155 @@
     fleet.run(
         scenario_an_account_beyond_its_rate_is_refused_with_the_time_to_come_back);
 }
+
+/// Sends one request to a VM's HTTP address. Returns the answer's fields.
+static asio::awaitable<boost::json::object> post(test_fleet& fleet, unsigned vm,
+                                                 std::string path,
+                                                 std::string body,
+                                                 std::string key = "key-1")
+{
+    http_client client(fleet.context.get_executor(),
+                       address_of(fleet.http_port(vm)));
+    http_request request;
+    request.path = std::move(path);
+    request.body = std::move(body);
+    request.key = std::move(key);
+    const auto answer =
+        co_await client.exchange(std::move(request), seconds(3));
+    cr_assert(succeeded(answer));
+    auto fields = value_of(parse_json_object(value_of(answer).body));
+    fields["status"] = value_of(answer).status;
+    co_return fields;
+}
+
+static asio::awaitable<void>
+scenario_http_requests_run_on_the_same_core(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    auto answer = co_await post(
+        fleet, 0, "/v1/write",
+        R"({"database":"own-0","statement":{"key":"k","value":"v1"}})");
+    cr_assert(text_field(answer, "run") == "ran");
+    const auto session = text_field(answer, "session");
+    cr_assert(!session.empty());
+    // The session goes to another VM and finds its own write there.
+    for (int i = 0; i < 20; ++i)
+    {
+        auto body =
+            R"({"database":"own-0","statement":{"key":"k"},"session":")" +
+            session + "\"}";
+        answer = co_await post(fleet, 1, "/v1/read", std::move(body));
+        cr_assert(text_field(answer, "value") == "v1");
+    }
+    answer = co_await post(fleet, 0, "/v1/read",
+                           R"({"database":"own-0","statement":{"key":"k"}})",
+                           "no-key");
+    cr_assert(number_field(answer, "status") == 401);
+    cr_assert(text_field(answer, "run") == "not_run");
+    answer = co_await post(
+        fleet, 0, "/v1/read",
+        R"({"database":"own-1","statement":{"key":"k"},"session":"s1.1.1.own-0"})");
+    cr_assert(number_field(answer, "status") == 400);
+    answer = co_await post(
+        fleet, 0, "/v1/write",
+        R"({"database":"own-0","statement":{"key":"a b","value":"v"}})");
+    cr_assert(text_field(answer, "message").find("statement.key") !=
+              std::string::npos);
+    cr_assert(fleet.emulator->findings().foreign_accounts == 0);
+}
+
+Test(fleet, http_requests_run_on_the_same_core)
+{
+    test_fleet fleet(7);
+    fleet.run(scenario_http_requests_run_on_the_same_core);
+}
+
+static asio::awaitable<void>
+scenario_http_transactions_last_over_requests(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    auto answer =
+        co_await post(fleet, 0, "/v1/begin", R"({"database":"strict-0"})");
+    const auto transaction = text_field(answer, "transaction");
+    cr_assert(!transaction.empty());
+    const auto with = [&](const std::string& rest)
+    {
+        return R"({"database":"strict-0","transaction":")" + transaction +
+               "\"" + rest + "}";
+    };
+    auto body = with(R"(,"statement":{"key":"t","value":"v"})");
+    answer = co_await post(fleet, 0, "/v1/transaction/write", body);
+    cr_assert(text_field(answer, "run") == "ran");
+    // Another key does not reach it.
+    answer = co_await post(fleet, 0, "/v1/transaction/write", body, "key-2");
+    cr_assert(number_field(answer, "status") == 409);
+    body = with("");
+    answer = co_await post(fleet, 0, "/v1/commit", body);
+    cr_assert(text_field(answer, "run") == "ran");
+    answer = co_await post(fleet, 0, "/v1/commit", body);
+    cr_assert(number_field(answer, "status") == 409);
+    answer =
+        co_await post(fleet, 2, "/v1/read",
+                      R"({"database":"strict-0","statement":{"key":"t"}})");
+    cr_assert(text_field(answer, "value") == "v");
+}
+
+Test(fleet, http_transactions_last_over_requests)
+{
+    test_fleet fleet(8);
+    fleet.run(scenario_http_transactions_last_over_requests);
+}
+
+// Load pattern of the grown plant, quiet-1: servers write their registrations
+// again and again, and every VM asked the store after each one.
+static asio::awaitable<void>
+scenario_registrations_wake_the_holder_only(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    co_await sleep_for(milliseconds(2000));
+    const auto before = fleet.emulator->findings().store_calls;
+    constexpr std::uint64_t writes = 20;
+    for (std::uint64_t i = 0; i < writes; ++i)
+    {
+        cr_assert(succeeded(fleet.emulator->apply_fault("drain i-1-2")));
+        co_await sleep_for(milliseconds(100));
+    }
+    // The holder renews its lease four times a second besides.
+    const auto calls = fleet.emulator->findings().store_calls - before;
+    cr_assert(calls < writes * 2, "%lu calls",
+              static_cast<unsigned long>(calls));
+    auto caller = fleet.caller(0);
+    co_await caller.open("aged-1", "key-1");
+    const auto reply = co_await caller.query("READ item");
+    cr_assert(has(reply, "COMPLETE"), "%s", reply.c_str());
+}
+
+Test(fleet, registrations_wake_the_holder_only)
+{
+    test_fleet fleet(9);
+    fleet.run(scenario_registrations_wake_the_holder_only);
+}
+
+static asio::awaitable<void>
+scenario_a_primary_is_replaced_though_the_answer_is_lost(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    auto caller = fleet.caller(0);
+    co_await caller.open("strict-0", "key-1");
+    auto reply = co_await caller.query("WRITE item before");
+    cr_assert(has(reply, "COMPLETE"), "%s", reply.c_str());
+    cr_assert(succeeded(fleet.emulator->apply_fault("promotions-lost")));
+    cr_assert(succeeded(fleet.emulator->apply_fault("crash i-0-0")));
+    cr_assert(!succeeded(fleet.emulator->apply_fault("crash i-9-9")));
+    cr_assert(!succeeded(fleet.emulator->apply_fault("explode")));
+    const auto deadline = current_time() + seconds(6);
+    while (!has(reply, "ROW before") && current_time() < deadline)
+        reply = co_await caller.query("READ item");
+    cr_assert(has(reply, "ROW before"), "%s", reply.c_str());
+}
+
+Test(fleet, a_primary_is_replaced_though_the_answer_is_lost)
+{
+    test_fleet fleet(10);
+    fleet.run(scenario_a_primary_is_replaced_though_the_answer_is_lost);
+}
