End grants with what they rest on; serve late those who waited for a primary

Grants now end 1.5 s after the renewal or the answers that they rest on, so the successor waits 0.5 s, or 1.5 s from those answers.

VMs that are cut off refuse at once what needs a primary, with the time to come back, and end idle sessions only when the platform leads new ones elsewhere.

--- a/include/oleandergrade/process/failover/primary_outlook.hpp
+++ b/include/oleandergrade/process/failover/primary_outlook.hpp
@@ -28,6 +28,10 @@
     /// The VM has failed to reach the primary, or reaches it again.
     void on_failing(const std::string& group, bool is_failing, time_point now);
     void on_grant(bool has_grant, time_point now);
+    /// The VM is cut off from most others, or is so no more.
+    void on_isolation(bool is_isolated) { is_isolated_ = is_isolated; }
+    /// Waiting for a primary is useless until the cut ends.
+    bool is_isolated() const { return is_isolated_; }
 
     /// Time until the primary can be used, as far as known; zero if it can.
     /// Estimates that have passed count as the least wait.
@@ -43,6 +47,7 @@
     std::map<std::string, group_state> groups_;
     milliseconds usual_gap_ = first_guess;
     std::optional<time_point> without_grant_since_;
+    bool is_isolated_ = false;
 };
 
 } // namespace oleandergrade
--- a/include/oleandergrade/process/failover/vm_contacts.hpp
+++ b/include/oleandergrade/process/failover/vm_contacts.hpp
@@ -36,9 +36,9 @@
                        const primary_record& record) const;
     /// VMs whose reports arrived lately.
     std::uint32_t reporting(time_point now) const;
-    /// VMs that surely have not turned to another holder lately: their reports
-    /// answer to recent grants.
-    std::uint32_t with_holder(time_point now) const;
+    /// The latest moment such that most members have answered to what was sent
+    /// at it or later; this VM counts as one that answers at once.
+    time_point most_answered(std::uint32_t members, time_point now) const;
     /// VMs in touch that have failed to reach a target for a while.
     std::size_t failing_to_reach(const std::string& target,
                                  time_point now) const;
@@ -60,9 +60,6 @@
         std::map<std::string, std::uint64_t> confirmed;
     };
 
-    std::uint32_t count_since(time_point contact::*when,
-                              time_point earliest) const;
-
     std::map<std::string, contact> contacts_;
 };
 
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -86,6 +86,8 @@
     borrow_reply lend(const borrow_request& request);
     fleet_grant answer_report(const fleet_report& report);
     boost::asio::awaitable<notice_receipt> take_notice(primary_notice notice);
+    /// How long a grant of this VM holds from now on; zero if it may not grant.
+    milliseconds grant_validity(time_point now) const;
     bool may_grant(time_point now) const;
 
     boost::asio::io_context& context_;
--- a/include/oleandergrade/process/vm_daemon.hpp
+++ b/include/oleandergrade/process/vm_daemon.hpp
@@ -25,6 +25,11 @@
 class vm_daemon
 {
 public:
+    /// Between the report that a VM is not ready and the moment from which the
+    /// platform leads new sessions elsewhere: two of its questions, one a
+    /// second.
+    static constexpr milliseconds rotation_time{2200};
+
     /// Reads the settings again; used at SIGHUP.
     using settings_reader = std::function<result<vm_settings>()>;
 
@@ -43,6 +48,7 @@
     void start_http();
     boost::asio::awaitable<http_response> serve_readiness(http_request request);
     boost::asio::awaitable<http_response> serve_metrics(http_request request);
+    boost::asio::awaitable<void> close_isolated_sessions();
     boost::asio::awaitable<void> wait_for_signals();
     boost::asio::awaitable<void> stop();
     void reload();
--- a/src/process/failover/grant_ledger.cpp
+++ b/src/process/failover/grant_ledger.cpp
@@ -6,19 +6,21 @@
 namespace oleandergrade
 {
 
-// While the store does not answer, the holder goes on as long as most VMs
-// report to it: those that have turned to a successor do not.
-bool grant_ledger::may_grant(const duty_election& duty,
-                             std::uint64_t seen_token,
-                             std::uint32_t with_holder, std::uint32_t members,
-                             time_point now)
+milliseconds grant_ledger::validity(const duty_election& duty,
+                                    std::uint64_t seen_token,
+                                    time_point most_answered, time_point now)
 {
     if (!duty.is_holder() || duty.token() < seen_token)
-        return false;
+        return milliseconds(0);
+    auto end = now;
     if (duty.holds(now))
-        return true;
-    return (with_holder + 1) * 2 > members &&
-           now < duty.confirmed_at() + grant_without_store;
+        end = duty.confirmed_at() + grant_validity;
+    // Members that have turned to a successor answer no more.
+    if (now < duty.confirmed_at() + grant_without_store &&
+        now < most_answered + report_validity)
+        end = std::max(end, most_answered + grant_validity);
+    return std::clamp(std::chrono::duration_cast<milliseconds>(end - now),
+                      milliseconds(0), grant_validity);
 }
 
 void grant_ledger::take_over(time_point heard_at, time_point now)
@@ -38,9 +40,10 @@
         bounds_.emplace(vm, predecessor_bound_);
 }
 
-void grant_ledger::on_granted(const std::string& vm, time_point now)
+void grant_ledger::on_granted(const std::string& vm, milliseconds validity,
+                              time_point now)
 {
-    bounds_[vm] = std::max(bounds_[vm], now + grant_validity);
+    bounds_[vm] = std::max(bounds_[vm], now + validity);
 }
 
 void grant_ledger::on_contact(const std::string& vm, std::uint64_t incarnation,
@@ -49,7 +52,7 @@
     const auto [known, is_first] = incarnations_.emplace(vm, incarnation);
     // An earlier grant was asked for before this contact.
     if (is_first)
-        bounds_[vm] = now + grant_validity;
+        bounds_[vm] = now - grant_age + grant_validity;
     else if (std::exchange(known->second, incarnation) != incarnation)
         bounds_[vm] = time_point();
     if (is_first)
@@ -58,12 +61,9 @@
     // This VM itself counts as well.
     if (!is_first || (incarnations_.size() + 1) * 2 < members_)
         return;
-    // A holder before granted under its lease, which ended before this one
-    // began, or while it heard from most members.
-    const auto last_grant =
-        std::max(taken_at_, predecessor_heard_at_ + report_validity);
-    predecessor_bound_ =
-        std::min(predecessor_bound_, last_grant + grant_validity);
+    predecessor_bound_ = std::min(
+        predecessor_bound_, std::max(taken_at_ + grant_past_lease,
+                                     predecessor_heard_at_ + grant_validity));
     for (auto& [member, bound] : bounds_)
         if (!incarnations_.contains(member))
             bound = std::min(bound, predecessor_bound_);
--- a/src/process/failover/vm_contacts.cpp
+++ b/src/process/failover/vm_contacts.cpp
@@ -1,6 +1,7 @@
 #include <oleandergrade/process/failover/vm_contacts.hpp>
 
 #include <algorithm>
+#include <functional>
 
 namespace oleandergrade
 {
@@ -39,22 +40,29 @@
 
 std::uint32_t vm_contacts::reporting(time_point now) const
 {
-    return count_since(&contact::reported_at,
-                       now - grant_ledger::report_validity);
+    return static_cast<std::uint32_t>(
+        std::count_if(contacts_.begin(), contacts_.end(),
+                      [&](const auto& entry) {
+                          return now - entry.second.reported_at <
+                                 grant_ledger::report_validity;
+                      }));
 }
 
-std::uint32_t vm_contacts::with_holder(time_point now) const
+time_point vm_contacts::most_answered(std::uint32_t members,
+                                      time_point now) const
 {
-    return count_since(&contact::echoed_at,
-                       now - grant_ledger::report_validity);
-}
-
-std::uint32_t vm_contacts::count_since(time_point contact::*when,
-                                       time_point earliest) const
-{
-    return static_cast<std::uint32_t>(std::count_if(
-        contacts_.begin(), contacts_.end(),
-        [&](const auto& entry) { return entry.second.*when > earliest; }));
+    const std::size_t others = members / 2;
+    if (others == 0)
+        return now;
+    if (contacts_.size() < others)
+        return time_point();
+    std::vector<time_point> answered;
+    for (const auto& [vm, known] : contacts_)
+        answered.push_back(known.echoed_at);
+    const auto least =
+        answered.begin() + static_cast<std::ptrdiff_t>(others - 1);
+    std::nth_element(answered.begin(), least, answered.end(), std::greater<>());
+    return *least;
 }
 
 std::size_t vm_contacts::failing_to_reach(const std::string& target,
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -301,22 +301,27 @@
         asio::co_spawn(context_, report_once(), asio::detached);
 }
 
+milliseconds fleet_service::grant_validity(time_point now) const
+{
+    return grant_ledger::validity(
+        duty_, state_.view.authority.token(),
+        failover_.contacts().most_answered(state_.members.size(), now), now);
+}
+
 bool fleet_service::may_grant(time_point now) const
 {
-    return grant_ledger::may_grant(duty_, state_.view.authority.token(),
-                                   failover_.contacts().with_holder(now),
-                                   state_.members.size(), now);
+    return grant_validity(now).count() > 0;
 }
 
 void fleet_service::grant_to_self(time_point now)
 {
-    if (!may_grant(now))
+    const auto validity = grant_validity(now);
+    if (validity.count() == 0)
         return;
     holder_.on_grant(duty_.token(), 0, now);
     set_isolated(false, 1, 1);
-    state_.view.authority.on_grant(duty_.token(), now,
-                                   grant_ledger::grant_validity);
-    ledger_.on_granted(state_.settings.name, now);
+    state_.view.authority.on_grant(duty_.token(), now, validity);
+    ledger_.on_granted(state_.settings.name, validity, now);
     shares_.use_members(state_.members.size(),
                         failover_.contacts().reporting(now) + 1);
     state_.limiter.use_shares(
@@ -575,7 +580,8 @@
         asio::co_spawn(context_, fetch_snapshot(member->address),
                        asio::detached);
     // A VM that the store does not know would be unknown to the next holder.
-    if (!may_grant(now) || !report.is_registered ||
+    const auto validity = grant_validity(now);
+    if (validity.count() == 0 || !report.is_registered ||
         report.token > duty_.token())
         return grant;
     grant.accepted = true;
@@ -586,7 +592,7 @@
                           ? std::chrono::duration_cast<milliseconds>(
                                 now - duty_.confirmed_at())
                           : grant_ledger::grant_without_store;
-    grant.validity = grant_ledger::grant_validity;
+    grant.validity = validity;
     grant.primaries = failover_.primary_states(now);
     grant.shares = shares_.divide(report.vm, report.demands, now);
     grant.stamp = static_cast<std::uint64_t>(
@@ -595,7 +601,7 @@
     if (report.token == duty_.token())
         ledger_.on_contact(report.vm, report.incarnation, report.grant_age,
                            now);
-    ledger_.on_granted(report.vm, now);
+    ledger_.on_granted(report.vm, validity, now);
     failover_.on_report(report, now);
     return grant;
 }
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -21,6 +21,10 @@
 /// Statements that the caller's route gives no latency objective for.
 constexpr auto fallback_objective = milliseconds(500);
 
+/// A caller of a VM that is cut off comes back after this; the platform takes
+/// two seconds to lead new sessions elsewhere.
+constexpr auto isolation_retry = milliseconds(1000);
+
 /// Part of a statement's time that may pass in waiting for a new primary.
 constexpr double primary_wait_part = 0.6;
 
@@ -207,6 +211,12 @@
     // not at all, unless the wait would take most of their time.
     const auto limit =
         part_of(run.used_route->statement_timeout, primary_wait_part);
+    if (needs_primary && view_.outlook.is_isolated())
+    {
+        fail(run, session_error::busy, "this VM is cut off from the others",
+             isolation_retry);
+        co_return false;
+    }
     const auto expected =
         view_.outlook.expected_wait(request.group, current_time());
     if (needs_primary && current_time() + expected > run.arrived + limit)
--- a/src/process/serving/target_pool.cpp
+++ b/src/process/serving/target_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <oleandergrade/connection/endpoint.hpp>
 #include <oleandergrade/process/event_log.hpp>
+#include <oleandergrade/process/serving/place_wait.hpp>
 
 #include <algorithm>
 
@@ -205,11 +206,11 @@
                      [&](const waiter* other)
                      { return other->request->priority > request.priority; });
     const auto position = waiters_.insert(behind, &self);
+    place_wait wait(wait_until, wait_primary);
     for (;;)
     {
         const auto now = current_time();
-        const auto limit =
-            lacks_primary(request, now) ? wait_primary : wait_until;
+        const auto limit = wait.end(lacks_primary(request, now));
         if (now >= limit)
             break;
         // Targets that were avoided become usable by the passing of time
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -88,9 +88,10 @@
     // Callers of a VM that is cut off find their way to another one.
     fleet_.on_isolation = [this](bool isolated)
     {
+        state_.view.outlook.on_isolation(isolated);
         sessions_.set_shedding(isolated);
         if (isolated)
-            sessions_.close_idle();
+            asio::co_spawn(context_, close_isolated_sessions(), asio::detached);
     };
     runner_.borrow = [this](std::string account)
     { return fleet_.borrow(std::move(account)); };
@@ -122,6 +123,15 @@
         std::move(metrics));
 }
 
+// A session that ends sooner would come back to a VM that is cut off as well,
+// and a statement that meets its end on the way is lost.
+asio::awaitable<void> vm_daemon::close_isolated_sessions()
+{
+    co_await sleep_for(rotation_time);
+    if (fleet_.is_isolated())
+        sessions_.close_idle();
+}
+
 bool vm_daemon::is_ready() const
 {
     return !state_.stopping && state_.configuration.current() != nullptr &&
--- a/tests/test_serving_logic.cpp
+++ b/tests/test_serving_logic.cpp
@@ -4,6 +4,7 @@
 #include <oleandergrade/connection/fleet_message.hpp>
 #include <oleandergrade/connection/peer_message.hpp>
 #include <oleandergrade/process/membership/member_list.hpp>
+#include <oleandergrade/process/serving/place_wait.hpp>
 #include <oleandergrade/process/serving/target_chooser.hpp>
 
 #include <criterion/criterion.h>
@@ -295,3 +296,16 @@
     cr_assert(succeeded(parsed) && value_of(parsed) == member);
     cr_assert(!succeeded(parse_fleet_member("{}")));
 }
+
+// Load pattern of a lost failure domain on trouble-1 of the plant: a second's
+// worth of callers waits for the primary, and the places that its return opens
+// serve them only after their objective.
+Test(serving_logic, callers_that_waited_for_a_primary_are_served_late)
+{
+    place_wait busy(start + milliseconds(400), start + milliseconds(1800));
+    cr_assert(busy.end(false) == start + milliseconds(400));
+    place_wait lacking(start + milliseconds(400), start + milliseconds(1800));
+    cr_assert(lacking.end(true) == start + milliseconds(1800));
+    // The primary is back; its places are taken for a while.
+    cr_assert(lacking.end(false) == start + milliseconds(1800));
+}
