Give accounts that ask for more than their limit all of it

Counted in a trial: 21 of 22 operations a second were admitted. A share that moved from one VM to another was missing at both, and demand moved it with every report.

A share counts as held until its VM reports the smaller one.

Ruled out: clipping of the buckets and of the reserve (counted, none).

--- a/include/oleandergrade/process/limits/account_budget.hpp
+++ b/include/oleandergrade/process/limits/account_budget.hpp
@@ -21,7 +21,10 @@
 
 /// Part of the tolerance that gathers as burst; the rest is kept for shares
 /// that are moved from one VM to another.
-inline constexpr double tolerance_part = 0.4;
+inline constexpr double tolerance_part = 0.3;
+/// Part of the overshoot that is added to the rate, for what is lost while
+/// shares move: an account that asks for more than its rate must get all of it.
+inline constexpr double rate_tolerance_part = 0.4;
 /// Parts of rate and burst that the VMs hold as shares. The rest is the
 /// reserve of the duty's holder, from which they borrow operation by operation.
 inline constexpr double shared_rate_part = 0.6;
@@ -73,7 +76,7 @@
     const auto seconds =
         std::chrono::duration<double>(tolerance.window).count();
     const auto allowed = seconds * account.rate + account.burst;
-    return {account.rate,
+    return {account.rate * (1 + rate_tolerance_part * tolerance.overshoot),
             account.burst + tolerance_part * (tolerance.overshoot * allowed +
                                               tolerance.slack)};
 }
--- a/include/oleandergrade/process/limits/share_ledger.hpp
+++ b/include/oleandergrade/process/limits/share_ledger.hpp
@@ -16,8 +16,8 @@
 namespace oleandergrade
 {
 
-/// One part of an account's limits is divided into shares by demand, the other
-/// one is a reserve that VMs borrow from. The shares that are valid at any
+/// One part of an account's limits is divided into shares by demand; what no
+/// VM holds is a reserve that VMs borrow from. The shares that are valid at any
 /// moment never exceed their part: a VM gets more only after the others' larger
 /// shares have been replaced or have run out. For a VM that does not report, an
 /// equal part of everything is kept, which it takes without asking.
@@ -51,7 +51,9 @@
     struct vm_share
     {
         double wanted = 0;
-        double rate = 0;
+        /// The VM's share at most: the one given last, or the one that it last
+        /// reported, whose replacement may not have arrived.
+        double held = 0;
         time_point valid_until;
     };
     struct account_state
@@ -70,6 +72,8 @@
     /// The part of the budget that is not kept for silent VMs.
     double reachable_part() const;
     bool is_learning(time_point now) const;
+    /// Rate of all valid shares together.
+    static double held_by_all(const account_state& account, time_point now);
     void fill(account_state& account, time_point now) const;
 
     limit_tolerance tolerance_;
--- a/src/process/limits/share_ledger.cpp
+++ b/src/process/limits/share_ledger.cpp
@@ -11,6 +11,9 @@
 
 constexpr auto shortest_retry = milliseconds(20);
 constexpr auto longest_retry = milliseconds(1000);
+/// A share is left as it is unless its VM's demand changes by this part; the
+/// reserve makes up for the difference.
+constexpr double steady_part = 0.35;
 /// Keeps divisions by a rate of zero finite.
 constexpr double least_rate = 1e-3;
 
@@ -89,32 +92,43 @@
     return static_cast<double>(in_touch_) / members_;
 }
 
+double share_ledger::held_by_all(const account_state& account, time_point now)
+{
+    double held = 0;
+    for (const auto& [vm, share] : account.vms)
+        held += now < share.valid_until ? share.held : 0;
+    return held;
+}
+
 account_share share_ledger::divide_account(account_state& account,
                                            const std::string& vm,
                                            const account_demand& demand,
                                            time_point now)
 {
+    // The reserve has had what was not held until now.
+    fill(account, now);
     auto& own = account.vms[vm];
+    own.held = 0;
     own.wanted = demand.wanted;
-    double wanted_by_all = demand.wanted;
-    double held_by_others = 0;
+    double wanted_by_all = 0;
     for (const auto& [other, share] : account.vms)
-    {
-        if (other == vm || now >= share.valid_until)
-            continue;
-        wanted_by_all += share.wanted;
-        held_by_others += share.rate;
-    }
+        if (other == vm || now < share.valid_until)
+            wanted_by_all += share.wanted;
     const auto divided = account.budget.shared_rate() * reachable_part();
     const auto part = wanted_by_all > 0 ? demand.wanted / wanted_by_all : 0.0;
     // Before all shares of the holder before are known or have run out, a VM
     // keeps what it has; the rest comes out of the reserve.
-    const auto free = std::max(0.0, divided - held_by_others);
-    own.rate = is_learning(now) ? demand.held : std::min(divided * part, free);
+    const auto free = std::max(0.0, divided - held_by_all(account, now));
+    const auto fair = divided * part;
+    // A share that moves counts twice until its VM reports again.
+    const bool keeps =
+        is_learning(now) || std::abs(fair - demand.held) < steady_part * fair;
+    const auto rate = keeps ? demand.held : std::min(fair, free);
+    own.held = std::max(rate, demand.held);
     own.valid_until = now + operation_limiter::share_validity + validity_margin;
     const auto whole = account.budget.shared_rate();
     const auto burst = account.budget.shared_burst();
-    return {demand.account, own.rate, whole > 0 ? burst * own.rate / whole : 0};
+    return {demand.account, rate, whole > 0 ? burst * rate / whole : 0};
 }
 
 void share_ledger::fill(account_state& account, time_point now) const
@@ -123,7 +137,12 @@
         std::chrono::duration<double>(now - account.filled_at).count();
     account.filled_at = now;
     const auto part = reachable_part();
-    const auto rate = account.budget.reserved_rate() * part;
+    // While shares of a holder before are not known, only the reserve's own
+    // part is surely free.
+    const auto unheld = is_learning(now) ? 0.0
+                                         : account.budget.rate * part -
+                                               held_by_all(account, now);
+    const auto rate = std::max(account.budget.reserved_rate() * part, unheld);
     const auto burst = account.budget.reserved_burst() * part;
     account.reserve = std::min(account.reserve + elapsed * rate, burst);
 }
--- a/tests/test_limit_shares.cpp
+++ b/tests/test_limit_shares.cpp
@@ -223,6 +223,26 @@
     }
 }
 
+// Load pattern of quiet-1 on both deployments: an account's limit is cut to a
+// quarter of what it goes on to send, at nine VMs. 21 of 22 operations a second
+// were admitted: a share that moves from one VM to another was missing at both.
+Test(limit_shares, an_account_that_was_cut_down_gets_all_of_its_limit)
+{
+    const std::map<std::string, route_account> accounts{
+        {"cut", {"cut", 1, 22, 22}}};
+    for (std::uint64_t seed = 1; seed <= seeds_wanted(); ++seed)
+    {
+        limit_world world(seed, 9, accounts);
+        const auto outcome = world.run(seconds(40), {{"cut", 85}}, 0.15, {});
+        const auto& cut = outcome.at("cut");
+        // The worst-served account is to get 0.98 of its rate and burst.
+        const auto owed = static_cast<std::uint64_t>(0.98 * (40 * 22 + 22));
+        cr_assert(cut.admitted >= owed, "seed %lu: %lu", seed, cut.admitted);
+        cr_assert(cut.fullest_window <= 1, "seed %lu: %f", seed,
+                  cut.fullest_window);
+    }
+}
+
 Test(limit_shares, windows_hold_while_holders_are_lost_and_vms_are_cut_off)
 {
     const limit_faults faults{0.15, 0.3, 0.1};
