--- /dev/null
+++ b/include/oleandergrade/process/configuration/counted_store.hpp
@@ -0,0 +1,55 @@
+/// Counts the calls to a store and the time that they take.
+#pragma once
+
+#include <oleandergrade/process/metadata_store.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace oleandergrade
+{
+
+/// Passes all calls on. Watches wait on purpose; their time is not counted.
+class counted_store : public metadata_store
+{
+public:
+    explicit counted_store(metadata_store& store) : store_(store) {}
+
+    boost::asio::awaitable<result<stored_item>> read(std::string key) override;
+    boost::asio::awaitable<result<stored_range>>
+    read_all(std::string prefix) override;
+    boost::asio::awaitable<result<stored_changes>>
+    watch(std::string prefix, std::uint64_t after, milliseconds wait) override;
+    boost::asio::awaitable<result<std::uint64_t>>
+    write(conditional_write change) override;
+    boost::asio::awaitable<result<store_lease>>
+    create_lease(milliseconds lifetime) override;
+    boost::asio::awaitable<result<bool>> renew_lease(std::uint64_t id) override;
+    boost::asio::awaitable<result<bool>> end_lease(std::uint64_t id) override;
+
+    /// The text format that metric scrapers read.
+    std::string to_text() const;
+
+private:
+    enum class call_kind : std::uint8_t
+    {
+        read,
+        watch,
+        write,
+        lease
+    };
+    struct call_count
+    {
+        std::uint64_t succeeded = 0;
+        std::uint64_t failed = 0;
+        duration took{0};
+    };
+
+    void note(call_kind kind, bool succeeded, time_point begun);
+
+    metadata_store& store_;
+    std::array<call_count, 4> counts_;
+};
+
+} // namespace oleandergrade
--- a/include/oleandergrade/process/failover/failover_driver.hpp
+++ b/include/oleandergrade/process/failover/failover_driver.hpp
@@ -51,6 +51,7 @@
     /// Called when this VM must act on a notice of its own.
     std::function<boost::asio::awaitable<notice_receipt>(primary_notice)>
         on_own_notice;
+    std::uint64_t promotions_ordered() const { return promotions_; }
     /// The other VMs, as their reports show them.
     const vm_contacts& contacts() const { return contacts_; }
 
@@ -97,6 +98,7 @@
     /// Notices by VM.
     std::map<std::string, notice_state> notices_;
     bool holds_ = false;
+    std::uint64_t promotions_ = 0;
 };
 
 } // namespace oleandergrade
--- a/include/oleandergrade/process/fleet_state.hpp
+++ b/include/oleandergrade/process/fleet_state.hpp
@@ -3,6 +3,7 @@
 
 #include <oleandergrade/connection/session_codec.hpp>
 #include <oleandergrade/process/configuration/configuration_holder.hpp>
+#include <oleandergrade/process/configuration/counted_store.hpp>
 #include <oleandergrade/process/failover/promotion_client.hpp>
 #include <oleandergrade/process/limits/operation_limiter.hpp>
 #include <oleandergrade/process/membership/member_list.hpp>
@@ -36,6 +37,8 @@
 
     vm_settings settings;
     platform_parts& platform;
+    /// The platform's store, with its calls counted.
+    counted_store store;
     /// Random number of this run of the process.
     const std::uint64_t incarnation;
     configuration_holder configuration;
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -25,6 +25,18 @@
 namespace oleandergrade
 {
 
+/// Counters since the process started.
+struct fleet_counts
+{
+    std::uint64_t duties_taken = 0;
+    std::uint64_t grants_lost = 0;
+    std::uint64_t reports_unanswered = 0;
+    std::uint64_t operations_borrowed = 0;
+    std::uint64_t operations_not_lent = 0;
+    std::uint64_t operations_lent = 0;
+    std::uint64_t snapshots_fetched = 0;
+};
+
 /// Each VM reports to the duty's holder several times a second and gets a
 /// grant back: how long it may use primaries, which ones, and its share of the
 /// accounts' limits. All members run on one executor.
@@ -55,6 +67,11 @@
     std::function<void(bool)> on_isolation;
 
     const duty_election& duty() const { return duty_; }
+    const fleet_counts& counts() const { return counts_; }
+    std::uint64_t promotions_ordered() const
+    {
+        return failover_.promotions_ordered();
+    }
 
 private:
     void use_all_own_keys(const stored_range& range);
@@ -103,6 +120,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer election_poke_;
     boost::asio::steady_timer report_poke_;
+    fleet_counts counts_;
     bool registered_ = false;
     bool held_duty_ = false;
     bool had_grant_ = false;
--- a/include/oleandergrade/process/serving/http_entry.hpp
+++ b/include/oleandergrade/process/serving/http_entry.hpp
@@ -5,6 +5,7 @@
 #include <oleandergrade/connection/http_statement.hpp>
 #include <oleandergrade/process/configuration/configuration_holder.hpp>
 #include <oleandergrade/process/serving/statement_runner.hpp>
+#include <oleandergrade/process/timer_service.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -58,9 +59,8 @@
                        const std::string& number);
     boost::asio::awaitable<http_answer> run_in(served_session& session,
                                                session_statement call);
-    boost::asio::awaitable<void> sweep();
+    void end_resting_transactions(time_point now);
 
-    boost::asio::io_context& context_;
     const session_codec& codec_;
     statement_runner& runner_;
     const configuration_holder& configuration_;
@@ -69,6 +69,7 @@
     std::string number_prefix_;
     std::uint64_t next_number_ = 0;
     std::map<std::string, std::shared_ptr<open_transaction>> transactions_;
+    timer_service timers_;
 };
 
 } // namespace oleandergrade
--- a/src/process/configuration/store_records.cpp
+++ b/src/process/configuration/store_records.cpp
@@ -12,8 +12,7 @@
                              fleet_state& state)
     : state_(state),
       configuration_follower_(
-          executor, *state.platform.store,
-          state.platform.layout.configuration_prefix,
+          executor, state.store, state.platform.layout.configuration_prefix,
           store_follower::patient_watch,
           {[this](const stored_range& range)
            {
@@ -28,7 +27,7 @@
                    use_configuration(*change.value, "store");
            }}),
       target_follower_(
-          executor, *state.platform.store, state.platform.layout.targets_prefix,
+          executor, state.store, state.platform.layout.targets_prefix,
           std::clamp<milliseconds>(state.settings.drain_time - drain_margin,
                                    seconds(1), store_follower::usual_watch),
           {[this](const stored_range& range) { use_all_targets(range); },
--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -280,7 +280,7 @@
     // A record is written only by the VM that holds the duty then.
     change.expected = {{change.key, "", order.expected},
                        {duty_key, "", duty_.token()}};
-    auto outcome = co_await state_.platform.store->write(std::move(change));
+    auto outcome = co_await state_.store.write(std::move(change));
     if (!succeeded(outcome))
         log_event(event_level::warning, "failover", "record not written",
                   {{"group", group}, {"error", to_string(error_of(outcome))}});
@@ -295,6 +295,8 @@
     result<bool> outcome =
         error{error_kind::unreachable, "promote", target, "the duty was lost"};
     promotion_order order{group, target, state_.settings.name, duty_.token()};
+    if (duty_.holds(started))
+        ++promotions_;
     if (duty_.holds(started))
         outcome = co_await state_.platform.promotions->promote(order);
     log_event(event_level::info, "failover", "promotion ordered",
--- a/src/process/fleet_state.cpp
+++ b/src/process/fleet_state.cpp
@@ -22,7 +22,8 @@
 
 fleet_state::fleet_state(boost::asio::any_io_executor executor,
                          vm_settings given, platform_parts& parts)
-    : settings(std::move(given)), platform(parts), incarnation(random_number()),
+    : settings(std::move(given)), platform(parts), store(*parts.store),
+      incarnation(random_number()),
       pool(std::move(executor), *parts.codec, view),
       limiter(settings.tolerance(), settings.first_start)
 {
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -50,7 +50,7 @@
       failover_(context.get_executor(), state, duty_, ledger_, peers_),
       records_(context.get_executor(), state),
       own_follower_(
-          context.get_executor(), *state.platform.store, own_prefix,
+          context.get_executor(), state.store, own_prefix,
           store_follower::patient_watch,
           {[this](const stored_range& range) { use_all_own_keys(range); },
            [this](const stored_change& change) { use_own_key(change); }}),
@@ -99,7 +99,7 @@
     duty_.on_renewed(error{error_kind::conflict, "retire", "", "stopping"},
                      current_time(), current_time());
     on_duty_changed();
-    co_await state_.platform.store->end_lease(lease);
+    co_await state_.store.end_lease(lease);
 }
 
 void fleet_service::use_all_own_keys(const stored_range& range)
@@ -200,7 +200,7 @@
         conditional_write change;
         change.key = members_prefix + self.name;
         change.value = serialize_fleet_member(self);
-        auto outcome = co_await state_.platform.store->write(change);
+        auto outcome = co_await state_.store.write(change);
         if (succeeded(outcome))
             break;
         co_await sleep_for(register_pause);
@@ -233,7 +233,7 @@
 
 asio::awaitable<void> fleet_service::run_duty_call(duty_call call)
 {
-    auto& store = *state_.platform.store;
+    auto& store = state_.store;
     const auto sent_at = current_time();
     if (call == duty_call::create_lease)
     {
@@ -282,6 +282,7 @@
                {"members", state_.members.size()}});
     if (holds)
     {
+        ++counts_.duties_taken;
         ledger_.take_over(holder_.granted_at(), now);
         ledger_.use_members(state_.members.names());
         shares_.take_over(now);
@@ -348,6 +349,7 @@
         if (has_grant != had_grant_)
         {
             had_grant_ = has_grant;
+            counts_.grants_lost += has_grant ? 0 : 1;
             log_event(has_grant ? event_level::info : event_level::warning,
                       "grant", has_grant ? "regained" : "lost",
                       {{"token", state_.view.authority.token()},
@@ -402,6 +404,7 @@
     auto outcome = co_await peers_.call(address, std::move(body), call_timeout);
     if (!succeeded(outcome))
     {
+        ++counts_.reports_unanswered;
         if (holder_.on_silence())
             log_event(event_level::warning, "grant", "holder does not answer",
                       {{"address", address},
@@ -518,6 +521,7 @@
     const auto* snapshot = std::get_if<fleet_snapshot>(&value_of(outcome));
     if (snapshot == nullptr)
         co_return;
+    ++counts_.snapshots_fetched;
     records_.use_snapshot(*snapshot);
     if (own_follower_.has_read())
         co_return;
@@ -624,6 +628,8 @@
     if (reply == nullptr || !reply->accepted)
         co_return refused;
     refused.admitted = reply->admitted;
+    ++(reply->admitted ? counts_.operations_borrowed
+                       : counts_.operations_not_lent);
     refused.retry_after = reply->retry_after;
     co_return refused;
 }
@@ -634,6 +640,7 @@
     if (!may_grant(now))
         return {};
     const auto decision = shares_.borrow(request.account, now);
+    counts_.operations_lent += decision.admitted ? 1 : 0;
     return {true, decision.admitted, decision.retry_after};
 }
 
--- a/src/process/serving/http_entry.cpp
+++ b/src/process/serving/http_entry.cpp
@@ -1,10 +1,5 @@
 #include <oleandergrade/process/serving/http_entry.hpp>
 
-#include <oleandergrade/connection/async_event.hpp>
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <random>
 #include <sstream>
 
@@ -55,20 +50,20 @@
                        const asio::ip::tcp::endpoint& endpoint,
                        const session_codec& codec, statement_runner& runner,
                        const configuration_holder& configuration)
-    : context_(context), codec_(codec), runner_(runner),
-      configuration_(configuration),
+    : codec_(codec), runner_(runner), configuration_(configuration),
       server_(context, endpoint, http_limits{},
               {[this](http_request request)
                { return serve(std::move(request)); },
                {},
                {}}),
-      number_prefix_(random_prefix())
+      number_prefix_(random_prefix()), timers_(context.get_executor())
 {
 }
 
 void http_entry::start()
 {
-    asio::co_spawn(context_, sweep(), asio::detached);
+    timers_.subscribe(sweep_interval, [this](time_point now)
+                      { end_resting_transactions(now); });
 }
 
 void http_entry::drain()
@@ -201,27 +196,22 @@
     co_return answer;
 }
 
-// Ends transactions that rest too long; they keep a session at a target.
-asio::awaitable<void> http_entry::sweep()
+// They keep sessions at targets.
+void http_entry::end_resting_transactions(time_point now)
 {
-    for (;;)
+    const auto& table = configuration_.current();
+    if (table == nullptr)
+        return;
+    for (auto it = transactions_.begin(); it != transactions_.end();)
     {
-        co_await sleep_for(sweep_interval);
-        const auto& table = configuration_.current();
-        if (table == nullptr)
-            continue;
-        const auto now = current_time();
-        for (auto it = transactions_.begin(); it != transactions_.end();)
+        const auto open = it->second;
+        if (open->busy || now - open->used_at < table->transaction_idle)
         {
-            const auto open = it->second;
-            if (open->busy || now - open->used_at < table->transaction_idle)
-            {
-                ++it;
-                continue;
-            }
-            runner_.fail_transaction(open->session);
-            it = transactions_.erase(it);
+            ++it;
+            continue;
         }
+        runner_.fail_transaction(open->session);
+        it = transactions_.erase(it);
     }
 }
 
--- a/src/process/serving/serving_metrics.cpp
+++ b/src/process/serving/serving_metrics.cpp
@@ -41,6 +41,21 @@
     return "current";
 }
 
+template <typename Counts>
+void append_counts(std::ostringstream& out, const char* label,
+                   const Counts& by_name)
+{
+    const auto metric = std::string("oleander_answers_by_") + label + "_total";
+    out << "# TYPE " << metric << " counter\n";
+    for (const auto& [name, counts] : by_name)
+        for (std::size_t code = 0; code < session_error_count; ++code)
+            if (counts[code] > 0)
+                out << metric << "{" << label << "=\"" << name
+                    << "\",outcome=\""
+                    << to_string(static_cast<session_error>(code)) << "\"} "
+                    << counts[code] << "\n";
+}
+
 } // namespace
 
 struct serving_metrics::histograms
@@ -67,6 +82,30 @@
     histograms_->sums[index] += seconds;
 }
 
+serving_metrics::outcome_counts&
+serving_metrics::find_counts(counts_by_name& counts, const std::string& name)
+{
+    const auto found = counts.find(name);
+    if (found != counts.end())
+        return found->second;
+    return counts[counts.size() < most_names ? name : "others"];
+}
+
+void serving_metrics::on_answer_of(const std::string& account,
+                                   const std::string& target,
+                                   session_error failure,
+                                   const std::string& reason)
+{
+    const auto index = static_cast<std::size_t>(failure);
+    if (!account.empty())
+        ++find_counts(by_account_, account)[index];
+    if (!target.empty())
+        ++find_counts(by_target_, target)[index];
+    // What follows the peer's name differs from case to case.
+    if (failure != session_error::none)
+        ++find_counts(by_reason_, reason.substr(0, reason.find(" (")))[index];
+}
+
 std::uint64_t serving_metrics::answers(read_consistency kind,
                                        session_error failure) const
 {
@@ -86,6 +125,9 @@
                     << "\",outcome=\""
                     << to_string(static_cast<session_error>(code)) << "\"} "
                     << answers_[kind][code] << "\n";
+    append_counts(out, "account", by_account_);
+    append_counts(out, "target", by_target_);
+    append_counts(out, "reason", by_reason_);
     out << "# TYPE oleander_retries_total counter\n"
         << "oleander_retries_total " << retries_ << "\n"
         << "# TYPE oleander_reads_total counter\n"
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -509,6 +509,8 @@
     const auto kind = run.used_route == nullptr ? read_consistency::current
                                                 : run.used_route->consistency;
     measured_.on_answer(kind, run.outcome.failure, latency);
+    measured_.on_answer_of(run.account, run.outcome.target, run.outcome.failure,
+                           run.outcome.reason);
     if (run.outcome.failure == session_error::none)
         return;
     const auto* record = run.used_route == nullptr
--- a/src/process/timer_service.cpp
+++ b/src/process/timer_service.cpp
@@ -18,8 +18,9 @@
 {
     while (!*stopped)
     {
-        callback(clock::now());
         co_await sleep_for(interval);
+        if (!*stopped)
+            callback(current_time());
     }
 }
 
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -187,6 +187,17 @@
     add("grant_left_seconds", "gauge",
         std::chrono::duration<double>(state_.view.authority.valid_until() - now)
             .count());
+    const auto& fleet = fleet_.counts();
+    add("duties_taken_total", "counter", fleet.duties_taken);
+    add("grants_lost_total", "counter", fleet.grants_lost);
+    add("reports_unanswered_total", "counter", fleet.reports_unanswered);
+    add("operations_borrowed_total", "counter", fleet.operations_borrowed);
+    add("operations_not_lent_total", "counter", fleet.operations_not_lent);
+    add("operations_lent_total", "counter", fleet.operations_lent);
+    add("snapshots_fetched_total", "counter", fleet.snapshots_fetched);
+    add("promotions_ordered_total", "counter", fleet_.promotions_ordered());
+    add("targets", "gauge", state_.view.registry.all().size());
+    out << state_.store.to_text();
     add("log_lines_left_out_total", "counter", dropped_event_lines());
     add("invariant_failures_total", "counter", invariant_failure_count());
     return out.str();
