--- a/include/oleandergrade/process/serving/target_pool.hpp
+++ b/include/oleandergrade/process/serving/target_pool.hpp
@@ -3,6 +3,7 @@
 
 #include <oleandergrade/connection/async_event.hpp>
 #include <oleandergrade/connection/target_session.hpp>
+#include <oleandergrade/process/serving/connection_share.hpp>
 #include <oleandergrade/process/serving/target_chooser.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -73,7 +74,9 @@
                 const session_codec& codec, serving_view& view);
 
     /// Connections per target and group that this VM may hold.
-    void use_shares(std::map<std::string, std::uint32_t> connections);
+    void use_shares(std::map<std::string, connection_share> connections);
+    /// Closes sessions that were idle for too long where connections are few.
+    void drop_idle(time_point now);
 
     /// Waits until there is a place, at most until `wait_until`. `wait_primary`
     /// bounds the wait while there is no primary.
@@ -144,7 +147,7 @@
     boost::asio::any_io_executor executor_;
     const session_codec& codec_;
     serving_view& view_;
-    std::map<std::string, std::uint32_t> shares_;
+    std::map<std::string, connection_share> shares_;
     std::map<std::string, target_entry> targets_;
     /// Ordered by priority, then by arrival.
     std::list<waiter*> waiters_;
--- a/src/process/fleet_state.cpp
+++ b/src/process/fleet_state.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-/// Connections of each target that are kept for the duty's holder.
-constexpr std::uint32_t holder_connections = 1;
-
 std::uint64_t random_number()
 {
     std::random_device device;
@@ -35,15 +32,10 @@
     if (table == nullptr)
         return;
     const auto count = std::max(members.size(), 1U);
-    std::map<std::string, std::uint32_t> connections;
+    std::map<std::string, connection_share> connections;
     for (const auto& [name, group] : table->groups)
-    {
-        const auto usable =
-            group.connections_per_target > holder_connections
-                ? group.connections_per_target - holder_connections
-                : 1;
-        connections[name] = std::max(usable / count, 1U);
-    }
+        connections[name] =
+            share_connections(group.connections_per_target, count);
     pool.use_shares(std::move(connections));
     limiter.use_limits({table->accounts.begin(), table->accounts.end()}, count,
                        current_time());
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -336,6 +336,7 @@
     {
         const auto now = current_time();
         records_.drop_lapsed(now);
+        state_.pool.drop_idle(now);
         records_.follow_targets(duty_.is_holder() || holder_.is_silent(now) ||
                                 holder_store_age_ > longest_store_age);
         if (!duty_.is_holder())
--- a/src/process/serving/target_pool.cpp
+++ b/src/process/serving/target_pool.cpp
@@ -26,7 +26,8 @@
 {
 }
 
-void target_pool::use_shares(std::map<std::string, std::uint32_t> connections)
+void target_pool::use_shares(
+    std::map<std::string, connection_share> connections)
 {
     shares_ = std::move(connections);
     retry_all();
@@ -35,7 +36,7 @@
 std::uint32_t target_pool::limit_of(const std::string& group) const
 {
     const auto found = shares_.find(group);
-    return found == shares_.end() ? 1 : std::max(found->second, 1U);
+    return found == shares_.end() ? 1 : found->second.connections;
 }
 
 std::size_t target_pool::sessions() const
@@ -339,6 +340,22 @@
     }
 }
 
+void target_pool::drop_idle(time_point now)
+{
+    for (auto& [id, entry] : targets_)
+        std::erase_if(
+            entry.idle,
+            [&](const target_session_ptr& session)
+            {
+                const auto share = shares_.find(session->key().group);
+                if (share == shares_.end() || !share->second.idle_time ||
+                    now - session->idle_since < *share->second.idle_time)
+                    return false;
+                session->close();
+                return true;
+            });
+}
+
 void target_pool::retry_all()
 {
     std::set<std::string> groups;
--- a/tests/test_serving_logic.cpp
+++ b/tests/test_serving_logic.cpp
@@ -4,6 +4,7 @@
 #include <oleandergrade/connection/fleet_message.hpp>
 #include <oleandergrade/connection/peer_message.hpp>
 #include <oleandergrade/process/membership/member_list.hpp>
+#include <oleandergrade/process/serving/connection_share.hpp>
 #include <oleandergrade/process/serving/place_wait.hpp>
 #include <oleandergrade/process/serving/target_chooser.hpp>
 
@@ -309,3 +310,19 @@
     // The primary is back; its places are taken for a while.
     cr_assert(lacking.end(false) == start + milliseconds(1800));
 }
+
+// Load pattern of the grown head office: 87 VMs before 81 connections a target.
+// One for each VM, kept while idle, used up the cap, and the last VMs got none.
+Test(serving_logic, many_vms_give_scarce_connections_back)
+{
+    const auto scarce = share_connections(81, 87);
+    cr_assert(scarce.connections >= 2 && scarce.idle_time.has_value());
+    // With few VMs everyone keeps an equal part.
+    const auto expect_kept =
+        [](const connection_share& share, std::uint32_t connections)
+    { cr_assert(share.connections == connections && !share.idle_time); };
+    expect_kept(share_connections(39, 9), 4);
+    expect_kept(share_connections(21, 6), 3);
+    expect_kept(share_connections(258, 66), 3);
+    expect_kept(share_connections(1, 5), 1);
+}
