Let the election wait instead of looking every millisecond

Once the time of the next call had come, the loop looked again after 1 ms: 900 wake-ups a second in every VM, also in those that only wait for the store to show a free duty.

--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -206,6 +206,7 @@
         co_await sleep_for(register_pause);
     }
     registered_ = true;
+    election_poke_.cancel();
     log_event(event_level::info, "membership", "registered",
               {{"address", self.address}});
 }
@@ -222,8 +223,12 @@
             on_duty_changed();
             continue;
         }
-        const auto wait = std::clamp<duration>(
-            duty_.next_call() - now, milliseconds(1), election_interval);
+        // A call whose time has come waits for the store to show something.
+        const auto until_call = duty_.next_call() - now;
+        const auto wait =
+            until_call > duration(0)
+                ? std::min<duration>(until_call, election_interval)
+                : election_interval;
         election_poke_.expires_after(wait);
         error_code ignored;
         co_await election_poke_.async_wait(
