Pause longer between watches in a burst of changes

The pause between watches now doubles from 50 to 400 ms as long as changes keep coming, and is short again after a second without.

--- a/include/oleandergrade/process/configuration/store_follower.hpp
+++ b/include/oleandergrade/process/configuration/store_follower.hpp
@@ -1,6 +1,7 @@
 /// Follows everything below a prefix of the store.
 #pragma once
 
+#include <oleandergrade/process/configuration/burst_pause.hpp>
 #include <oleandergrade/process/metadata_store.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -22,9 +23,6 @@
     /// The same where other VMs tell that something is new. Below the longest
     /// wait that the users' store takes.
     static constexpr milliseconds patient_watch{25'000};
-    /// Between an answer that held changes and the next watch: changes often
-    /// come in groups.
-    static constexpr milliseconds change_pause{50};
     static constexpr milliseconds first_pause{100};
     static constexpr milliseconds longest_pause{800};
 
@@ -64,6 +62,7 @@
     handlers handlers_;
     std::uint64_t as_of_ = 0;
     milliseconds pause_ = first_pause;
+    burst_pause burst_;
     bool in_touch_ = false;
     bool has_read_ = false;
     bool idle_ = false;
--- a/src/process/configuration/store_follower.cpp
+++ b/src/process/configuration/store_follower.cpp
@@ -78,6 +78,7 @@
 // Returns false if the prefix must be read anew.
 asio::awaitable<bool> store_follower::watch()
 {
+    const auto begun = current_time();
     auto outcome = co_await store_.watch(prefix_, as_of_, watch_time_);
     if (!succeeded(outcome))
     {
@@ -91,7 +92,7 @@
     for (const auto& change : value_of(outcome).changes)
         handlers_.on_change(change);
     if (!value_of(outcome).changes.empty())
-        co_await sleep_for(change_pause);
+        co_await sleep_for(burst_.after_changes(current_time() - begun));
     co_return true;
 }
 
--- a/tests/test_serving_logic.cpp
+++ b/tests/test_serving_logic.cpp
@@ -3,6 +3,7 @@
 #include <oleandergrade/connection/caller_session.hpp>
 #include <oleandergrade/connection/fleet_message.hpp>
 #include <oleandergrade/connection/peer_message.hpp>
+#include <oleandergrade/process/configuration/burst_pause.hpp>
 #include <oleandergrade/process/membership/member_list.hpp>
 #include <oleandergrade/process/serving/connection_share.hpp>
 #include <oleandergrade/process/serving/place_wait.hpp>
@@ -326,3 +327,18 @@
     expect_kept(share_connections(258, 66), 3);
     expect_kept(share_connections(1, 5), 1);
 }
+
+// Load pattern of the start of 66 or 87 VMs: each registration ended the watch
+// of every other VM, a thousand calls and more within two seconds.
+Test(serving_logic, watches_pause_longer_in_a_burst_of_changes)
+{
+    burst_pause pause;
+    cr_assert(pause.after_changes(seconds(5)) == milliseconds(50));
+    cr_assert(pause.after_changes(milliseconds(2)) == milliseconds(100));
+    cr_assert(pause.after_changes(milliseconds(2)) == milliseconds(200));
+    for (int i = 0; i < 5; ++i)
+        pause.after_changes(milliseconds(2));
+    cr_assert(pause.after_changes(milliseconds(2)) == burst_pause::longest);
+    // After a quiet time the next change is followed closely again.
+    cr_assert(pause.after_changes(seconds(2)) == burst_pause::shortest);
+}
