--- a/include/oleandergrade/process/serving/target_pool.hpp
+++ b/include/oleandergrade/process/serving/target_pool.hpp
@@ -63,7 +63,7 @@
     /// Part of a target's connections that is kept while idle. The rest is for
     /// bursts, and for the time after a loss of power: targets count lost
     /// connections for some seconds.
-    static constexpr double idle_part = 0.67;
+    static constexpr double idle_part = 0.5;
     /// Between attempts at a target that takes no further connections.
     static constexpr milliseconds first_full_pause{40};
     static constexpr milliseconds longest_full_pause{320};
