--- a/include/oleandergrade/connection/async_event.hpp
+++ b/include/oleandergrade/connection/async_event.hpp
@@ -19,7 +19,6 @@
     /// Returns whether the event was signalled before the deadline.
     boost::asio::awaitable<bool> wait_until(time_point deadline);
     void signal();
-    bool is_signalled() const { return signalled_; }
 
 private:
     boost::asio::steady_timer timer_;
--- a/include/oleandergrade/connection/http_server.hpp
+++ b/include/oleandergrade/connection/http_server.hpp
@@ -55,9 +55,6 @@
     /// answered first.
     void stop();
 
-    /// Connections that are open at the moment.
-    std::size_t open_connections() const;
-
 private:
     struct state;
     std::shared_ptr<state> state_;
--- a/include/oleandergrade/process/serving/target_health.hpp
+++ b/include/oleandergrade/process/serving/target_health.hpp
@@ -36,14 +36,6 @@
     bool is_failing(const std::string& target) const;
     /// Targets that fail, for the duty's holder.
     std::vector<target_trouble> troubles(time_point now) const;
-    /// Forgets targets that are registered no more.
-    template <typename Keep> void keep_only(Keep keep)
-    {
-        std::erase_if(failing_,
-                      [&](const auto& entry) { return !keep(entry.first); });
-        std::erase_if(lagging_,
-                      [&](const auto& entry) { return !keep(entry.first); });
-    }
 
 private:
     struct failure
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -256,9 +256,4 @@
                });
 }
 
-std::size_t http_server::open_connections() const
-{
-    return state_->open_count.load();
-}
-
 } // namespace oleandergrade
