Look for the store again after a quarter of a second at most

inc-32c9 of head office: the holder was lost while the store was away, and the free duty was seen 0.9 s after the store was back, because the watch that shows it was in a pause of 0.8 s. Ruled out: the lease (over since 3.8 s), the ranks (the first VM took the duty 13 ms after it saw it free). Test: 0.7 s before, below 0.35 s after.

--- a/include/oleandergrade/process/configuration/store_follower.hpp
+++ b/include/oleandergrade/process/configuration/store_follower.hpp
@@ -24,7 +24,9 @@
     /// wait that the users' store takes.
     static constexpr milliseconds patient_watch{25'000};
     static constexpr milliseconds first_pause{100};
-    static constexpr milliseconds longest_pause{800};
+    /// While the store is away, nobody knows whether the holder lives: its
+    /// return must be noticed well within a lease.
+    static constexpr milliseconds longest_pause{250};
 
     struct handlers
     {
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -8,6 +8,7 @@
 #include <oleandergrade/connection/async_event.hpp>
 #include <oleandergrade/connection/http_client.hpp>
 #include <oleandergrade/connection/json_fields.hpp>
+#include <oleandergrade/process/configuration/store_follower.hpp>
 #include <oleandergrade/process/vm_daemon.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -598,3 +599,79 @@
     test_fleet fleet(10);
     fleet.run(scenario_a_primary_is_replaced_though_the_answer_is_lost);
 }
+
+namespace
+{
+
+/// A store that refuses all calls until a moment.
+class late_store : public metadata_store
+{
+public:
+    explicit late_store(time_point back_at) : back_at_(back_at) {}
+
+    asio::awaitable<result<stored_item>> read(std::string) override
+    {
+        co_return refusal();
+    }
+    asio::awaitable<result<stored_range>> read_all(std::string) override
+    {
+        if (current_time() < back_at_)
+            co_return refusal();
+        co_return stored_range{{}, 1};
+    }
+    asio::awaitable<result<stored_changes>> watch(std::string, std::uint64_t,
+                                                  milliseconds wait) override
+    {
+        co_await sleep_for(wait);
+        co_return refusal();
+    }
+    asio::awaitable<result<std::uint64_t>> write(conditional_write) override
+    {
+        co_return refusal();
+    }
+    asio::awaitable<result<store_lease>> create_lease(milliseconds) override
+    {
+        co_return refusal();
+    }
+    asio::awaitable<result<bool>> renew_lease(std::uint64_t) override
+    {
+        co_return refusal();
+    }
+    asio::awaitable<result<bool>> end_lease(std::uint64_t) override
+    {
+        co_return refusal();
+    }
+
+private:
+    static error refusal()
+    {
+        return {error_kind::refused, "call", "store", "away"};
+    }
+
+    time_point back_at_;
+};
+
+} // namespace
+
+// The incident inc-32c9 of head office: the holder was lost while the store was
+// away, and the others saw the free duty 0.9 s after the store was back.
+Test(fleet, a_store_that_is_back_is_noticed_soon)
+{
+    asio::io_context context;
+    const auto back_at = current_time() + milliseconds(800);
+    late_store store(back_at);
+    std::optional<time_point> noticed;
+    store_follower follower(context.get_executor(), store, "prefix/",
+                            milliseconds(500),
+                            {[&](const stored_range&)
+                             {
+                                 noticed = current_time();
+                                 context.stop();
+                             },
+                             [](const stored_change&) {}});
+    follower.start();
+    context.run_for(seconds(3));
+    cr_assert(noticed.has_value());
+    cr_assert(*noticed - back_at < milliseconds(350), "%ld ms",
+              static_cast<long>(to_milliseconds(*noticed - back_at)));
+}
