--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -298,9 +298,10 @@
         error{error_kind::unreachable, "promote", target, "the duty was lost"};
     promotion_order order{group, target, state_.settings.name, duty_.token()};
     if (duty_.holds(started))
+    {
         ++promotions_;
-    if (duty_.holds(started))
         outcome = co_await state_.platform.promotions->promote(order);
+    }
     log_event(event_level::info, "failover", "promotion ordered",
               {{"group", group},
                {"target", target},
