--- a/include/oleandergrade/process/vm_daemon.hpp
+++ b/include/oleandergrade/process/vm_daemon.hpp
@@ -43,6 +43,10 @@
     /// Starts the parts and runs until SIGTERM or SIGINT has ended the process
     /// gracefully.
     void run();
+    /// Stops serving: reports the VM as not ready, ends its leadership and lets
+    /// the statements under way end. The process may end once this has
+    /// returned, which it does before the stop timeout. To be called once.
+    boost::asio::awaitable<void> shut_down();
     /// Returns whether this VM can serve callers: it is not stopping, has a
     /// configuration, targets and a valid grant, and is not isolated.
     bool is_ready() const;
@@ -55,7 +59,6 @@
     /// this VM is no longer isolated.
     boost::asio::awaitable<void> close_idle_sessions_while_isolated();
     boost::asio::awaitable<void> wait_for_signals();
-    boost::asio::awaitable<void> stop();
     /// Applies those settings that can change while the process runs.
     void reload_settings();
     std::string metrics_text() const;
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -279,7 +279,8 @@
         else
             break;
     }
-    co_await stop();
+    co_await shut_down();
+    context_.stop();
 }
 
 void vm_daemon::reload_settings()
@@ -298,7 +299,7 @@
     log_event(event_level::info, "daemon", "reloaded");
 }
 
-asio::awaitable<void> vm_daemon::stop()
+asio::awaitable<void> vm_daemon::shut_down()
 {
     const auto started_at = current_time();
     const auto stop_timeout = state_.settings.stop_timeout;
@@ -331,7 +332,6 @@
               {{"sessions_left", session_server_.session_count()},
                {"took", std::chrono::duration_cast<milliseconds>(
                             current_time() - started_at)}});
-    context_.stop();
 }
 
 } // namespace oleandergrade
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -80,6 +80,18 @@
 
     void close() { socket_.close(); }
 
+    /// Returns whether the VM has closed the session. Exact, because both ends
+    /// of the connection run on one thread.
+    bool is_closed_by_vm()
+    {
+        char byte = 0;
+        boost::system::error_code failure;
+        socket_.non_blocking(true, failure);
+        const auto size = socket_.receive(asio::buffer(&byte, 1),
+                                          tcp::socket::message_peek, failure);
+        return size == 0 && failure != asio::error::would_block;
+    }
+
 private:
     /// Sends a message and returns everything received up to the line READY, or
     /// until the connection is closed.
@@ -114,6 +126,14 @@
     unsigned last_statement_number_ = 0;
 };
 
+/// Times that a scenario may set.
+struct test_fleet_timing
+{
+    milliseconds statement_duration =
+        standins::emulator_settings{}.statement_duration;
+    milliseconds stop_timeout = vm_settings{}.stop_timeout;
+};
+
 /// The emulated platform and a fleet of VMs that uses it. Everything runs on
 /// one thread, until the coroutine of the scenario ends.
 class test_fleet
@@ -121,11 +141,13 @@
 public:
     /// Creates the platform and the VMs without starting the VMs. `test_index`
     /// is the test's number; each test of this file needs a different one.
-    explicit test_fleet(unsigned test_index)
+    explicit test_fleet(unsigned test_index, test_fleet_timing timing = {})
         : base_port_(static_cast<unsigned short>(first_port +
-                                                 test_index * ports_per_test))
+                                                 test_index * ports_per_test)),
+          timing_(timing)
     {
         standins::emulator_settings settings;
+        settings.statement_duration = timing.statement_duration;
         settings.store_port = base_port_;
         settings.promotion_port = static_cast<unsigned short>(base_port_ + 1);
         settings.first_server_port =
@@ -210,6 +232,7 @@
             loopback_address(static_cast<unsigned short>(base_port_ + 1));
         settings.limit_overshoot_fraction = 0.1;
         settings.limit_slack_operations = 20;
+        settings.stop_timeout = timing_.stop_timeout;
         settings.is_first_start = true;
         own_settings own;
         own.http_address = loopback_address(http_port(index));
@@ -221,6 +244,7 @@
     }
 
     unsigned short base_port_;
+    test_fleet_timing timing_;
 };
 
 /// Returns whether the answer contains the text.
@@ -813,3 +837,105 @@
               "the outage's end was detected after %ld ms",
               static_cast<long>(to_milliseconds(*detected_at - available_at)));
 }
+
+/// Statements that callers have sent to a VM.
+struct sent_statements
+{
+    unsigned sent = 0;
+    unsigned answered = 0;
+    /// The VM closed the session instead of answering.
+    unsigned cut = 0;
+};
+
+/// Opens a session and sends the statements, unless the VM closes the session
+/// between two of them.
+static asio::awaitable<void>
+send_statements(test_fleet& fleet, unsigned vm,
+                std::vector<std::string> statements, sent_statements& counts)
+{
+    auto caller = fleet.make_caller(vm);
+    auto reply = co_await caller.open_session("strict-0", "key-1");
+    if (!contains(reply, "READY"))
+        co_return;
+    for (const auto& statement : statements)
+    {
+        if (caller.is_closed_by_vm())
+            co_return;
+        ++counts.sent;
+        reply = co_await caller.send_statement(statement);
+        ++(contains(reply, "READY") ? counts.answered : counts.cut);
+        // Time between the statements of a transaction.
+        co_await sleep_for(milliseconds(60));
+    }
+}
+
+// Guards against statements that a VM accepts at its stop and cuts off when its
+// process ends. A VM accepted sessions until then.
+static asio::awaitable<void>
+scenario_a_stopping_vm_answers_what_it_has_accepted(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    auto idle_caller = fleet.make_caller(1);
+    auto reply = co_await idle_caller.open_session("strict-0", "key-1");
+    cr_assert(contains(reply, "READY"));
+    sent_statements counts;
+    bool stopped = false;
+    asio::co_spawn(fleet.context, fleet.daemons[1]->shut_down(),
+                   [&](std::exception_ptr) { stopped = true; });
+    for (int i = 0; !stopped; ++i)
+    {
+        const std::vector<std::string> transaction{"BEGIN", "WRITE item b",
+                                                   "COMMIT"};
+        asio::co_spawn(
+            fleet.context,
+            send_statements(fleet, 1,
+                            i % 3 == 0
+                                ? transaction
+                                : std::vector<std::string>{"WRITE item a"},
+                            counts),
+            asio::detached);
+        co_await sleep_for(milliseconds(20));
+    }
+    cr_assert(counts.sent > 0);
+    cr_assert(counts.sent == counts.answered,
+              "%u statements sent, %u answered, %u cut, when the process ends",
+              counts.sent, counts.answered, counts.cut);
+    auto caller = fleet.make_caller(1);
+    reply = co_await caller.open_session("strict-0", "key-1");
+    cr_assert(reply.empty(), "%s", reply.c_str());
+}
+
+Test(fleet, a_stopping_vm_answers_what_it_has_accepted)
+{
+    test_fleet fleet(14, {milliseconds(250), seconds(2)});
+    fleet.run(scenario_a_stopping_vm_answers_what_it_has_accepted);
+}
+
+// Guards against HTTP requests that are cut off because no session is open.
+static asio::awaitable<void>
+scenario_a_stopping_vm_answers_http_requests_under_way(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    bool answered = false;
+    asio::co_spawn(
+        fleet.context,
+        send_post(
+            fleet, 1, "/v1/write",
+            R"({"database":"own-0","statement":{"key":"k","value":"v1"}})"),
+        [&](std::exception_ptr failure, boost::json::object)
+        { answered = failure == nullptr; });
+    co_await sleep_for(milliseconds(60));
+    cr_assert(!answered);
+    co_await fleet.daemons[1]->shut_down();
+    cr_assert(answered);
+    http_client client(fleet.context.get_executor(),
+                       loopback_address(fleet.http_port(1)));
+    const auto connected = co_await client.connect(seconds(1));
+    cr_assert(!succeeded(connected));
+}
+
+Test(fleet, a_stopping_vm_answers_http_requests_under_way)
+{
+    test_fleet fleet(15, {milliseconds(250), seconds(2)});
+    fleet.run(scenario_a_stopping_vm_answers_http_requests_under_way);
+}
