Answer everything that a stopping VM has accepted

Cause: a stopping VM accepted sessions and statements until its process ended at 0.95 of the stop timeout, so that a statement of the last moments was passed on to a target and its connection cut (LOST). HTTP requests were not waited for at all, and a VM without a session ended at once although the platform still routed new ones to it.

Change: stop_schedule, pure logic, orders the phases. From half of the timeout on no transaction is begun and idle ones end; from three quarters on the listening sockets of sessions and HTTP are closed, and a statement of a session that is still open is refused as not run, with a time to come back; statements under way are answered with what is known of them at 0.92, and the process ends at 0.95 or when nothing is unanswered. An idle session whose next statement has already arrived is not closed but answered. The VM waits for HTTP requests, and accepts new sessions until the platform has had time to route them elsewhere.

Looked at in the other entries: readiness and metrics may be cut, the answer is of no use to anyone by then; calls of other VMs are repeated by them, and a leader that stops has ended its lease before.

--- a/include/oleandergrade/connection/http_server.hpp
+++ b/include/oleandergrade/connection/http_server.hpp
@@ -64,6 +64,9 @@
     /// closed after the response to the request in progress.
     void stop();
 
+    /// Returns the number of requests that have been received and not answered.
+    std::size_t unanswered_count() const;
+
 private:
     struct state;
     std::shared_ptr<state> state_;
--- a/include/oleandergrade/process/serving/http_statement_server.hpp
+++ b/include/oleandergrade/process/serving/http_statement_server.hpp
@@ -43,9 +43,14 @@
 
     /// Starts the periodic check for idle transactions.
     void start();
-    /// Closes each connection after its next answer. Rolls back the open
-    /// transactions that have no statement under way.
-    void drain();
+    /// Closes each connection after its next answer from now on.
+    void set_close_after_answer() { server_.drain(); }
+    /// Rolls back the open transactions that have no statement under way.
+    void fail_transactions();
+    /// Refuses further connections, and closes the idle ones.
+    void stop_accepting() { server_.stop(); }
+    /// Returns the number of requests that have been received and not answered.
+    std::size_t unanswered_count() const { return server_.unanswered_count(); }
 
 private:
     /// A transaction that was begun over HTTP and has not ended.
--- a/include/oleandergrade/process/serving/session_server.hpp
+++ b/include/oleandergrade/process/serving/session_server.hpp
@@ -51,6 +51,8 @@
     /// transaction, so that callers reconnect. New connections are still
     /// accepted.
     void set_close_after_answer(bool enabled) { close_after_answer_ = enabled; }
+    /// Refuses further connections.
+    void stop_accepting();
     /// Closes the sessions that have neither a statement nor a transaction
     /// under way.
     void close_idle_sessions();
--- a/include/oleandergrade/process/serving/statement_runner.hpp
+++ b/include/oleandergrade/process/serving/statement_runner.hpp
@@ -8,6 +8,7 @@
 #include <oleandergrade/process/serving/attempt_policy.hpp>
 #include <oleandergrade/process/serving/serving_metrics.hpp>
 #include <oleandergrade/process/serving/target_pool.hpp>
+#include <oleandergrade/process/stop_schedule.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -90,6 +91,13 @@
     std::function<boost::asio::awaitable<admission>(std::string account)>
         borrow_operation;
 
+    /// The VM is stopping: limits the statements from now on to what can be
+    /// answered in time.
+    void set_stop_schedule(const stop_schedule& schedule)
+    {
+        stop_schedule_ = schedule;
+    }
+
     /// Runs one statement of a session and returns the answer for the caller.
     /// Statements of one session must not overlap.
     boost::asio::awaitable<statement_reply> run(served_session& session,
@@ -134,6 +142,9 @@
     void apply_session_statement(run_state& run);
     /// Begins a transaction at this VM; nothing is sent to a target yet.
     boost::asio::awaitable<void> begin(run_state& run);
+    /// Answers the statement with an error and ends its transaction if the VM
+    /// stops too soon for it.
+    void refuse_while_stopping(run_state& run);
     /// Applies the account's rate limit. If the operation is over the limit, it
     /// answers the statement and returns false.
     boost::asio::awaitable<bool> admit(run_state& run);
@@ -171,6 +182,8 @@
     target_pool& pool_;
     operation_limiter& limiter_;
     serving_metrics& metrics_;
+    /// Set once the VM is stopping.
+    std::optional<stop_schedule> stop_schedule_;
 };
 
 } // namespace oleandergrade
--- a/include/oleandergrade/process/vm_daemon.hpp
+++ b/include/oleandergrade/process/vm_daemon.hpp
@@ -59,6 +59,12 @@
     /// this VM is no longer isolated.
     boost::asio::awaitable<void> close_idle_sessions_while_isolated();
     boost::asio::awaitable<void> wait_for_signals();
+    /// Waits until `end`, or until at least `earliest_end` no session is open
+    /// and no HTTP request is unanswered.
+    boost::asio::awaitable<void> sleep_while_busy(time_point end,
+                                                  time_point earliest_end);
+    /// Rolls back the transactions that have no statement under way.
+    void fail_idle_transactions();
     /// Applies those settings that can change while the process runs.
     void reload_settings();
     std::string metrics_text() const;
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <optional>
@@ -279,4 +280,15 @@
                });
 }
 
+std::size_t http_server::unanswered_count() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        state_->connections.begin(), state_->connections.end(),
+        [](const auto& entry)
+        {
+            const auto connection = entry.second.lock();
+            return connection && connection->has_unanswered_request;
+        }));
+}
+
 } // namespace oleandergrade
--- a/src/process/serving/http_statement_server.cpp
+++ b/src/process/serving/http_statement_server.cpp
@@ -70,9 +70,8 @@
                       [this](time_point now) { fail_idle_transactions(now); });
 }
 
-void http_statement_server::drain()
+void http_statement_server::fail_transactions()
 {
-    server_.drain();
     for (const auto& [id, transaction] : transactions_)
         if (!transaction->statement_in_progress)
             runner_.fail_transaction(transaction->session);
--- a/src/process/serving/session_server.cpp
+++ b/src/process/serving/session_server.cpp
@@ -271,12 +271,24 @@
         });
 }
 
+void session_server::stop_accepting()
+{
+    error_code ignored;
+    acceptor_.close(ignored);
+}
+
+// A session whose next statement has already arrived stays open, so that the
+// statement is answered.
 void session_server::close_idle_sessions()
 {
     for (const auto& live : sessions_)
-        if (!live->busy &&
+    {
+        error_code failure;
+        const bool has_input = live->socket.available(failure) > 0;
+        if (!live->busy && !has_input &&
             live->session.caller_state.transaction() == transaction_state::none)
             live->socket.cancel();
+    }
 }
 
 void session_server::fail_transactions()
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -28,6 +28,10 @@
 /// seconds to route new sessions to other VMs.
 constexpr auto isolated_retry_after = milliseconds(1000);
 
+/// Retry time that is sent to callers of a VM that stops. New sessions are
+/// served by other VMs.
+constexpr auto stopping_retry_after = milliseconds(50);
+
 /// Fraction of the statement timeout that may be spent waiting for a new
 /// primary.
 constexpr double primary_wait_fraction = 0.6;
@@ -83,6 +87,11 @@
         if (call.caller_timeout.count() > 0)
             run.deadline =
                 std::min(run.deadline, run.arrived_at + call.caller_timeout);
+        if (stop_schedule_)
+            refuse_while_stopping(run);
+    }
+    if (!run.answered)
+    {
         switch (call.verb)
         {
         case session_verb::begin:
@@ -118,6 +127,29 @@
     co_return statement_reply{std::move(run.reply), std::move(run.outcome)};
 }
 
+void statement_runner::refuse_while_stopping(run_state& run)
+{
+    run.deadline = std::min(run.deadline, stop_schedule_->answers_due_at());
+    const bool begins = run.call.verb == session_verb::begin ||
+                        run.call.verb == session_verb::begin_read_only;
+    const bool is_accepted =
+        stop_schedule_->accepts_statements(run.arrived_at) &&
+        (!begins || stop_schedule_->accepts_transactions(run.arrived_at));
+    if (is_accepted)
+        return;
+    const auto transaction = run.session.caller_state.transaction();
+    if (transaction == transaction_state::none)
+        return fail(run, session_error::busy, "this VM is stopping",
+                    stopping_retry_after);
+    // The end of a failed transaction is answered as usual.
+    fail_transaction(run.session);
+    const bool ends = run.call.verb == session_verb::commit ||
+                      run.call.verb == session_verb::rollback;
+    if (transaction == transaction_state::open && !ends)
+        fail(run, session_error::aborted, "this VM is stopping",
+             stopping_retry_after);
+}
+
 // Looks up the route and the account for each statement again, so that a
 // revoked key stops working in open sessions too. An open transaction keeps its
 // route, and must keep its account; if it has lost it, only a rollback is
@@ -227,8 +259,10 @@
     // latency objective, because a late answer is better than an error. They
     // receive an error at once if the wait would take most of the statement
     // timeout.
-    const auto primary_wait_limit = fraction_of(
-        run.matched_route->statement_timeout, primary_wait_fraction);
+    const auto primary_deadline = std::min(
+        run.deadline,
+        run.arrived_at + fraction_of(run.matched_route->statement_timeout,
+                                     primary_wait_fraction));
     if (needs_primary && view_.wait_estimator.is_isolated())
     {
         fail(run, session_error::busy, "this VM is cut off from the others",
@@ -237,15 +271,14 @@
     }
     const auto expected_wait =
         view_.wait_estimator.expected_wait(request.group, current_time());
-    if (needs_primary &&
-        current_time() + expected_wait > run.arrived_at + primary_wait_limit)
+    if (needs_primary && current_time() + expected_wait > primary_deadline)
     {
         fail(run, session_error::busy, "the primary is being replaced",
              expected_wait);
         co_return false;
     }
     auto outcome = co_await pool_.acquire(std::move(request), normal_deadline,
-                                          run.arrived_at + primary_wait_limit);
+                                          primary_deadline);
     if (auto* found = std::get_if<placement>(&outcome))
     {
         ++run.outcome.attempts;
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -4,6 +4,7 @@
 #include <oleandergrade/connection/endpoint.hpp>
 #include <oleandergrade/invariant.hpp>
 #include <oleandergrade/process/event_log.hpp>
+#include <oleandergrade/process/stop_schedule.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <sstream>
 
@@ -23,10 +25,6 @@
 namespace
 {
 
-/// Fractions of the stop timeout after which open transactions are ended, and
-/// after which idle sessions are closed.
-constexpr double end_transactions_fraction = 0.5;
-constexpr double close_sessions_fraction = 0.75;
 constexpr auto stop_poll_interval = milliseconds(50);
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
@@ -50,12 +48,6 @@
     return value_of(endpoint);
 }
 
-milliseconds fraction_of(milliseconds total, double fraction)
-{
-    return milliseconds(static_cast<std::int64_t>(
-        static_cast<double>(total.count()) * fraction));
-}
-
 } // namespace
 
 vm_daemon::vm_daemon(asio::io_context& context, vm_settings settings,
@@ -302,36 +294,51 @@
 asio::awaitable<void> vm_daemon::shut_down()
 {
     const auto started_at = current_time();
-    const auto stop_timeout = state_.settings.stop_timeout;
+    const stop_schedule schedule(started_at, state_.settings.stop_timeout);
     state_.is_stopping = true;
+    statement_runner_.set_stop_schedule(schedule);
     log_event(event_level::info, "daemon", "stopping",
               {{"sessions", session_server_.session_count()}});
     session_server_.set_close_after_answer(true);
+    if (http_statement_server_ != nullptr)
+        http_statement_server_->set_close_after_answer();
     co_await fleet_service_.retire();
-    bool transactions_ended = false;
-    while (session_server_.session_count() > 0)
-    {
-        const auto elapsed = current_time() - started_at;
-        if (elapsed >= fraction_of(stop_timeout, end_transactions_fraction) &&
-            !std::exchange(transactions_ended, true))
-        {
-            session_server_.fail_transactions();
-            if (http_statement_server_ != nullptr)
-                http_statement_server_->drain();
-        }
-        if (elapsed >= fraction_of(stop_timeout, close_sessions_fraction))
-            break;
-        co_await sleep_for(stop_poll_interval);
-    }
+    // The platform still routes new sessions to this VM for a while.
+    const auto routed_until = std::min(started_at + readiness_propagation_delay,
+                                       schedule.statements_end_at());
+    co_await sleep_while_busy(schedule.transactions_end_at(), routed_until);
+    fail_idle_transactions();
+    co_await sleep_while_busy(schedule.statements_end_at(), routed_until);
+    session_server_.stop_accepting();
+    if (http_statement_server_ != nullptr)
+        http_statement_server_->stop_accepting();
+    fail_idle_transactions();
     session_server_.close_idle_sessions();
-    // Statements that are being executed get most of the remaining time.
-    while (session_server_.session_count() > 0 &&
-           current_time() - started_at < fraction_of(stop_timeout, 0.95))
-        co_await sleep_for(stop_poll_interval);
+    co_await sleep_while_busy(schedule.process_ends_at(), started_at);
     log_event(event_level::info, "daemon", "stopped",
               {{"sessions_left", session_server_.session_count()},
                {"took", std::chrono::duration_cast<milliseconds>(
                             current_time() - started_at)}});
 }
 
+asio::awaitable<void> vm_daemon::sleep_while_busy(time_point end,
+                                                  time_point earliest_end)
+{
+    const auto is_busy = [this]
+    {
+        return session_server_.session_count() > 0 ||
+               (http_statement_server_ != nullptr &&
+                http_statement_server_->unanswered_count() > 0);
+    };
+    while (current_time() < end && (is_busy() || current_time() < earliest_end))
+        co_await sleep_for(stop_poll_interval);
+}
+
+void vm_daemon::fail_idle_transactions()
+{
+    session_server_.fail_transactions();
+    if (http_statement_server_ != nullptr)
+        http_statement_server_->fail_transactions();
+}
+
 } // namespace oleandergrade
--- a/tests/test_serving_logic.cpp
+++ b/tests/test_serving_logic.cpp
@@ -9,6 +9,7 @@
 #include <oleandergrade/process/serving/connection_share.hpp>
 #include <oleandergrade/process/serving/placement_deadline.hpp>
 #include <oleandergrade/process/serving/target_chooser.hpp>
+#include <oleandergrade/process/stop_schedule.hpp>
 
 #include <criterion/criterion.h>
 
@@ -357,3 +358,17 @@
     cr_assert(backoff.delay_after_changes(seconds(2)) ==
               watch_backoff::min_delay);
 }
+
+// Everything that is accepted must be answered before the process ends.
+Test(serving_logic, a_stop_ends_what_it_accepts_in_order)
+{
+    const time_point start{seconds(100)};
+    const stop_schedule schedule(start, seconds(6));
+    cr_assert(schedule.accepts_transactions(start + milliseconds(2999)));
+    cr_assert(!schedule.accepts_transactions(start + milliseconds(3000)));
+    cr_assert(schedule.accepts_statements(start + milliseconds(4499)));
+    cr_assert(!schedule.accepts_statements(start + milliseconds(4500)));
+    cr_assert(schedule.statements_end_at() < schedule.answers_due_at());
+    cr_assert(schedule.answers_due_at() < schedule.process_ends_at());
+    cr_assert(schedule.process_ends_at() < start + seconds(6));
+}
