Close sessions of a stopping VM only between operations

Cause: a stopping or isolated VM closed a session after any answer outside a transaction. An operation may begin with statements that set values or prepare, so the session was closed within it, and again at the next VM while several VMs of a domain were stopping and the platform used all of them.

Change: a session is closed after the answer to a read, write, EXECUTE, COMMIT or ROLLBACK, or after a failure. Idle sessions are closed only 500 ms after their opening or the last such prelude; until the process ends, their statements are refused as not run.

Ruled out: a statement that crosses the closing of the connection (3 ms to clients; one such attempt is left); refusing sessions from the start of the stop (the platform routes them here for two seconds).

--- a/include/oleandergrade/process/serving/session_server.hpp
+++ b/include/oleandergrade/process/serving/session_server.hpp
@@ -47,13 +47,12 @@
 
     /// Starts accepting connections.
     void start();
-    /// While set, closes each session after its next answer outside a
-    /// transaction, so that callers reconnect. New connections are still
-    /// accepted.
+    /// While set, closes each session after the end of its next operation, so
+    /// that callers reconnect. New connections are still accepted.
     void set_close_after_answer(bool enabled) { close_after_answer_ = enabled; }
     /// Refuses further connections.
     void stop_accepting();
-    /// Closes the sessions that have neither a statement nor a transaction
+    /// Closes the sessions that have neither a statement nor an operation
     /// under way.
     void close_idle_sessions();
     /// Rolls back the open transactions that have no statement under way. Their
--- a/include/oleandergrade/process/vm_daemon.hpp
+++ b/include/oleandergrade/process/vm_daemon.hpp
@@ -59,8 +59,9 @@
     /// this VM is no longer isolated.
     boost::asio::awaitable<void> close_idle_sessions_while_isolated();
     boost::asio::awaitable<void> wait_for_signals();
-    /// Waits until `end`, or until at least `earliest_end` no session is open
-    /// and no HTTP request is unanswered.
+    /// Whether a session is open or an HTTP request is unanswered.
+    bool is_busy() const;
+    /// Waits until `end`, or until the VM is not busy after `earliest_end`.
     boost::asio::awaitable<void> sleep_while_busy(time_point end,
                                                   time_point earliest_end);
     /// Rolls back the transactions that have no statement under way.
--- a/src/process/serving/session_server.cpp
+++ b/src/process/serving/session_server.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <optional>
 #include <vector>
 
 namespace oleandergrade
@@ -31,6 +32,19 @@
 /// Interval of checks for the first configuration, and delay after a failed
 /// accept.
 constexpr auto poll_interval = milliseconds(25);
+/// An operation may begin with statements that set values or prepare. Its
+/// caller sends the next of them within this time.
+constexpr auto max_gap_within_operation = milliseconds(500);
+
+/// Whether an operation ends with this statement, if it does not belong to a
+/// transaction that goes on. Otherwise further statements of the operation are
+/// expected.
+bool can_end_operation(session_verb verb)
+{
+    return verb == session_verb::read || verb == session_verb::write ||
+           verb == session_verb::execute || verb == session_verb::commit ||
+           verb == session_verb::rollback;
+}
 
 } // namespace
 
@@ -67,8 +81,18 @@
     asio::steady_timer timer;
     served_session session;
     line_reader reader;
+    /// Whether the caller is likely to send the next statement of an operation.
+    bool expects_statement(time_point now) const
+    {
+        return operation_begun_at &&
+               now < *operation_begun_at + max_gap_within_operation;
+    }
+
     /// A statement of the session is under way.
     bool busy = false;
+    /// When the session was opened, or the last statement answered that may be
+    /// part of an operation; empty after the end of an operation.
+    std::optional<time_point> operation_begun_at;
     /// Version of the configuration under which the key was last accepted.
     std::uint64_t checked_configuration_version = 0;
 };
@@ -168,6 +192,7 @@
     live.checked_configuration_version = configuration_.version();
     std::string reply;
     codec_.append_readiness(reply, transaction_state::none);
+    live.operation_begun_at = current_time();
     co_return co_await write(live, std::move(reply));
 }
 
@@ -193,7 +218,12 @@
     if (statement == nullptr)
         co_return false;
     live.busy = true;
+    const bool may_end_operation = can_end_operation(statement->verb);
     auto reply = co_await runner_.run(live.session, *statement);
+    const bool failed = reply.outcome.failure != session_error::none;
+    live.operation_begun_at.reset();
+    if (!may_end_operation && !failed)
+        live.operation_begun_at = current_time();
     const bool written = co_await write(live, std::move(reply.bytes));
     live.busy = false;
     if (!written)
@@ -207,7 +237,7 @@
         if (runner_.check_opening(opening) == session_error::unauthorized)
             co_return false;
     }
-    co_return !close_after_answer_;
+    co_return !close_after_answer_ || live.operation_begun_at.has_value();
 }
 
 asio::awaitable<bool> session_server::write(live_session& live,
@@ -277,8 +307,8 @@
     acceptor_.close(ignored);
 }
 
-// A session whose next statement has already arrived stays open, so that the
-// statement is answered.
+// A session whose next statement has arrived or is likely to arrive stays open,
+// so that the statement is answered.
 void session_server::close_idle_sessions()
 {
     for (const auto& live : sessions_)
@@ -286,6 +316,7 @@
         error_code failure;
         const bool has_input = live->socket.available(failure) > 0;
         if (!live->busy && !has_input &&
+            !live->expects_statement(current_time()) &&
             live->session.caller_state.transaction() == transaction_state::none)
             live->socket.cancel();
     }
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -313,8 +313,11 @@
     if (http_statement_server_ != nullptr)
         http_statement_server_->stop_accepting();
     fail_idle_transactions();
-    session_server_.close_idle_sessions();
-    co_await sleep_while_busy(schedule.process_ends_at(), started_at);
+    while (is_busy() && current_time() < schedule.process_ends_at())
+    {
+        session_server_.close_idle_sessions();
+        co_await sleep_for(stop_poll_interval);
+    }
     log_event(event_level::info, "daemon", "stopped",
               {{"sessions_left", session_server_.session_count()},
                {"took", std::chrono::duration_cast<milliseconds>(
@@ -324,16 +327,17 @@
 asio::awaitable<void> vm_daemon::sleep_while_busy(time_point end,
                                                   time_point earliest_end)
 {
-    const auto is_busy = [this]
-    {
-        return session_server_.session_count() > 0 ||
-               (http_statement_server_ != nullptr &&
-                http_statement_server_->unanswered_count() > 0);
-    };
     while (current_time() < end && (is_busy() || current_time() < earliest_end))
         co_await sleep_for(stop_poll_interval);
 }
 
+bool vm_daemon::is_busy() const
+{
+    return session_server_.session_count() > 0 ||
+           (http_statement_server_ != nullptr &&
+            http_statement_server_->unanswered_count() > 0);
+}
+
 void vm_daemon::fail_idle_transactions()
 {
     session_server_.fail_transactions();
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -847,24 +847,24 @@
     unsigned cut = 0;
 };
 
-/// Opens a session and sends the statements, unless the VM closes the session
-/// between two of them.
-static asio::awaitable<void>
-send_statements(test_fleet& fleet, unsigned vm,
-                std::vector<std::string> statements, sent_statements& counts)
+/// Opens a session and sends the statements of one operation, until one fails.
+/// An operation counts as cut if the VM closes the session within it.
+static asio::awaitable<void> send_operation(test_fleet& fleet, unsigned vm,
+                                            std::vector<std::string> statements,
+                                            sent_statements& counts)
 {
     auto caller = fleet.make_caller(vm);
     auto reply = co_await caller.open_session("strict-0", "key-1");
-    if (!contains(reply, "READY"))
+    if (!contains(reply, "READY") || caller.is_closed_by_vm())
         co_return;
     for (const auto& statement : statements)
     {
-        if (caller.is_closed_by_vm())
-            co_return;
         ++counts.sent;
         reply = co_await caller.send_statement(statement);
         ++(contains(reply, "READY") ? counts.answered : counts.cut);
-        // Time between the statements of a transaction.
+        if (!contains(reply, "COMPLETE"))
+            co_return;
+        // Time between the statements of an operation.
         co_await sleep_for(milliseconds(60));
     }
 }
@@ -882,17 +882,15 @@
     bool stopped = false;
     asio::co_spawn(fleet.context, fleet.daemons[1]->shut_down(),
                    [&](std::exception_ptr) { stopped = true; });
-    for (int i = 0; !stopped; ++i)
+    const std::vector<std::vector<std::string>> operations{
+        {"WRITE item a"},
+        {"BEGIN", "WRITE item b", "COMMIT"},
+        {"SET zone galle", "PREPARE s1 WRITE q2c", "EXECUTE s1 item c"}};
+    for (std::size_t i = 0; !stopped; ++i)
     {
-        const std::vector<std::string> transaction{"BEGIN", "WRITE item b",
-                                                   "COMMIT"};
         asio::co_spawn(
             fleet.context,
-            send_statements(fleet, 1,
-                            i % 3 == 0
-                                ? transaction
-                                : std::vector<std::string>{"WRITE item a"},
-                            counts),
+            send_operation(fleet, 1, operations[i % operations.size()], counts),
             asio::detached);
         co_await sleep_for(milliseconds(20));
     }
