--- a/include/oleandergrade/connection/fleet_message.hpp
+++ b/include/oleandergrade/connection/fleet_message.hpp
@@ -62,6 +62,11 @@
     /// Time since the VM last received a grant of a leader other than the one
     /// with `highest_token`.
     milliseconds other_leader_grant_age{0};
+    /// Address of a relay that has not answered this VM; empty if there is
+    /// none.
+    std::string lost_relay;
+    /// `demands` is left out, so the report tells nothing of the VM's shares.
+    bool omits_demands = false;
 
     bool operator==(const fleet_report&) const = default;
 };
@@ -107,10 +112,50 @@
     /// may miss changes of the store sends the maximum time for which it grants
     /// without the store, so that VMs confirm the state themselves.
     milliseconds store_age{0};
+    /// Address of the VM that is to relay the receiver's next reports; empty if
+    /// the receiver is to report to the leader.
+    std::string relay_address;
 
     bool operator==(const fleet_grant&) const = default;
 };
 
+/// A report that the receiver is to relay to the leader. The answer is a
+/// `fleet_grant`.
+struct relay_request
+{
+    fleet_report report;
+
+    bool operator==(const relay_request&) const = default;
+};
+
+/// Reports that a VM relays to the leader.
+struct relayed_reports
+{
+    std::vector<fleet_report> reports;
+
+    bool operator==(const relayed_reports&) const = default;
+};
+
+/// The part of a relayed grant that concerns only one VM.
+struct relayed_grant
+{
+    std::string vm;
+    bool accepted = false;
+    std::vector<account_share> shares;
+
+    bool operator==(const relayed_grant&) const = default;
+};
+
+/// The leader's answer to `relayed_reports`: what all grants have in common,
+/// and the rest of each in the order of the reports.
+struct relayed_grants
+{
+    fleet_grant common;
+    std::vector<relayed_grant> grants;
+
+    bool operator==(const relayed_grants&) const = default;
+};
+
 /// The leader's notification to a VM that primaries have changed or must no
 /// longer be used.
 struct primary_notice
--- a/include/oleandergrade/process/configuration/store_follower.hpp
+++ b/include/oleandergrade/process/configuration/store_follower.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 
 namespace oleandergrade
@@ -64,6 +65,10 @@
     /// still has its lease. The recovery of the store must therefore be
     /// detected in much less time than the lifetime of a lease.
     static constexpr milliseconds max_retry_delay{250};
+    /// While another VM assists, nothing depends on the recovery of the store,
+    /// and the calls of a store that turns VMs away must not grow with the
+    /// number of these.
+    static constexpr milliseconds max_assisted_retry_delay{5000};
 
     struct handlers
     {
@@ -135,6 +140,8 @@
     std::uint64_t store_revision_ = 0;
     milliseconds retry_delay_ = initial_retry_delay;
     watch_backoff watch_backoff_;
+    /// Spreads the retries of VMs that failed at the same time.
+    std::minstd_rand random_{std::random_device{}()};
     time_point last_answer_at_;
     time_point last_changes_at_;
     follow_mode mode_ = follow_mode::confirming;
--- a/include/oleandergrade/process/failover/vm_report_tracker.hpp
+++ b/include/oleandergrade/process/failover/vm_report_tracker.hpp
@@ -41,6 +41,9 @@
     /// Whether the VM has confirmed this revision of the record or a later one.
     bool has_confirmed(const std::string& vm,
                        const primary_record& record) const;
+    /// Whether the VM's last report is not older than
+    /// `grant_tracker::report_validity`.
+    bool is_reporting(const std::string& vm, time_point now) const;
     /// Returns the number of VMs, this one excluded, whose last report is not
     /// older than `grant_tracker::report_validity`.
     std::uint32_t reporting_vms(time_point now) const;
--- a/include/oleandergrade/process/limits/share_allocator.hpp
+++ b/include/oleandergrade/process/limits/share_allocator.hpp
@@ -74,8 +74,14 @@
     struct account_state
     {
         account_budget budget;
-        /// By the name of the VM.
+        /// Valid shares by the name of the VM.
         std::map<std::string, vm_share> shares_by_vm;
+        /// Sums over `shares_by_vm`. Reports and requests to the reserve are
+        /// too frequent to add up the shares of all VMs for each of them.
+        double total_held_rate = 0;
+        double total_wanted_rate = 0;
+        /// No share expires before this time.
+        time_point next_expiry = time_point::max();
         /// Operations in the reserve right after the election of a leader.
         double reserve_after_election = 0;
         /// Operations in the reserve.
@@ -94,8 +100,8 @@
     /// Whether VMs may still hold shares from an earlier leader that this VM
     /// has no record of.
     bool is_rebuilding(time_point now) const;
-    /// Total rate of all valid shares, in operations per second.
-    static double total_held_rate(const account_state& account, time_point now);
+    /// Removes the shares that are no longer valid.
+    static void drop_expired_shares(account_state& account, time_point now);
     /// Adds the operations that have accumulated in the reserve since the last
     /// call.
     void refill_reserve(account_state& account, time_point now) const;
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -10,6 +10,8 @@
 #include <oleandergrade/process/membership/leader_election.hpp>
 #include <oleandergrade/process/membership/leader_tracker.hpp>
 #include <oleandergrade/process/membership/peer_client.hpp>
+#include <oleandergrade/process/membership/relay_chooser.hpp>
+#include <oleandergrade/process/membership/report_relay.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -40,6 +42,8 @@
     /// Operations that this VM has lent to others as the leader.
     std::uint64_t operations_lent = 0;
     std::uint64_t snapshots_fetched = 0;
+    /// Reports that a relay has not answered.
+    std::uint64_t relays_lost = 0;
 };
 
 /// A VM's membership in the fleet: registration, leader election, reports and
@@ -55,6 +59,9 @@
     static constexpr milliseconds report_interval{250};
     /// Timeout of reports and probes.
     static constexpr milliseconds call_timeout{400};
+    /// Timeout of reports to a relay. Together with a report to the leader that
+    /// follows it ends before the grant does.
+    static constexpr milliseconds relay_timeout{350};
     /// When another VM has a newer configuration, this VM waits this long to
     /// receive it from the store before it fetches it from that VM.
     static constexpr milliseconds configuration_fetch_delay{300};
@@ -83,6 +90,10 @@
     std::function<void(bool)> on_isolation;
 
     const leader_election& election() const { return election_; }
+    /// Address of the VM that relays this VM's reports; empty if it reports to
+    /// the leader.
+    const std::string& relay_address() const { return relay_address_; }
+    std::uint64_t reports_relayed() const { return relay_.relayed_count(); }
     const fleet_counts& counts() const { return counts_; }
     /// Returns what is known of each prefix of the store that the VM follows.
     std::vector<followed_prefix> followed_prefixes(time_point now) const;
@@ -121,15 +132,28 @@
     /// VM is the leader, for as long as the process runs.
     boost::asio::awaitable<void> run_report_loop();
     /// Relies on a leader that confirms what it follows in the store, if there
-    /// is one, or else confirms it at this VM.
+    /// is one, or else confirms it at this VM. In a large fleet most VMs do so
+    /// only after a time that grows with their rank in their failure domain, so
+    /// that not all of them call the store when a leader is lost.
     void update_follow_mode(time_point now);
+    /// Returns the address of the VM to fetch copies of records from, which
+    /// this VM has lacked since `behind_since`.
+    std::string snapshot_address(const std::string& sender_address,
+                                 time_point behind_since, time_point now) const;
     /// Returns whether this VM receives all changes from the store itself.
     bool is_current() const
     {
         return store_mirror_.is_current() && own_keys_follower_.is_current();
     }
-    /// Sends one report and applies the grant that answers it.
+    /// Sends one report, through a relay if there is one, and applies the grant
+    /// that answers it.
     boost::asio::awaitable<void> send_report();
+    /// Sends one report to the relay. Returns false if it was not answered with
+    /// a grant.
+    boost::asio::awaitable<bool> send_report_to_relay();
+    /// Sends the reports of other VMs to the leader.
+    boost::asio::awaitable<result<relayed_grants>>
+    send_relayed_reports(relayed_reports reports);
     /// Address for the next report; empty if there is none.
     std::string next_report_address();
     /// Probes a random selection of the other VMs to find out whether this VM
@@ -166,6 +190,14 @@
     /// the sender registered in the store; then it contains the address of the
     /// leader that this VM last observed.
     fleet_grant handle_report(const fleet_report& report);
+    relayed_grants handle_relayed_reports(const relayed_reports& reports);
+    /// Returns what all grants have in common that this VM issues now to the
+    /// VMs of a failure domain. Not accepted if this VM may not grant.
+    fleet_grant make_common_grant(const std::string& failure_domain,
+                                  time_point now);
+    /// Records a report, and that it is answered with `common` if it may be.
+    relayed_grant answer_report(const fleet_report& report,
+                                const fleet_grant& common, time_point now);
     /// Applies the leader's notification about primaries. The receipt promises
     /// that no more statements are sent under a closed record, and that no
     /// answer to an earlier one is passed on as a success.
@@ -183,6 +215,8 @@
     leader_tracker leader_;
     peer_client peers_;
     failover_driver failover_;
+    report_relay relay_;
+    relay_chooser relay_chooser_;
     store_mirror store_mirror_;
     store_follower own_keys_follower_;
     boost::asio::ip::tcp::acceptor acceptor_;
@@ -207,6 +241,18 @@
     std::uint32_t refreshed_at_member_count_ = 0;
     /// Since when other VMs have had a newer configuration than this VM.
     std::optional<time_point> configuration_behind_since_;
+    /// Since when the leader has had other targets or more members than this
+    /// VM.
+    std::optional<time_point> targets_behind_since_;
+    time_point started_at_;
+    time_point demands_reported_at_;
+    std::string relay_address_;
+    /// A relay that has not answered, until the leader has been told.
+    std::string lost_relay_;
+    /// Whether this VM follows the store also while it has a leader.
+    bool is_follower_ = true;
+    /// Position of this VM among those of its failure domain.
+    std::size_t rank_in_domain_ = 0;
 };
 
 } // namespace oleandergrade
--- a/include/oleandergrade/process/membership/member_list.hpp
+++ b/include/oleandergrade/process/membership/member_list.hpp
@@ -20,6 +20,10 @@
     std::string address;
     /// Incarnation of the VM's process.
     std::uint64_t incarnation = 0;
+    /// Empty for VMs of earlier versions.
+    std::string failure_domain = {};
+    /// Processor time that the VM may use; 0 if it is not known.
+    unsigned processor_millicores = 0;
 
     bool operator==(const fleet_member&) const = default;
 };
@@ -42,9 +46,15 @@
     const std::map<std::string, fleet_member>& all() const { return members_; }
     /// Names of the VMs in alphabetical order.
     std::vector<std::string> names() const;
-    /// Position of a VM in `names()`; the size of the list if it is not
+    /// Position of a VM among all, the strongest first; VMs that are equally
+    /// strong are in alphabetical order. The size of the list if the VM is not
     /// registered.
     std::size_t rank_of(const std::string& name) const;
+    /// Position of a VM among those of its failure domain, in the same order.
+    /// The size of the list if the VM is not registered.
+    std::size_t rank_in_domain(const std::string& name) const;
+    /// Number of registered VMs in a failure domain.
+    std::size_t domain_size(const std::string& failure_domain) const;
     std::uint32_t size() const
     {
         return static_cast<std::uint32_t>(members_.size());
--- a/include/oleandergrade/process/vm_settings.hpp
+++ b/include/oleandergrade/process/vm_settings.hpp
@@ -48,6 +48,9 @@
     double limit_overshoot_fraction = 0;
     /// Number of operations that a window may contain in addition to that.
     double limit_slack_operations = 0;
+    /// Processor time that the VM may use, in thousandths of a core; 0 if the
+    /// settings do not tell.
+    unsigned processor_millicores = 0;
     /// The fleet starts for the first time, so there is no earlier incarnation.
     bool is_first_start = false;
 
--- a/src/connection/fleet_message_codec.cpp
+++ b/src/connection/fleet_message_codec.cpp
@@ -75,6 +75,26 @@
     return out;
 }
 
+void write(capnp::List<wire::AccountShare>::Builder out,
+           const std::vector<account_share>& in)
+{
+    for (unsigned i = 0; i < in.size(); ++i)
+    {
+        out[i].setAccount(in[i].account);
+        out[i].setRate(in[i].rate);
+        out[i].setBurst(in[i].burst);
+    }
+}
+
+std::vector<account_share> read(capnp::List<wire::AccountShare>::Reader in)
+{
+    std::vector<account_share> out;
+    for (const auto share : in)
+        out.push_back({string_from_wire(share.getAccount()), share.getRate(),
+                       share.getBurst()});
+    return out;
+}
+
 } // namespace
 
 void write(wire::FleetReport::Builder out, const fleet_report& in)
@@ -86,6 +106,8 @@
     out.setConfigurationVersion(in.configuration_version);
     out.setEcho(in.echoed_stamp);
     out.setGrantAge(milliseconds_to_wire(in.other_leader_grant_age));
+    out.setLostRelay(in.lost_relay);
+    out.setOmitsDemands(in.omits_demands);
     auto failing_targets = out.initTroubles(size_of(in.failing_targets));
     for (unsigned i = 0; i < in.failing_targets.size(); ++i)
     {
@@ -112,6 +134,8 @@
     out.configuration_version = in.getConfigurationVersion();
     out.echoed_stamp = in.getEcho();
     out.other_leader_grant_age = milliseconds_from_wire(in.getGrantAge());
+    out.lost_relay = string_from_wire(in.getLostRelay());
+    out.omits_demands = in.getOmitsDemands();
     for (const auto failure : in.getTroubles())
         out.failing_targets.push_back(
             {string_from_wire(failure.getTarget()),
@@ -134,13 +158,8 @@
     out.setStoreAge(milliseconds_to_wire(in.store_age));
     out.setConfigurationVersion(in.configuration_version);
     write(out.initPrimaries(size_of(in.primaries)), in.primaries);
-    auto shares = out.initShares(size_of(in.shares));
-    for (unsigned i = 0; i < in.shares.size(); ++i)
-    {
-        shares[i].setAccount(in.shares[i].account);
-        shares[i].setRate(in.shares[i].rate);
-        shares[i].setBurst(in.shares[i].burst);
-    }
+    write(out.initShares(size_of(in.shares)), in.shares);
+    out.setRelay(in.relay_address);
 }
 
 fleet_grant read(wire::FleetGrant::Reader in)
@@ -156,9 +175,31 @@
     out.store_age = milliseconds_from_wire(in.getStoreAge());
     out.configuration_version = in.getConfigurationVersion();
     out.primaries = read(in.getPrimaries());
-    for (const auto share : in.getShares())
-        out.shares.push_back({string_from_wire(share.getAccount()),
-                              share.getRate(), share.getBurst()});
+    out.shares = read(in.getShares());
+    out.relay_address = string_from_wire(in.getRelay());
+    return out;
+}
+
+void write(wire::RelayedGrants::Builder out, const relayed_grants& in)
+{
+    write(out.initCommon(), in.common);
+    auto grants = out.initGrants(size_of(in.grants));
+    for (unsigned i = 0; i < in.grants.size(); ++i)
+    {
+        grants[i].setVm(in.grants[i].vm);
+        grants[i].setAccepted(in.grants[i].accepted);
+        write(grants[i].initShares(size_of(in.grants[i].shares)),
+              in.grants[i].shares);
+    }
+}
+
+relayed_grants read(wire::RelayedGrants::Reader in)
+{
+    relayed_grants out;
+    out.common = read(in.getCommon());
+    for (const auto grant : in.getGrants())
+        out.grants.push_back({string_from_wire(grant.getVm()),
+                              grant.getAccepted(), read(grant.getShares())});
     return out;
 }
 
--- a/src/connection/fleet_message_codec.hpp
+++ b/src/connection/fleet_message_codec.hpp
@@ -15,6 +15,9 @@
 void write(wire::FleetGrant::Builder out, const fleet_grant& in);
 fleet_grant read(wire::FleetGrant::Reader in);
 
+void write(wire::RelayedGrants::Builder out, const relayed_grants& in);
+relayed_grants read(wire::RelayedGrants::Reader in);
+
 void write(wire::PrimaryNotice::Builder out, const primary_notice& in);
 primary_notice read(wire::PrimaryNotice::Reader in);
 
--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -47,7 +47,8 @@
     return std::holds_alternative<fleet_grant>(body) ||
            std::holds_alternative<borrow_reply>(body) ||
            std::holds_alternative<notice_receipt>(body) ||
-           std::holds_alternative<fleet_snapshot>(body);
+           std::holds_alternative<fleet_snapshot>(body) ||
+           std::holds_alternative<relayed_grants>(body);
 }
 
 } // namespace
--- a/src/connection/peer_message.capnp
+++ b/src/connection/peer_message.capnp
@@ -17,6 +17,12 @@
     # Version of the configuration that the sender has.
     snapshotRequest @7 :UInt64;
     snapshot @8 :FleetSnapshot;
+    # A report that the receiver is to pass on to the leader. The reply is the
+    # leader's grant.
+    relayRequest @9 :FleetReport;
+    # Reports that a VM passes on to the leader.
+    relayedReports @10 :List(FleetReport);
+    relayedGrants @11 :RelayedGrants;
   }
 }
 
@@ -57,6 +63,10 @@
   echo @7 :UInt64;
   # Time since the VM last received a grant of another leader, in milliseconds.
   grantAge @8 :UInt64;
+  # Address of a relay that has not answered; empty if there is none.
+  lostRelay @9 :Text;
+  # `demands` is left out of this report, and the VM's shares are unchanged.
+  omitsDemands @10 :Bool;
 }
 
 # A primary record with the newest known position of the primary's log.
@@ -92,6 +102,22 @@
   # not observe all changes of targets in the store, the longest time for which
   # it grants without the store.
   storeAge @10 :UInt64;
+  # Address of the VM that is to pass on the receiver's next reports; empty if
+  # it is to report to the leader.
+  relay @11 :Text;
+}
+
+# What is of its own in a grant that is relayed.
+struct RelayedGrant {
+  vm @0 :Text;
+  accepted @1 :Bool;
+  shares @2 :List(AccountShare);
+}
+
+# Answers to relayed reports, in the same order.
+struct RelayedGrants {
+  common @0 :FleetGrant;
+  grants @1 :List(RelayedGrant);
 }
 
 struct PrimaryNotice {
--- a/src/connection/peer_message.capnp.h
+++ b/src/connection/peer_message.capnp.h
@@ -23,6 +23,8 @@
 CAPNP_DECLARE_SCHEMA(c0b5d968c807550f);
 CAPNP_DECLARE_SCHEMA(ad9a6e04ecbb9685);
 CAPNP_DECLARE_SCHEMA(d24114f6741fb05c);
+CAPNP_DECLARE_SCHEMA(97cdc31eb53b7524);
+CAPNP_DECLARE_SCHEMA(e6adb0be36e89cda);
 CAPNP_DECLARE_SCHEMA(91857391c186969c);
 CAPNP_DECLARE_SCHEMA(ecbecdc9d0055e41);
 CAPNP_DECLARE_SCHEMA(90c1c83ad7399fa3);
@@ -51,6 +53,9 @@
     BORROW_REPLY,
     SNAPSHOT_REQUEST,
     SNAPSHOT,
+    RELAY_REQUEST,
+    RELAYED_REPORTS,
+    RELAYED_GRANTS,
   };
 
   struct _capnpPrivate {
@@ -114,7 +119,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c0b5d968c807550f, 6, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c0b5d968c807550f, 6, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -144,7 +149,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d24114f6741fb05c, 7, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d24114f6741fb05c, 7, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayedGrant {
+  RelayedGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(97cdc31eb53b7524, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayedGrants {
+  RelayedGrants() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e6adb0be36e89cda, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -294,6 +329,18 @@
   inline bool hasSnapshot() const;
   inline  ::oleandergrade::wire::FleetSnapshot::Reader getSnapshot() const;
 
+  inline bool isRelayRequest() const;
+  inline bool hasRelayRequest() const;
+  inline  ::oleandergrade::wire::FleetReport::Reader getRelayRequest() const;
+
+  inline bool isRelayedReports() const;
+  inline bool hasRelayedReports() const;
+  inline  ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>::Reader getRelayedReports() const;
+
+  inline bool isRelayedGrants() const;
+  inline bool hasRelayedGrants() const;
+  inline  ::oleandergrade::wire::RelayedGrants::Reader getRelayedGrants() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -386,6 +433,30 @@
   inline void adoptSnapshot(::capnp::Orphan< ::oleandergrade::wire::FleetSnapshot>&& value);
   inline ::capnp::Orphan< ::oleandergrade::wire::FleetSnapshot> disownSnapshot();
 
+  inline bool isRelayRequest();
+  inline bool hasRelayRequest();
+  inline  ::oleandergrade::wire::FleetReport::Builder getRelayRequest();
+  inline void setRelayRequest( ::oleandergrade::wire::FleetReport::Reader value);
+  inline  ::oleandergrade::wire::FleetReport::Builder initRelayRequest();
+  inline void adoptRelayRequest(::capnp::Orphan< ::oleandergrade::wire::FleetReport>&& value);
+  inline ::capnp::Orphan< ::oleandergrade::wire::FleetReport> disownRelayRequest();
+
+  inline bool isRelayedReports();
+  inline bool hasRelayedReports();
+  inline  ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>::Builder getRelayedReports();
+  inline void setRelayedReports( ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>::Builder initRelayedReports(unsigned int size);
+  inline void adoptRelayedReports(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>> disownRelayedReports();
+
+  inline bool isRelayedGrants();
+  inline bool hasRelayedGrants();
+  inline  ::oleandergrade::wire::RelayedGrants::Builder getRelayedGrants();
+  inline void setRelayedGrants( ::oleandergrade::wire::RelayedGrants::Reader value);
+  inline  ::oleandergrade::wire::RelayedGrants::Builder initRelayedGrants();
+  inline void adoptRelayedGrants(::capnp::Orphan< ::oleandergrade::wire::RelayedGrants>&& value);
+  inline ::capnp::Orphan< ::oleandergrade::wire::RelayedGrants> disownRelayedGrants();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -718,6 +789,11 @@
 
   inline  ::uint64_t getGrantAge() const;
 
+  inline bool hasLostRelay() const;
+  inline  ::capnp::Text::Reader getLostRelay() const;
+
+  inline bool getOmitsDemands() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -785,6 +861,16 @@
   inline  ::uint64_t getGrantAge();
   inline void setGrantAge( ::uint64_t value);
 
+  inline bool hasLostRelay();
+  inline  ::capnp::Text::Builder getLostRelay();
+  inline void setLostRelay( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLostRelay(unsigned int size);
+  inline void adoptLostRelay(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLostRelay();
+
+  inline bool getOmitsDemands();
+  inline void setOmitsDemands(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -979,6 +1065,9 @@
 
   inline  ::uint64_t getStoreAge() const;
 
+  inline bool hasRelay() const;
+  inline  ::capnp::Text::Reader getRelay() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1052,6 +1141,13 @@
   inline  ::uint64_t getStoreAge();
   inline void setStoreAge( ::uint64_t value);
 
+  inline bool hasRelay();
+  inline  ::capnp::Text::Builder getRelay();
+  inline void setRelay( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRelay(unsigned int size);
+  inline void adoptRelay(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRelay();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1078,6 +1174,194 @@
 };
 #endif  // !CAPNP_LITE
 
+class RelayedGrant::Reader {
+public:
+  typedef RelayedGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline bool getAccepted() const;
+
+  inline bool hasShares() const;
+  inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader getShares() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayedGrant::Builder {
+public:
+  typedef RelayedGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
+
+  inline bool hasShares();
+  inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder getShares();
+  inline void setShares( ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder initShares(unsigned int size);
+  inline void adoptShares(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>> disownShares();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayedGrant::Pipeline {
+public:
+  typedef RelayedGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RelayedGrants::Reader {
+public:
+  typedef RelayedGrants Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCommon() const;
+  inline  ::oleandergrade::wire::FleetGrant::Reader getCommon() const;
+
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayedGrants::Builder {
+public:
+  typedef RelayedGrants Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCommon();
+  inline  ::oleandergrade::wire::FleetGrant::Builder getCommon();
+  inline void setCommon( ::oleandergrade::wire::FleetGrant::Reader value);
+  inline  ::oleandergrade::wire::FleetGrant::Builder initCommon();
+  inline void adoptCommon(::capnp::Orphan< ::oleandergrade::wire::FleetGrant>&& value);
+  inline ::capnp::Orphan< ::oleandergrade::wire::FleetGrant> disownCommon();
+
+  inline bool hasGrants();
+  inline  ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>> disownGrants();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayedGrants::Pipeline {
+public:
+  typedef RelayedGrants Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::oleandergrade::wire::FleetGrant::Pipeline getCommon();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PrimaryNotice::Reader {
 public:
   typedef PrimaryNotice Reads;
@@ -2078,6 +2362,168 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isRelayRequest() const {
+  return which() == PeerMessage::RELAY_REQUEST;
+}
+inline bool PeerMessage::Builder::isRelayRequest() {
+  return which() == PeerMessage::RELAY_REQUEST;
+}
+inline bool PeerMessage::Reader::hasRelayRequest() const {
+  if (which() != PeerMessage::RELAY_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasRelayRequest() {
+  if (which() != PeerMessage::RELAY_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::FleetReport::Reader PeerMessage::Reader::getRelayRequest() const {
+  KJ_IREQUIRE((which() == PeerMessage::RELAY_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::FleetReport::Builder PeerMessage::Builder::getRelayRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::RELAY_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setRelayRequest( ::oleandergrade::wire::FleetReport::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::RELAY_REQUEST);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::FleetReport::Builder PeerMessage::Builder::initRelayRequest() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::RELAY_REQUEST);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptRelayRequest(
+    ::capnp::Orphan< ::oleandergrade::wire::FleetReport>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::RELAY_REQUEST);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::FleetReport> PeerMessage::Builder::disownRelayRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::RELAY_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isRelayedReports() const {
+  return which() == PeerMessage::RELAYED_REPORTS;
+}
+inline bool PeerMessage::Builder::isRelayedReports() {
+  return which() == PeerMessage::RELAYED_REPORTS;
+}
+inline bool PeerMessage::Reader::hasRelayedReports() const {
+  if (which() != PeerMessage::RELAYED_REPORTS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasRelayedReports() {
+  if (which() != PeerMessage::RELAYED_REPORTS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>::Reader PeerMessage::Reader::getRelayedReports() const {
+  KJ_IREQUIRE((which() == PeerMessage::RELAYED_REPORTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Builder::getRelayedReports() {
+  KJ_IREQUIRE((which() == PeerMessage::RELAYED_REPORTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setRelayedReports( ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::RELAYED_REPORTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Builder::initRelayedReports(unsigned int size) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::RELAYED_REPORTS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Builder::adoptRelayedReports(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::RELAYED_REPORTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>> PeerMessage::Builder::disownRelayedReports() {
+  KJ_IREQUIRE((which() == PeerMessage::RELAYED_REPORTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::FleetReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isRelayedGrants() const {
+  return which() == PeerMessage::RELAYED_GRANTS;
+}
+inline bool PeerMessage::Builder::isRelayedGrants() {
+  return which() == PeerMessage::RELAYED_GRANTS;
+}
+inline bool PeerMessage::Reader::hasRelayedGrants() const {
+  if (which() != PeerMessage::RELAYED_GRANTS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasRelayedGrants() {
+  if (which() != PeerMessage::RELAYED_GRANTS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::RelayedGrants::Reader PeerMessage::Reader::getRelayedGrants() const {
+  KJ_IREQUIRE((which() == PeerMessage::RELAYED_GRANTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::RelayedGrants>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::RelayedGrants::Builder PeerMessage::Builder::getRelayedGrants() {
+  KJ_IREQUIRE((which() == PeerMessage::RELAYED_GRANTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::RelayedGrants>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setRelayedGrants( ::oleandergrade::wire::RelayedGrants::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::RELAYED_GRANTS);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::RelayedGrants>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::RelayedGrants::Builder PeerMessage::Builder::initRelayedGrants() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::RELAYED_GRANTS);
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::RelayedGrants>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptRelayedGrants(
+    ::capnp::Orphan< ::oleandergrade::wire::RelayedGrants>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::RELAYED_GRANTS);
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::RelayedGrants>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::RelayedGrants> PeerMessage::Builder::disownRelayedGrants() {
+  KJ_IREQUIRE((which() == PeerMessage::RELAYED_GRANTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::RelayedGrants>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool TargetTrouble::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2436,6 +2882,54 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FleetReport::Reader::hasLostRelay() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetReport::Builder::hasLostRelay() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FleetReport::Reader::getLostRelay() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FleetReport::Builder::getLostRelay() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void FleetReport::Builder::setLostRelay( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FleetReport::Builder::initLostRelay(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void FleetReport::Builder::adoptLostRelay(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FleetReport::Builder::disownLostRelay() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool FleetReport::Reader::getOmitsDemands() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetReport::Builder::getOmitsDemands() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void FleetReport::Builder::setOmitsDemands(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PrimaryState::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2816,6 +3310,195 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FleetGrant::Reader::hasRelay() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetGrant::Builder::hasRelay() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FleetGrant::Reader::getRelay() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FleetGrant::Builder::getRelay() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void FleetGrant::Builder::setRelay( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FleetGrant::Builder::initRelay(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void FleetGrant::Builder::adoptRelay(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FleetGrant::Builder::disownRelay() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool RelayedGrant::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedGrant::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayedGrant::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayedGrant::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayedGrant::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayedGrant::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayedGrant::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayedGrant::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RelayedGrant::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool RelayedGrant::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayedGrant::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayedGrant::Reader::hasShares() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedGrant::Builder::hasShares() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader RelayedGrant::Reader::getShares() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder RelayedGrant::Builder::getShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayedGrant::Builder::setShares( ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder RelayedGrant::Builder::initShares(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RelayedGrant::Builder::adoptShares(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>> RelayedGrant::Builder::disownShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::AccountShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RelayedGrants::Reader::hasCommon() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedGrants::Builder::hasCommon() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::FleetGrant::Reader RelayedGrants::Reader::getCommon() const {
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::FleetGrant::Builder RelayedGrants::Builder::getCommon() {
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::oleandergrade::wire::FleetGrant::Pipeline RelayedGrants::Pipeline::getCommon() {
+  return  ::oleandergrade::wire::FleetGrant::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RelayedGrants::Builder::setCommon( ::oleandergrade::wire::FleetGrant::Reader value) {
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::FleetGrant::Builder RelayedGrants::Builder::initCommon() {
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayedGrants::Builder::adoptCommon(
+    ::capnp::Orphan< ::oleandergrade::wire::FleetGrant>&& value) {
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::FleetGrant> RelayedGrants::Builder::disownCommon() {
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::FleetGrant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RelayedGrants::Reader::hasGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedGrants::Builder::hasGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>::Reader RelayedGrants::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>::Builder RelayedGrants::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayedGrants::Builder::setGrants( ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>::Builder RelayedGrants::Builder::initGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RelayedGrants::Builder::adoptGrants(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>> RelayedGrants::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::RelayedGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PrimaryNotice::Reader::getToken() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/connection/peer_message.cpp
+++ b/src/connection/peer_message.cpp
@@ -58,6 +58,21 @@
     {
         write(out.initSnapshot(), body);
     }
+    void operator()(const relay_request& body)
+    {
+        write(out.initRelayRequest(), body.report);
+    }
+    void operator()(const relayed_reports& body)
+    {
+        auto reports =
+            out.initRelayedReports(static_cast<unsigned>(body.reports.size()));
+        for (unsigned i = 0; i < body.reports.size(); ++i)
+            write(reports[i], body.reports[i]);
+    }
+    void operator()(const relayed_grants& body)
+    {
+        write(out.initRelayedGrants(), body);
+    }
 };
 
 peer_body read_body(wire::PeerMessage::Reader in)
@@ -80,6 +95,17 @@
         return snapshot_request{in.getSnapshotRequest()};
     case wire::PeerMessage::SNAPSHOT:
         return read(in.getSnapshot());
+    case wire::PeerMessage::RELAY_REQUEST:
+        return relay_request{read(in.getRelayRequest())};
+    case wire::PeerMessage::RELAYED_REPORTS:
+    {
+        relayed_reports reports;
+        for (const auto report : in.getRelayedReports())
+            reports.reports.push_back(read(report));
+        return reports;
+    }
+    case wire::PeerMessage::RELAYED_GRANTS:
+        return read(in.getRelayedGrants());
     }
     throw std::runtime_error("unknown type of peer message");
 }
--- a/src/process/configuration/store_follower.cpp
+++ b/src/process/configuration/store_follower.cpp
@@ -234,8 +234,14 @@
                    {"revision", store_revision_},
                    {"unanswered", status(current_time()).unanswered_for},
                    {"error", to_string(failure)}});
-    co_await wait_before_call(retry_delay_);
-    retry_delay_ = std::min(retry_delay_ * 2, max_retry_delay);
+    const auto max_delay = mode_ == follow_mode::confirming
+                               ? max_retry_delay
+                               : max_assisted_retry_delay;
+    retry_delay_ = std::min(retry_delay_, max_delay);
+    const auto jitter = std::uniform_real_distribution<>(0.75, 1)(random_);
+    co_await wait_before_call(std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(retry_delay_) * jitter));
+    retry_delay_ = std::min(retry_delay_ * 2, max_delay);
 }
 
 } // namespace oleandergrade
--- a/src/process/configuration/store_mirror.cpp
+++ b/src/process/configuration/store_mirror.cpp
@@ -63,16 +63,16 @@
         min_confirmation_interval, max_confirmation_interval);
 }
 
-void store_mirror::set_assisted_by_leader(bool assisted)
+void store_mirror::set_follow_mode(follow_mode mode)
 {
     // The interval follows settings that were reloaded.
     const auto interval = confirmation_interval(state_.settings);
     configuration_follower_.set_confirmation_interval(interval);
     target_follower_.set_confirmation_interval(interval);
-    configuration_follower_.set_mode(assisted ? follow_mode::assisted
-                                              : follow_mode::confirming);
-    target_follower_.set_mode(assisted ? follow_mode::paused
-                                       : follow_mode::confirming);
+    configuration_follower_.set_mode(mode);
+    target_follower_.set_mode(mode == follow_mode::confirming
+                                  ? follow_mode::confirming
+                                  : follow_mode::paused);
 }
 
 void store_mirror::discard_lapsed_targets(time_point now)
--- a/src/process/limits/share_allocator.cpp
+++ b/src/process/limits/share_allocator.cpp
@@ -61,6 +61,8 @@
     for (auto& [name, account] : accounts_)
     {
         account.shares_by_vm.clear();
+        account.total_held_rate = 0;
+        account.total_wanted_rate = 0;
         account.refilled_at = now;
         // There is no record of how much the previous leader left in the
         // reserve.
@@ -98,13 +100,22 @@
     return static_cast<double>(reporting_count_) / member_count_;
 }
 
-double share_allocator::total_held_rate(const account_state& account,
-                                        time_point now)
+void share_allocator::drop_expired_shares(account_state& account,
+                                          time_point now)
 {
-    double held_rate = 0;
+    if (now < account.next_expiry)
+        return;
+    std::erase_if(account.shares_by_vm, [&](const auto& entry)
+                  { return now >= entry.second.valid_until; });
+    account.total_held_rate = 0;
+    account.total_wanted_rate = 0;
+    account.next_expiry = time_point::max();
     for (const auto& [vm, share] : account.shares_by_vm)
-        held_rate += now < share.valid_until ? share.max_held_rate : 0;
-    return held_rate;
+    {
+        account.total_held_rate += share.max_held_rate;
+        account.total_wanted_rate += share.wanted_rate;
+        account.next_expiry = std::min(account.next_expiry, share.valid_until);
+    }
 }
 
 account_share share_allocator::allocate_account(account_state& account,
@@ -115,21 +126,20 @@
     // Until now the reserve accumulated what no VM held.
     refill_reserve(account, now);
     auto& own_share = account.shares_by_vm[vm];
-    own_share.max_held_rate = 0;
+    account.total_held_rate -= own_share.max_held_rate;
+    account.total_wanted_rate += demand.wanted_rate - own_share.wanted_rate;
     own_share.wanted_rate = demand.wanted_rate;
-    double total_wanted_rate = 0;
-    for (const auto& [other, share] : account.shares_by_vm)
-        if (other == vm || now < share.valid_until)
-            total_wanted_rate += share.wanted_rate;
     const auto divisible_rate =
         account.budget.shared_rate() * reporting_fraction();
     const auto demand_fraction =
-        total_wanted_rate > 0 ? demand.wanted_rate / total_wanted_rate : 0.0;
+        account.total_wanted_rate > 0
+            ? demand.wanted_rate / account.total_wanted_rate
+            : 0.0;
     // Until all shares of the previous leader have been reported or have
     // expired, a VM keeps the share it has; it borrows the rest from the
     // reserve.
     const auto free_rate =
-        std::max(0.0, divisible_rate - total_held_rate(account, now));
+        std::max(0.0, divisible_rate - account.total_held_rate);
     const auto fair_rate = divisible_rate * demand_fraction;
     // What is taken from a VM's share still counts as held there until that VM
     // reports again. Until then it is missing at both VMs, so shares are moved
@@ -142,6 +152,8 @@
     own_share.max_held_rate = std::max(rate, demand.held_rate);
     own_share.valid_until =
         now + operation_limiter::share_validity + validity_margin;
+    account.total_held_rate += own_share.max_held_rate;
+    account.next_expiry = std::min(account.next_expiry, own_share.valid_until);
     const auto total_shared_rate = account.budget.shared_rate();
     const auto burst = account.budget.shared_burst();
     return {demand.account, rate,
@@ -151,6 +163,7 @@
 void share_allocator::refill_reserve(account_state& account,
                                      time_point now) const
 {
+    drop_expired_shares(account, now);
     const auto elapsed =
         std::chrono::duration<double>(now - account.refilled_at).count();
     account.refilled_at = now;
@@ -160,7 +173,7 @@
     const auto unheld_rate =
         is_rebuilding(now)
             ? 0.0
-            : account.budget.rate * fraction - total_held_rate(account, now);
+            : account.budget.rate * fraction - account.total_held_rate;
     const auto rate =
         std::max(account.budget.reserved_rate() * fraction, unheld_rate);
     const auto burst = account.budget.reserved_burst() * fraction;
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -26,7 +26,20 @@
 constexpr auto max_election_wait = milliseconds(250);
 /// Members beyond this rank compete in elections at the same time as this rank,
 /// which bounds their delay.
-constexpr std::size_t max_election_rank = 20;
+constexpr std::size_t max_election_rank = 100;
+/// In a fleet of at least this many VMs only some of each failure domain follow
+/// the store while there is a leader.
+constexpr std::size_t large_fleet_size = 12;
+/// Number of VMs of each failure domain that follow the store always. Leaders
+/// and relays are among them.
+constexpr std::size_t followers_per_domain = 2;
+/// Difference between the times after which two VMs of neighbouring ranks
+/// follow the store when they have no leader, and the longest such time.
+constexpr auto follow_delay_per_rank = milliseconds(100);
+constexpr auto max_follow_delay = milliseconds(3000);
+/// A VM that its relay does not bring up to date within this time fetches
+/// copies from the leader.
+constexpr auto relay_copy_timeout = milliseconds(1000);
 /// Timeout for the statements at a primary that is replaced as planned: its
 /// closed record is confirmed when they have ended, or after this time.
 constexpr auto planned_closing_timeout = milliseconds(250);
@@ -42,9 +55,15 @@
 constexpr auto max_leader_store_age = milliseconds(2000);
 /// Probes are counted this long after their timeout.
 constexpr auto probe_count_delay = milliseconds(50);
-/// Delay before a failed registration is repeated.
+/// Delay before a failed registration is repeated for the first time; it
+/// doubles with each further failure up to the maximum.
 constexpr auto registration_retry_delay = milliseconds(300);
+constexpr auto max_registration_retry_delay = milliseconds(2400);
 constexpr auto snapshot_timeout = milliseconds(1500);
+/// How often a VM with a relay reports its demands. Its shares are valid for
+/// several times as long.
+constexpr auto relayed_demand_interval = milliseconds(700);
+static_assert(operation_limiter::share_validity >= 3 * relayed_demand_interval);
 
 } // namespace
 
@@ -57,6 +76,8 @@
       peers_(context.get_executor()),
       failover_(context.get_executor(), state, election_, grant_tracker_,
                 peers_),
+      relay_(context.get_executor(), [this](relayed_reports reports)
+             { return send_relayed_reports(std::move(reports)); }),
       store_mirror_(context.get_executor(), state),
       own_keys_follower_(context.get_executor(), state.store, own_prefix,
                          store_mirror::confirmation_interval(state.settings),
@@ -86,6 +107,8 @@
 
 void fleet_service::start()
 {
+    started_at_ = current_time();
+    store_mirror_.set_follow_mode(follow_mode::paused);
     const auto endpoint = parse_endpoint(state_.settings.peer_address);
     if (!succeeded(endpoint))
         throw boost::system::system_error(
@@ -228,6 +251,10 @@
         state_.members.size(),
         failover_.vm_reports().reporting_vms(current_time()) + 1);
     grant_tracker_.update_members(state_.members.names());
+    rank_in_domain_ = state_.members.rank_in_domain(state_.settings.name);
+    is_follower_ = state_.members.size() < large_fleet_size ||
+                   rank_in_domain_ < followers_per_domain;
+    update_follow_mode(current_time());
     state_.update_limits();
 }
 
@@ -237,7 +264,9 @@
 {
     const fleet_member self{state_.settings.name,
                             state_.settings.advertised_peer_address,
-                            state_.incarnation};
+                            state_.incarnation, state_.settings.failure_domain,
+                            state_.settings.processor_millicores};
+    auto retry_delay = registration_retry_delay;
     for (;;)
     {
         conditional_write change;
@@ -246,7 +275,10 @@
         auto outcome = co_await state_.store.write(change);
         if (succeeded(outcome))
             break;
-        co_await sleep_for(registration_retry_delay);
+        const auto jitter =
+            std::uniform_int_distribution<int>(75, 100)(random_);
+        co_await sleep_for(retry_delay * jitter / 100);
+        retry_delay = std::min(retry_delay * 2, max_registration_retry_delay);
     }
     registered_ = true;
     election_wake_timer_.cancel();
@@ -336,6 +368,7 @@
         grant_tracker_.on_elected(leader_.last_granted_at(), now);
         grant_tracker_.update_members(state_.members.names());
         share_allocator_.on_elected(now);
+        relay_chooser_.clear();
         state_.view.authority.on_token(election_.token());
         grant_to_self(now);
     }
@@ -425,11 +458,25 @@
     const bool is_assisted = !election_.is_leader() &&
                              !leader_.is_grant_overdue(now) &&
                              leader_store_age_ <= max_leader_store_age;
-    store_mirror_.set_assisted_by_leader(is_assisted);
+    auto mode = is_assisted ? follow_mode::assisted : follow_mode::confirming;
+    if (!is_follower_ && !election_.is_leader())
+    {
+        const auto delay = std::min<milliseconds>(
+            follow_delay_per_rank * static_cast<int>(rank_in_domain_),
+            max_follow_delay);
+        const auto last_granted_at =
+            std::max(leader_.last_granted_at(), started_at_);
+        if (now - last_granted_at <
+            leader_tracker::max_time_without_grant + delay)
+            mode = follow_mode::paused;
+    }
+    // Until the members are known, this VM may be one of those that leave the
+    // other keys to others.
+    store_mirror_.set_follow_mode(
+        own_keys_follower_.has_read() ? mode : follow_mode::paused);
     own_keys_follower_.set_confirmation_interval(
         store_mirror::confirmation_interval(state_.settings));
-    own_keys_follower_.set_mode(is_assisted ? follow_mode::assisted
-                                            : follow_mode::confirming);
+    own_keys_follower_.set_mode(mode);
 }
 
 std::string fleet_service::next_report_address()
@@ -457,15 +504,30 @@
     report.highest_token = state_.view.authority.highest_token();
     report.configuration_version = state_.configuration.version();
     report.failing_targets = state_.view.health.failing_targets(now);
-    report.demands = state_.limiter.demands(now);
+    // The shares are most of the reports and grants of a large fleet.
+    report.omits_demands = !relay_address_.empty() &&
+                           now - demands_reported_at_ < relayed_demand_interval;
+    if (!report.omits_demands)
+    {
+        report.demands = state_.limiter.demands(now);
+        demands_reported_at_ = now;
+    }
     report.other_leader_grant_age =
         leader_.other_leader_grant_age(report.highest_token, now);
     report.echoed_stamp = leader_.last_grant_stamp(report.highest_token);
+    report.lost_relay = lost_relay_;
     return report;
 }
 
 asio::awaitable<void> fleet_service::send_report()
 {
+    if (!relay_address_.empty() &&
+        relay_address_ != state_.settings.advertised_peer_address)
+    {
+        const bool granted = co_await send_report_to_relay();
+        if (granted)
+            co_return;
+    }
     const auto address = next_report_address();
     if (address.empty())
         co_return;
@@ -485,6 +547,69 @@
         apply_grant(*grant, address, sent_at);
 }
 
+asio::awaitable<bool> fleet_service::send_report_to_relay()
+{
+    const auto address = relay_address_;
+    const auto sent_at = current_time();
+    peer_body body = relay_request{make_report()};
+    auto outcome =
+        co_await peers_.call(address, std::move(body), relay_timeout);
+    if (succeeded(outcome))
+        if (const auto* grant = std::get_if<fleet_grant>(&value_of(outcome));
+            grant != nullptr && grant->accepted)
+        {
+            apply_grant(*grant, address, sent_at);
+            co_return true;
+        }
+    ++counts_.relays_lost;
+    log_event(event_level::warning, "grant", "relay does not answer",
+              {{"address", address},
+               {"error", succeeded(outcome) ? "no grant"
+                                            : to_string(error_of(outcome))}});
+    // A relay that answers without a grant may have lost the leader only.
+    if (!succeeded(outcome))
+        lost_relay_ = address;
+    relay_address_.clear();
+    co_return false;
+}
+
+asio::awaitable<result<relayed_grants>>
+fleet_service::send_relayed_reports(relayed_reports reports)
+{
+    if (election_.is_leader())
+        co_return handle_relayed_reports(reports);
+    const auto address =
+        leader_.current_leader_address(election_.known_leader().address);
+    if (address.empty() || address == state_.settings.advertised_peer_address)
+        co_return error{error_kind::unreachable, "relay", "",
+                        "no leader is known"};
+    peer_body body = std::move(reports);
+    auto outcome =
+        co_await peers_.call(address, std::move(body),
+                             relay_timeout - report_relay::gather_interval);
+    if (!succeeded(outcome))
+        co_return error_of(outcome);
+    auto* grants = std::get_if<relayed_grants>(&value_of(outcome));
+    if (grants == nullptr)
+        co_return error{error_kind::invalid, "relay", address,
+                        "the answer is of another type"};
+    // This VM may have received a newer one from the store.
+    grants->common.configuration_version = std::max(
+        grants->common.configuration_version, state_.configuration.version());
+    co_return std::move(*grants);
+}
+
+std::string fleet_service::snapshot_address(const std::string& sender_address,
+                                            time_point behind_since,
+                                            time_point now) const
+{
+    const auto& leader_address =
+        leader_.current_leader_address(election_.known_leader().address);
+    return now - behind_since < relay_copy_timeout || leader_address.empty()
+               ? sender_address
+               : leader_address;
+}
+
 void fleet_service::apply_grant(const fleet_grant& grant,
                                 const std::string& sender_address,
                                 time_point report_sent_at)
@@ -498,9 +623,13 @@
             store_mirror_.refresh_configuration();
         }
         if (!fetching_snapshot_ &&
-            now - *configuration_behind_since_ >= configuration_fetch_delay)
-            asio::co_spawn(context_, fetch_snapshot(sender_address),
-                           asio::detached);
+            (store_mirror_.is_configuration_paused() ||
+             now - *configuration_behind_since_ >= configuration_fetch_delay))
+            asio::co_spawn(
+                context_,
+                fetch_snapshot(snapshot_address(
+                    sender_address, *configuration_behind_since_, now)),
+                asio::detached);
     }
     else
     {
@@ -521,15 +650,27 @@
     if (!state_.view.authority.on_token(grant.token))
         return;
     leader_store_age_ = grant.store_age;
+    relay_address_ = grant.relay_address;
+    if (sender_address != lost_relay_)
+        lost_relay_.clear();
     // The members decide how limits and connections are divided.
-    if (grant.member_count > state_.members.size() &&
+    const bool lacks_members = grant.member_count > state_.members.size();
+    if (lacks_members &&
         std::exchange(refreshed_at_member_count_, grant.member_count) !=
             grant.member_count)
         own_keys_follower_.refresh("the leader knows more members");
-    if (!store_mirror_.receives_targets() && !fetching_snapshot_ &&
+    const bool lacks_targets =
+        !store_mirror_.receives_targets() &&
         grant.store_age <= max_leader_store_age &&
-        grant.targets_digest != state_.view.registry.digest())
-        asio::co_spawn(context_, fetch_snapshot(sender_address),
+        grant.targets_digest != state_.view.registry.digest();
+    if (!lacks_targets && !(lacks_members && own_keys_follower_.is_paused()))
+        targets_behind_since_.reset();
+    else if (!targets_behind_since_)
+        targets_behind_since_ = now;
+    if (targets_behind_since_ && !fetching_snapshot_)
+        asio::co_spawn(context_,
+                       fetch_snapshot(snapshot_address(
+                           sender_address, *targets_behind_since_, now)),
                        asio::detached);
     for (const auto& primary : grant.primaries)
     {
@@ -611,7 +752,7 @@
         co_return;
     ++counts_.snapshots_fetched;
     store_mirror_.apply_snapshot(*snapshot);
-    if (own_keys_follower_.has_read())
+    if (own_keys_follower_.has_read() && !own_keys_follower_.is_paused())
         co_return;
     for (const auto& item : snapshot->members)
         if (auto member = parse_fleet_member(item.value); succeeded(member))
@@ -645,6 +786,13 @@
 {
     if (const auto* report = std::get_if<fleet_report>(&body))
         co_return handle_report(*report);
+    if (auto* request = std::get_if<relay_request>(&body))
+    {
+        auto grant = co_await relay_.relay(std::move(request->report));
+        co_return peer_body(std::move(grant));
+    }
+    if (const auto* reports = std::get_if<relayed_reports>(&body))
+        co_return handle_relayed_reports(*reports);
     if (const auto* request = std::get_if<borrow_request>(&body))
         co_return handle_borrow_request(*request);
     if (auto* notice = std::get_if<primary_notice>(&body))
@@ -661,23 +809,43 @@
 fleet_grant fleet_service::handle_report(const fleet_report& report)
 {
     const auto now = current_time();
+    const auto* member = state_.members.find(report.vm);
+    const auto common = make_common_grant(
+        member == nullptr ? std::string() : member->failure_domain, now);
+    relayed_reports reports;
+    reports.reports.push_back(report);
+    return relayed_grant_for(reports,
+                             {common, {answer_report(report, common, now)}}, 0);
+}
+
+relayed_grants
+fleet_service::handle_relayed_reports(const relayed_reports& reports)
+{
+    const auto now = current_time();
+    const auto* member = reports.reports.empty()
+                             ? nullptr
+                             : state_.members.find(reports.reports.front().vm);
+    relayed_grants answer;
+    answer.common = make_common_grant(
+        member == nullptr ? std::string() : member->failure_domain, now);
+    for (const auto& report : reports.reports)
+        answer.grants.push_back(answer_report(report, answer.common, now));
+    return answer;
+}
+
+fleet_grant fleet_service::make_common_grant(const std::string& failure_domain,
+                                             time_point now)
+{
     fleet_grant grant;
     grant.configuration_version = state_.configuration.version();
     grant.member_count = state_.members.size();
     grant.token = state_.view.authority.highest_token();
-    grant.leader_address = election_.is_leader()
-                               ? state_.settings.advertised_peer_address
-                               : election_.known_leader().address;
-    const auto* reporting_member = state_.members.find(report.vm);
-    if (reporting_member != nullptr && !fetching_snapshot_ &&
-        report.configuration_version > state_.configuration.version())
-        asio::co_spawn(context_, fetch_snapshot(reporting_member->address),
-                       asio::detached);
-    // This leader would not wait for the grant of a VM that it has not seen
-    // registered in the store, nor would the next leader if the VM is not.
+    grant.leader_address =
+        election_.is_leader()
+            ? state_.settings.advertised_peer_address
+            : leader_.current_leader_address(election_.known_leader().address);
     const auto validity = allowed_grant_validity(now);
-    if (validity.count() == 0 || !report.is_registered ||
-        reporting_member == nullptr || report.highest_token > election_.token())
+    if (validity.count() == 0)
         return grant;
     grant.accepted = true;
     grant.token = election_.token();
@@ -689,14 +857,42 @@
                                    : grant_tracker::store_outage_tolerance;
     grant.validity = validity;
     grant.primaries = failover_.primary_states(now);
-    grant.shares = share_allocator_.allocate(report.vm, report.demands, now);
     grant.stamp = static_cast<std::uint64_t>(
         std::chrono::nanoseconds(now.time_since_epoch()).count());
+    grant.relay_address = relay_chooser_.relay_address(
+        failure_domain, state_.settings.name, state_.members,
+        [&](const std::string& vm)
+        { return failover_.vm_reports().is_reporting(vm, now); },
+        now);
+    return grant;
+}
+
+relayed_grant fleet_service::answer_report(const fleet_report& report,
+                                           const fleet_grant& common,
+                                           time_point now)
+{
+    relayed_grant grant{report.vm, false, {}};
+    const auto* reporting_member = state_.members.find(report.vm);
+    if (reporting_member != nullptr && !fetching_snapshot_ &&
+        report.configuration_version > state_.configuration.version())
+        asio::co_spawn(context_, fetch_snapshot(reporting_member->address),
+                       asio::detached);
+    // This leader would not wait for the grant of a VM that it has not seen
+    // registered in the store, nor would the next leader if the VM is not.
+    if (!common.accepted || !report.is_registered ||
+        reporting_member == nullptr || report.highest_token > election_.token())
+        return grant;
+    grant.accepted = true;
+    if (!report.lost_relay.empty())
+        relay_chooser_.on_relay_lost(report.lost_relay, now);
+    if (!report.omits_demands)
+        grant.shares =
+            share_allocator_.allocate(report.vm, report.demands, now);
     // Only a VM that has observed this token rejects grants of earlier leaders.
     if (report.highest_token == election_.token())
         grant_tracker_.on_token_acknowledged(
             report.vm, report.incarnation, report.other_leader_grant_age, now);
-    grant_tracker_.on_granted(report.vm, validity, now);
+    grant_tracker_.on_granted(report.vm, common.validity, now);
     failover_.on_report(report, now);
     return grant;
 }
--- a/src/process/membership/member_list.cpp
+++ b/src/process/membership/member_list.cpp
@@ -2,17 +2,35 @@
 
 #include <oleandergrade/connection/json_fields.hpp>
 
-#include <iterator>
+#include <algorithm>
+#include <tuple>
 
 namespace oleandergrade
 {
 namespace json = boost::json;
 
+namespace
+{
+
+constexpr std::uint64_t max_millicores = 1'000'000;
+
+/// The order of VMs for the work that one of several must do.
+bool is_stronger(const fleet_member& left, const fleet_member& right)
+{
+    return std::tie(right.processor_millicores, left.name) <
+           std::tie(left.processor_millicores, right.name);
+}
+
+} // namespace
+
 std::string serialize_fleet_member(const fleet_member& member)
 {
-    return json::serialize(json::object{{"name", member.name},
-                                        {"address", member.address},
-                                        {"incarnation", member.incarnation}});
+    return json::serialize(
+        json::object{{"name", member.name},
+                     {"address", member.address},
+                     {"incarnation", member.incarnation},
+                     {"domain", member.failure_domain},
+                     {"millicores", member.processor_millicores}});
 }
 
 result<fleet_member> parse_fleet_member(const std::string& value)
@@ -22,9 +40,11 @@
         return error{error_kind::invalid, "parse fleet member", "",
                      error_of(parsed).message};
     const auto& fields = value_of(parsed);
-    fleet_member member{string_field(fields, "name"),
-                        string_field(fields, "address"),
-                        unsigned_field(fields, "incarnation")};
+    fleet_member member{
+        string_field(fields, "name"), string_field(fields, "address"),
+        unsigned_field(fields, "incarnation"), string_field(fields, "domain"),
+        static_cast<unsigned>(std::min<std::uint64_t>(
+            unsigned_field(fields, "millicores"), max_millicores))};
     if (member.name.empty() || member.address.empty())
         return error{error_kind::invalid, "parse fleet member", "",
                      "'name' or 'address' is missing or empty"};
@@ -57,8 +77,34 @@
 
 std::size_t member_list::rank_of(const std::string& name) const
 {
-    return static_cast<std::size_t>(
-        std::distance(members_.begin(), members_.find(name)));
+    const auto* member = find(name);
+    if (member == nullptr)
+        return members_.size();
+    return static_cast<std::size_t>(std::count_if(
+        members_.begin(), members_.end(),
+        [&](const auto& entry) { return is_stronger(entry.second, *member); }));
+}
+
+std::size_t member_list::rank_in_domain(const std::string& name) const
+{
+    const auto* member = find(name);
+    if (member == nullptr)
+        return members_.size();
+    return static_cast<std::size_t>(std::count_if(
+        members_.begin(), members_.end(),
+        [&](const auto& entry)
+        {
+            return entry.second.failure_domain == member->failure_domain &&
+                   is_stronger(entry.second, *member);
+        }));
+}
+
+std::size_t member_list::domain_size(const std::string& failure_domain) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        members_.begin(), members_.end(),
+        [&](const auto& entry)
+        { return entry.second.failure_domain == failure_domain; }));
 }
 
 } // namespace oleandergrade
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -196,6 +196,9 @@
                fleet.operations_refused_by_leader);
     add_metric("operations_lent_total", "counter", fleet.operations_lent);
     add_metric("snapshots_fetched_total", "counter", fleet.snapshots_fetched);
+    add_metric("reports_relayed_total", "counter",
+               fleet_service_.reports_relayed());
+    add_metric("relays_lost_total", "counter", fleet.relays_lost);
     add_metric("promotions_ordered_total", "counter",
                fleet_service_.promotions_ordered());
     add_metric("targets", "gauge", state_.view.registry.all().size());
@@ -251,6 +254,8 @@
         {"grant_left_ms",
          to_milliseconds(state_.view.authority.grant_valid_until() - now)},
         {"members", state_.members.names().size()},
+        {"relay", fleet_service_.relay_address()},
+        {"reports_relayed", fleet_service_.reports_relayed()},
         {"followed", std::move(followed_prefixes)},
         {"sessions", session_server_.session_count()},
         {"primaries", std::move(primaries)},
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -23,6 +23,7 @@
 #include <criterion/criterion.h>
 
 #include <array>
+#include <map>
 #include <set>
 #include <sstream>
 
@@ -37,8 +38,8 @@
 /// same time, so each needs its own range of ports.
 constexpr unsigned short ports_per_test = 60;
 constexpr unsigned short first_port = 21000;
-/// VMs in each fleet.
-constexpr unsigned vm_count = 3;
+/// VMs in each fleet, unless a scenario needs more.
+constexpr unsigned default_vm_count = 3;
 
 std::string loopback_address(unsigned short port)
 {
@@ -126,12 +127,13 @@
     unsigned last_statement_number_ = 0;
 };
 
-/// Times that a scenario may set.
-struct test_fleet_timing
+/// What a scenario may set.
+struct test_fleet_options
 {
     milliseconds statement_duration =
         standins::emulator_settings{}.statement_duration;
     milliseconds stop_timeout = vm_settings{}.stop_timeout;
+    unsigned vm_count = default_vm_count;
 };
 
 /// The emulated platform and a fleet of VMs that uses it. Everything runs on
@@ -141,13 +143,13 @@
 public:
     /// Creates the platform and the VMs without starting the VMs. `test_index`
     /// is the test's number; each test of this file needs a different one.
-    explicit test_fleet(unsigned test_index, test_fleet_timing timing = {})
+    explicit test_fleet(unsigned test_index, test_fleet_options options = {})
         : base_port_(static_cast<unsigned short>(first_port +
                                                  test_index * ports_per_test)),
-          timing_(timing)
+          options_(options)
     {
         standins::emulator_settings settings;
-        settings.statement_duration = timing.statement_duration;
+        settings.statement_duration = options.statement_duration;
         settings.store_port = base_port_;
         settings.promotion_port = static_cast<unsigned short>(base_port_ + 1);
         settings.first_server_port =
@@ -156,7 +158,7 @@
             std::make_unique<standins::platform_emulator>(context, settings);
         emulator->put_configuration(1, {{"shore", "key-1"}, {"reef", "key-2"}},
                                     200);
-        for (unsigned i = 0; i < vm_count; ++i)
+        for (unsigned i = 0; i < options.vm_count; ++i)
             create_vm(i);
     }
 
@@ -232,7 +234,8 @@
             loopback_address(static_cast<unsigned short>(base_port_ + 1));
         settings.limit_overshoot_fraction = 0.1;
         settings.limit_slack_operations = 20;
-        settings.stop_timeout = timing_.stop_timeout;
+        settings.stop_timeout = options_.stop_timeout;
+        settings.processor_millicores = index == 1 ? 500 : 120;
         settings.is_first_start = true;
         own_settings own;
         own.http_address = loopback_address(http_port(index));
@@ -244,7 +247,7 @@
     }
 
     unsigned short base_port_;
-    test_fleet_timing timing_;
+    test_fleet_options options_;
 };
 
 /// Returns whether the answer contains the text.
@@ -680,7 +683,7 @@
     fleet.emulator->set_store_silent(false);
     put_configuration_with_key(fleet, 3, "key-3");
     co_await sleep_for(configuration_apply_timeout);
-    for (unsigned vm = 0; vm < vm_count; ++vm)
+    for (unsigned vm = 0; vm < fleet.daemons.size(); ++vm)
     {
         auto caller = fleet.make_caller(vm);
         const auto reply = co_await caller.open_session("own-0", "key-3");
@@ -937,3 +940,63 @@
     test_fleet fleet(15, {milliseconds(250), seconds(2)});
     fleet.run(scenario_a_stopping_vm_answers_http_requests_under_way);
 }
+
+/// Returns the fields of a VM's state dump.
+static asio::awaitable<boost::json::object> read_state(test_fleet& fleet,
+                                                       unsigned vm)
+{
+    http_client client(fleet.context.get_executor(),
+                       loopback_address(static_cast<unsigned short>(
+                           fleet.session_port(vm) + 3)));
+    http_request request;
+    request.method = "GET";
+    request.path = "/state";
+    const auto answer =
+        co_await client.exchange(std::move(request), seconds(3));
+    cr_assert(succeeded(answer));
+    co_return value_of(parse_json_object(value_of(answer).body));
+}
+
+// Guards against the load of a leader to which every VM of a large fleet
+// reports: the strongest VM of a failure domain reports for the others.
+static asio::awaitable<void>
+scenario_one_vm_of_a_large_domain_relays_the_reports(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    co_await sleep_for(milliseconds(1500));
+    std::map<std::string, unsigned> vms_by_relay;
+    std::uint64_t relayed = 0;
+    for (unsigned vm = 0; vm < fleet.daemons.size(); ++vm)
+    {
+        const auto state = co_await read_state(fleet, vm);
+        ++vms_by_relay[string_field(state, "relay")];
+        relayed += unsigned_field(state, "reports_relayed");
+        cr_assert(fleet.daemons[vm]->is_ready());
+    }
+    // The leader has no relay, and all others have the same one.
+    cr_assert(vms_by_relay.size() == 2 && vms_by_relay[""] == 1);
+    // Three VMs report three times a second.
+    cr_assert(relayed >= 9, "%lu", static_cast<unsigned long>(relayed));
+    for (unsigned vm = 0; vm < fleet.daemons.size(); ++vm)
+    {
+        auto caller = fleet.make_caller(vm);
+        co_await caller.open_session("strict-0", "key-1");
+        const auto reply = co_await caller.send_statement("WRITE item a");
+        cr_assert(contains(reply, "COMPLETE i-0-"), "%s", reply.c_str());
+    }
+    // A new configuration arrives through the relay too.
+    fleet.emulator->put_configuration(2, {{"shore", "key-3"}}, 200);
+    co_await sleep_for(milliseconds(1000));
+    for (unsigned vm = 0; vm < fleet.daemons.size(); ++vm)
+    {
+        auto caller = fleet.make_caller(vm);
+        const auto reply = co_await caller.open_session("strict-0", "key-3");
+        cr_assert(contains(reply, "READY"), "%s", reply.c_str());
+    }
+}
+
+Test(fleet, one_vm_of_a_large_domain_relays_the_reports)
+{
+    test_fleet fleet(16, {.vm_count = 5});
+    fleet.run(scenario_one_vm_of_a_large_domain_relays_the_reports);
+}
