Relays in the fleet simulation and in the soak

The simulation gets fleets of twelve VMs whose reports are relayed: the messages between VM, relay and leader are parted, so that each can be lost, late or meet a paused or restarted process. Even seeds of the soak run twelve VMs in two domains.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs the soak test with COUNT seeds from FIRST on, AT-A-TIME of them in
 # parallel, each with SECONDS of fault injection (defaults: 1, 50, 4 and 12).
-# Keeps the logs of seeds that failed and deletes the others.
+# Even seeds run a large fleet, whose reports are relayed. Keeps the logs of seeds
+# that failed and deletes the others.
 #
 #   scripts/soak.sh [FIRST [COUNT [SECONDS [AT-A-TIME]]]]
 set -uo pipefail
@@ -13,8 +14,12 @@
     local seed=$1 slot=$2
     local folder=$state/seed-$seed
     rm -rf "$folder" && mkdir -p "$folder"
+    local fleet=(--vms=6 --domains=a,b,c)
+    if ((seed % 2 == 0)); then
+        fleet=(--vms=12 --domains=a,b)
+    fi
     if build/release/tests/oleander-soak --programs=build/release \
-        --folder="$folder" --seed="$seed" --seconds="$seconds" \
+        --folder="$folder" --seed="$seed" --seconds="$seconds" "${fleet[@]}" \
         --base_port=$((30000 + slot * 400)) 2>"$folder/soak.log"; then
         tail -1 "$folder/soak.log"
         rm -rf "$folder"
--- a/tests/fakes/fleet_simulation.hpp
+++ b/tests/fakes/fleet_simulation.hpp
@@ -41,6 +41,9 @@
     /// A VM reports that a write was not executed although its answer was lost
     /// and its outcome is unknown.
     unknown_outcome_as_refusal,
+    /// A relay answers a report with a grant that the leader gave for an
+    /// earlier one.
+    relay_extends_grant,
     /// The leader grants to a VM that it has not seen registered in the store,
     /// so that it does not wait for the grant of that VM.
     grant_to_unlisted_vm,
@@ -79,6 +82,9 @@
     /// Promotions take 50 ms instead of 300 ms, so that statements that were
     /// sent before a promotion often arrive after it.
     bool fast_promotions = false;
+    /// There are four VMs in each failure domain, and one of them relays the
+    /// reports of the others.
+    bool relays = false;
 };
 
 /// The results of one run of the simulation.
@@ -135,6 +141,7 @@
     struct store_reply;
     struct server_reply;
     struct sent_statement;
+    struct relayed_report;
 
     using vm_ptr = std::shared_ptr<vm>;
     using session_ptr = std::shared_ptr<session>;
@@ -201,11 +208,24 @@
     /// Renews the VM's grant: the leader grants to itself, any other VM sends a
     /// report to the leader.
     void renew_grant(const vm_ptr& node);
-    /// Sends one report to the VM that is presumed to be the leader.
+    /// Sends one report to the relay, if there is one, else to the VM that is
+    /// presumed to be the leader.
     void send_report(const vm_ptr& node);
+    void send_report_to_leader(const vm_ptr& node);
+    void send_report_to_relay(const vm_ptr& node);
+    fleet_report make_report(const vm_ptr& node) const;
+    /// Adds a report to those that the relay sends together, and sends them
+    /// after the time for gathering.
+    void gather_report(const vm_ptr& relay, const relayed_report& report);
+    void send_gathered_reports(const vm_ptr& relay);
+    /// Sends the grant that a relay has received to the VM that reported.
+    void pass_grant_on(const vm_ptr& relay, const relayed_report& report,
+                       const fleet_grant& grant);
     /// Returns the answer to a report: a grant if this VM is the leader and may
     /// grant, otherwise the address of the leader as far as it is known.
     fleet_grant answer_report(const vm_ptr& node, const fleet_report& report);
+    relayed_grants answer_relayed_reports(const vm_ptr& node,
+                                          const relayed_reports& reports);
     /// Applies the answer to a report that was sent at `sent_at`.
     void apply_grant(const vm_ptr& node, const fleet_grant& grant,
                      time_point sent_at);
--- a/tests/fakes/fleet_simulation_types.hpp
+++ b/tests/fakes/fleet_simulation_types.hpp
@@ -6,6 +6,8 @@
 
 #include <oleandergrade/process/failover/vm_report_tracker.hpp>
 #include <oleandergrade/process/membership/leader_tracker.hpp>
+#include <oleandergrade/process/membership/relay_chooser.hpp>
+#include <oleandergrade/process/membership/report_relay.hpp>
 #include <oleandergrade/process/serving/attempt_policy.hpp>
 
 namespace fakes
@@ -37,6 +39,15 @@
     target_report report;
 };
 
+/// A report on its way through a relay.
+struct fleet_simulation::relayed_report
+{
+    /// The VM that reports, and the number of its report.
+    std::string vm;
+    std::uint64_t number = 0;
+    fleet_report report;
+};
+
 /// One process of a VM, from its start to the crash or restart of the machine.
 struct fleet_simulation::vm
 {
@@ -74,6 +85,20 @@
     /// Revision of the store up to which changes have been applied; 0 if all
     /// items are to be read.
     std::uint64_t watched_revision = 0;
+    relay_chooser relays;
+    /// The relay's name, empty if this VM reports to the leader, and the one
+    /// that has not answered.
+    std::string relay;
+    std::string lost_relay;
+    /// Number and time of the last report that was sent to a relay; a grant
+    /// that answers an earlier one is ignored.
+    std::uint64_t relayed_report_number = 0;
+    time_point relayed_report_sent_at;
+    bool waits_for_relay = false;
+    /// Reports of other VMs that are sent together.
+    std::vector<relayed_report> gathered_reports;
+    /// The last grant that was relayed, for an injected defect.
+    fleet_grant last_relayed_grant;
     bool ping_in_progress = false;
     time_point next_ping_at;
     /// When the first of the leader's pings that failed in a row was sent.
--- a/tests/test_fleet_seeds.cpp
+++ b/tests/test_fleet_seeds.cpp
@@ -194,6 +194,24 @@
                                              .lost_watches = true});
 }
 
+// Guards against a relay that gives a VM more than the leader has recorded:
+// lost, paused or isolated ones, and those that wake with an old answer.
+Test(fleet_seeds, relays_that_fail)
+{
+    expect_no_violation("relays", {.vm_crashes = true,
+                                   .vm_pauses = true,
+                                   .network_partitions = true,
+                                   .server_failures = true,
+                                   .relays = true});
+}
+
+Test(fleet_seeds, relays_and_everything_else)
+{
+    auto faults = all_faults;
+    faults.relays = true;
+    expect_no_violation("relays, all", faults);
+}
+
 Test(fleet_seeds, everything_together)
 {
     expect_no_violation("all", all_faults);
@@ -296,6 +314,17 @@
                      {.lost_watches = true});
 }
 
+Test(fleet_seeds, detects_relay_that_extends_grants)
+{
+    expect_violation_within("relay extends grants",
+                            injected_defect::relay_extends_grant,
+                            {.vm_pauses = true,
+                             .network_partitions = true,
+                             .server_failures = true,
+                             .relays = true},
+                            max_defect_search);
+}
+
 Test(fleet_seeds, detects_unfenced_leader)
 {
     expect_violation(
