End a replacement when the record turns out to be open

Cause: the write that opens a record took effect and its answer was lost. The leader went back to the closed record and began the replacement again; the watch then delivered the open record, but the step stayed, so that the leader opened the record a second time. Statements under way under the first revision would have been reported as in doubt.

Change: a record that is open ends the replacement.

--- a/src/process/failover/group_failover.cpp
+++ b/src/process/failover/group_failover.cpp
@@ -62,6 +62,12 @@
 std::vector<group_action>
 group_failover::tick(const group_observation& observation, time_point now)
 {
+    // A write whose answer was lost has opened the record meanwhile.
+    const bool replaces = step_ == step::binding || step_ == step::reporting ||
+                          step_ == step::catching_up ||
+                          step_ == step::verifying;
+    if (replaces && record_.is_open)
+        abort_replacement();
     switch (step_)
     {
     case step::watching:
--- a/tests/test_failover_logic.cpp
+++ b/tests/test_failover_logic.cpp
@@ -293,6 +293,31 @@
     cr_assert(find_action<write_primary_record>(group.tick()) != nullptr);
 }
 
+// Guards against a record that is opened twice: the answer to the write that
+// opened it was lost, the leader began the replacement again, and then received
+// the record. Found with seed 2027 of fleet_seeds/relays_and_everything_else.
+Test(failover_logic, a_replacement_ends_when_the_record_turns_out_to_be_open)
+{
+    group_fixture group;
+    group.close();
+    group.tick();
+    group.failover.on_report("p", make_report(true, 1, 40), group.now);
+    const auto opening = group.tick();
+    const auto* write = find_action<write_primary_record>(opening);
+    cr_assert(write != nullptr && write->record.is_open);
+    group.failover.on_write_result(
+        error{error_kind::timeout, "store write", "", "no answer"}, group.now);
+    group.tick();
+    cr_assert(std::string(group.failover.step_name()) == "binding");
+    group.failover.on_record(make_record(1, "p", true, 12));
+    group.failover.on_report("p", make_report(true, 1, 40), group.now);
+    group.observation.targets[0].leader_failing_for.reset();
+    group.observation.targets[0].vms_failing_to_reach = 0;
+    for (int i = 0; i < 10; ++i)
+        cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
+    cr_assert(std::string(group.failover.step_name()) == "watching");
+}
+
 Test(failover_logic, replicas_of_synchronous_groups_are_fenced)
 {
     group_fixture group;
