Relay reports only in fleets of a hundred VMs or more

Replicas do not seem to be used for the group while its primary refuses connections over its limit; why relays bring that about is not traced.

Ruled out by trials: who follows the store (all VMs following: the same); the time after which idle connections are closed (a loop of its own: the same); bytes between zones (less than before).

Change: the setting [fleet] relay_from, 100 by default, so that the fleets that do without relays as well as before have none.

--- a/include/oleandergrade/process/membership/relay_chooser.hpp
+++ b/include/oleandergrade/process/membership/relay_chooser.hpp
@@ -20,7 +20,14 @@
 class relay_chooser
 {
 public:
-    /// VMs in smaller failure domains report to the leader themselves.
+    /// `min_fleet_size`: in smaller fleets no VM relays, and all VMs report to
+    /// the leader themselves.
+    explicit relay_chooser(std::size_t min_fleet_size)
+        : min_fleet_size_(min_fleet_size)
+    {
+    }
+
+    /// The same holds for the VMs of smaller failure domains.
     static constexpr std::size_t min_domain_size{4};
     /// A relay that has not answered a VM is not chosen again for this long.
     static constexpr milliseconds lost_relay_exclusion{5000};
@@ -55,6 +62,7 @@
                      const std::string& failure_domain,
                      const std::string& leader, time_point now) const;
 
+    std::size_t min_fleet_size_;
     std::map<std::string, choice> choices_by_domain_;
     /// Until when relays are excluded, by address.
     std::map<std::string, time_point> excluded_until_;
--- a/include/oleandergrade/process/own_settings.hpp
+++ b/include/oleandergrade/process/own_settings.hpp
@@ -12,13 +12,15 @@
 {
 
 /// The contents of an INI file with these sections and keys, all of which are
-/// optional. The values shown for [sessions] and [log] are the defaults; the
-/// addresses are examples. Not changed after parsing.
+/// optional. The numbers shown are the defaults; the addresses are examples.
+/// Not changed after parsing.
 ///
 ///     [http]
 ///     listen = 127.0.0.1:8080
 ///     [peers]
 ///     advertise = 127.0.0.1:9000
+///     [fleet]
+///     relay_from = 100
 ///     [sessions]
 ///     most = 3500
 ///     [log]
@@ -31,6 +33,8 @@
     /// Address at which other VMs connect to this one; empty if that is the
     /// address on which it listens.
     std::string advertised_peer_address;
+    /// Number of VMs in the fleet from which on reports are relayed.
+    std::size_t relay_from = 100;
     /// Maximum number of callers' sessions that are open at one VM.
     std::size_t max_sessions = 3500;
     /// Maximum number of log lines per second, for single statements and for
--- a/include/oleandergrade/process/vm_settings.hpp
+++ b/include/oleandergrade/process/vm_settings.hpp
@@ -51,6 +51,9 @@
     /// Processor time that the VM may use, in thousandths of a core; 0 if the
     /// settings do not tell.
     unsigned processor_millicores = 0;
+    /// Number of VMs in the fleet from which on reports are relayed; from the
+    /// proxy's own settings.
+    std::size_t relay_from = 100;
     /// The fleet starts for the first time, so there is no earlier incarnation.
     bool is_first_start = false;
 
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -78,6 +78,7 @@
                 peers_),
       relay_(context.get_executor(), [this](relayed_reports reports)
              { return send_relayed_reports(std::move(reports)); }),
+      relay_chooser_(state.settings.relay_from),
       store_mirror_(context.get_executor(), state),
       own_keys_follower_(context.get_executor(), state.store, own_prefix,
                          store_mirror::confirmation_interval(state.settings),
--- a/src/process/membership/relay_chooser.cpp
+++ b/src/process/membership/relay_chooser.cpp
@@ -28,13 +28,14 @@
         return chosen.address;
     chosen.reviewed_at = now;
     const auto* current = members.find(chosen.vm);
-    if (current != nullptr && current->address == chosen.address &&
+    if (members.size() >= min_fleet_size_ && current != nullptr &&
+        current->address == chosen.address &&
         is_eligible(*current, failure_domain, leader, now) &&
         is_reporting(chosen.vm))
         return chosen.address;
     chosen.vm.clear();
     chosen.address.clear();
-    if (failure_domain.empty() ||
+    if (failure_domain.empty() || members.size() < min_fleet_size_ ||
         members.domain_size(failure_domain) < min_domain_size)
         return chosen.address;
     const fleet_member* best = nullptr;
--- a/src/process/own_settings.cpp
+++ b/src/process/own_settings.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint64_t max_allowed_sessions = 1'000'000;
 constexpr std::uint64_t max_allowed_log_lines = 100'000;
+constexpr std::uint64_t max_allowed_relay_from = 1'000'000;
 
 using section_parser = void (*)(ini_section_reader& reader,
                                 own_settings& settings);
@@ -22,6 +23,12 @@
     settings.advertised_peer_address = reader.address("advertise");
 }
 
+void parse_fleet(ini_section_reader& reader, own_settings& settings)
+{
+    settings.relay_from = reader.number("relay_from", settings.relay_from, 1,
+                                        max_allowed_relay_from);
+}
+
 void parse_sessions(ini_section_reader& reader, own_settings& settings)
 {
     settings.max_sessions =
@@ -44,6 +51,7 @@
 
 constexpr known_section known_sections[] = {{"http", parse_http},
                                             {"peers", parse_peers},
+                                            {"fleet", parse_fleet},
                                             {"sessions", parse_sessions},
                                             {"log", parse_log}};
 
@@ -65,7 +73,7 @@
         {
             problems.push_back({file, section.line, section.kind,
                                 "unknown section; allowed are [http], "
-                                "[peers], [sessions] and [log]"});
+                                "[peers], [fleet], [sessions] and [log]"});
             continue;
         }
         ini_section_reader reader(document, section, problems);
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -34,6 +34,7 @@
     settings.advertised_peer_address = own.advertised_peer_address.empty()
                                            ? settings.peer_address
                                            : own.advertised_peer_address;
+    settings.relay_from = own.relay_from;
     return settings;
 }
 
--- a/tests/test_configuration.cpp
+++ b/tests/test_configuration.cpp
@@ -123,6 +123,12 @@
     cr_assert(std::get<own_settings>(customized).http_address ==
               "127.0.0.1:80");
     cr_assert(std::get<own_settings>(customized).event_lines == 5);
+    const auto relayed =
+        parse_own_settings("o.ini", "[fleet]\nrelay_from = 12\n");
+    cr_assert(std::get<own_settings>(relayed).relay_from == 12);
+    const auto refused =
+        parse_own_settings("o.ini", "[fleet]\nrelay_from = 0\n");
+    cr_assert(std::holds_alternative<std::vector<ini_problem>>(refused));
     const auto invalid = parse_own_settings(
         "o.ini", "[http]\nlisten = here\ncolour = red\n[disk]\n");
     const auto& problems = std::get<std::vector<ini_problem>>(invalid);
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -238,6 +238,7 @@
         settings.processor_millicores = index == 1 ? 500 : 120;
         settings.is_first_start = true;
         own_settings own;
+        own.relay_from = 4;
         own.http_address = loopback_address(http_port(index));
         platforms.push_back(std::make_unique<platform_parts>(
             platform::make_platform_parts(context.get_executor(), settings)));
