--- a/include/oleandergrade/connection/peer_message.hpp
+++ b/include/oleandergrade/connection/peer_message.hpp
@@ -12,10 +12,10 @@
 {
 
 /// The content of a message: a request or a reply.
-using peer_body = std::variant<fleet_report, fleet_grant, primary_notice,
-                               notice_receipt, borrow_request, borrow_reply,
-                               snapshot_request, fleet_snapshot, relay_request,
-                               relayed_reports, relayed_grants>;
+using peer_body =
+    std::variant<fleet_report, fleet_grant, primary_notice, notice_receipt,
+                 borrow_request, borrow_reply, snapshot_request, fleet_snapshot,
+                 relay_request, relayed_reports, relayed_grants>;
 
 /// The content of one frame. A reply has the number of its request.
 struct peer_message
--- a/src/process/failover/vm_report_tracker.cpp
+++ b/src/process/failover/vm_report_tracker.cpp
@@ -46,8 +46,8 @@
                                      time_point now) const
 {
     const auto found = vms_.find(vm);
-    return found != vms_.end() && now - found->second.last_report_at <
-                                      grant_tracker::report_validity;
+    return found != vms_.end() &&
+           now - found->second.last_report_at < grant_tracker::report_validity;
 }
 
 std::uint32_t vm_report_tracker::reporting_vms(time_point now) const
