Let every VM receive the configuration from the store

Change: every VM watches the configuration itself, as before; a large fleet fetches a copy only after a quarter of the time allowed for changes. Targets, members and grants stay with relays and leader.

--- a/include/oleandergrade/process/configuration/store_mirror.hpp
+++ b/include/oleandergrade/process/configuration/store_mirror.hpp
@@ -37,14 +37,10 @@
     /// Returns whether the list of targets has been received, from the store or
     /// from another VM.
     bool has_target_list() const { return has_target_list_; }
-    /// Sets how this VM follows the configuration. The targets are provided by
-    /// other VMs, unless this VM confirms the state of the store itself.
+    /// Sets whether this VM confirms the state of the store itself. Otherwise
+    /// other VMs provide the targets and tell whether it is behind with the
+    /// configuration.
     void set_follow_mode(follow_mode mode);
-    /// Returns whether other VMs provide the configuration.
-    bool is_configuration_paused() const
-    {
-        return configuration_follower_.is_paused();
-    }
     /// Returns whether this VM receives all changes of the targets from the
     /// store.
     bool receives_targets() const { return target_follower_.is_current(); }
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -63,7 +63,8 @@
     /// follows it ends before the grant does.
     static constexpr milliseconds relay_timeout{350};
     /// When another VM has a newer configuration, this VM waits this long to
-    /// receive it from the store before it fetches it from that VM.
+    /// receive it from the store before it fetches it from that VM. In a large
+    /// fleet it waits longer, because all VMs read from the store at once.
     static constexpr milliseconds configuration_fetch_delay{300};
 
     fleet_service(boost::asio::io_context& context, fleet_state& state);
@@ -136,6 +137,9 @@
     /// only after a time that grows with their rank in their failure domain, so
     /// that not all of them call the store when a leader is lost.
     void update_follow_mode(time_point now);
+    /// How long this VM waits for a newer configuration from the store before
+    /// it fetches a copy.
+    milliseconds fetch_delay() const;
     /// Returns the address of the VM to fetch copies of records from, which
     /// this VM has lacked since `behind_since`.
     std::string snapshot_address(const std::string& sender_address,
--- a/src/process/configuration/store_mirror.cpp
+++ b/src/process/configuration/store_mirror.cpp
@@ -69,7 +69,11 @@
     const auto interval = confirmation_interval(state_.settings);
     configuration_follower_.set_confirmation_interval(interval);
     target_follower_.set_confirmation_interval(interval);
-    configuration_follower_.set_mode(mode);
+    // Every VM receives the configuration from the store: copies of a large one
+    // would fill the link of a VM that provides them to many.
+    configuration_follower_.set_mode(mode == follow_mode::confirming
+                                         ? follow_mode::confirming
+                                         : follow_mode::assisted);
     target_follower_.set_mode(mode == follow_mode::confirming
                                   ? follow_mode::confirming
                                   : follow_mode::paused);
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -37,6 +37,9 @@
 /// follow the store when they have no leader, and the longest such time.
 constexpr auto follow_delay_per_rank = milliseconds(100);
 constexpr auto max_follow_delay = milliseconds(3000);
+/// In a large fleet, the fraction of the time for applying a configuration
+/// after which a VM that has not received it from the store fetches a copy.
+constexpr int fetch_delay_divisor = 4;
 /// A VM that its relay does not bring up to date within this time fetches
 /// copies from the leader.
 constexpr auto relay_copy_timeout = milliseconds(1000);
@@ -600,6 +603,14 @@
     co_return std::move(*grants);
 }
 
+milliseconds fleet_service::fetch_delay() const
+{
+    return state_.members.size() < large_fleet_size
+               ? configuration_fetch_delay
+               : state_.settings.configuration_apply_timeout /
+                     fetch_delay_divisor;
+}
+
 std::string fleet_service::snapshot_address(const std::string& sender_address,
                                             time_point behind_since,
                                             time_point now) const
@@ -624,8 +635,7 @@
             store_mirror_.refresh_configuration();
         }
         if (!fetching_snapshot_ &&
-            (store_mirror_.is_configuration_paused() ||
-             now - *configuration_behind_since_ >= configuration_fetch_delay))
+            now - *configuration_behind_since_ >= fetch_delay())
             asio::co_spawn(
                 context_,
                 fetch_snapshot(snapshot_address(
