Promote only a target whose log is complete

Cause: positions that targets had reported before the record was binding decided which replica is promoted, a planned replacement promoted a replica after 1.5 s although it had not caught up, and a new leader did not know how far the previous one had seen the log. Change: only reports requested after the record became binding count. A planned replacement takes any replica that has the primary's whole log and is called off if none gets it; it is tried again 3 s later. After a loss the furthest position known (reports, the leader's own, the one in the record) has to be there, for 2.5 s at most; then what is missing is logged as given up. Drains, evacuations and losses all take this path. Tests that reported before the record was binding now report after it; the one of an evacuated candidate promoted an incomplete log and now lets the replica catch up.

--- a/include/oleandergrade/process/failover/group_failover.hpp
+++ b/include/oleandergrade/process/failover/group_failover.hpp
@@ -99,6 +99,9 @@
     bool is_record_binding = false;
     /// Number of replicas that must hold a commit before it is acknowledged.
     std::uint32_t synchronous_replicas = 0;
+    /// The furthest position that this VM has seen the primary reach; the
+    /// default if it has seen none.
+    log_position primary_position;
 };
 
 /// Replaces a primary in these steps:
@@ -107,11 +110,15 @@
 ///    primary is draining, or its failure domain is being evacuated and there
 ///    is a target elsewhere.
 /// 2. Its record is closed in the store and at every VM.
-/// 3. The targets report the length of their logs. If the group commits
-///    synchronously, the request also fences the replicas.
-/// 4. The target with the longest log is written to the record as the candidate
-///    and is promoted. In a planned replacement it must first have received
-///    the complete log of the old primary.
+/// 3. The targets report the length of their logs, which has become final with
+///    the closed record. If the group commits synchronously, the request also
+///    fences the replicas.
+/// 4. A target whose log is complete is written to the record as the candidate
+///    and is promoted. Complete means as long as the old primary's, or, if that
+///    one is lost, as the longest that any target or VM has shown. If no target
+///    that answers has the complete log in time, a planned replacement is
+///    called off and the old primary continues; if it is lost, the target with
+///    the longest log is promoted, and what it lacks is logged as given up.
 /// 5. The record is opened with the new term, in the store and at every VM.
 ///
 /// A primary that returns, possibly under another identifier, continues its
@@ -139,6 +146,14 @@
     /// Maximum time to wait until a planned successor has caught up with the
     /// old primary.
     static constexpr milliseconds catch_up_timeout{1500};
+    /// Time after which a planned replacement that was called off is tried
+    /// again.
+    static constexpr milliseconds planned_retry_delay{3000};
+    /// Maximum time to wait, after the loss of a primary, for a target that has
+    /// every commit that is known.
+    static constexpr milliseconds complete_log_timeout{2500};
+    /// A primary that sent a report this recently can continue its term.
+    static constexpr milliseconds primary_report_validity{500};
     /// A promotion that shows no effect within this time is ordered again.
     static constexpr milliseconds promotion_timeout{2500};
 
@@ -152,9 +167,11 @@
                                    time_point now);
     /// Outcome of `write_primary_record`: the new revision or an error.
     void on_write_result(const result<std::uint64_t>& outcome, time_point now);
-    /// Outcome of `request_target_report`, `fence_target` or `demote_target`.
+    /// Outcome of `request_target_report`, `fence_target` or `demote_target`,
+    /// and when it was requested.
     void on_report(const std::string& target,
-                   const result<target_report>& outcome, time_point now);
+                   const result<target_report>& outcome,
+                   time_point requested_at, time_point now);
     /// Outcome of `promote_target`.
     void on_promotion_result(const std::string& target,
                              const result<bool>& outcome, time_point now);
@@ -179,10 +196,8 @@
         writing,
         /// Waits for the closed record to be binding for every VM.
         binding,
-        /// Waits for the targets' reports.
+        /// Waits for the targets' reports, and for a complete log.
         reporting,
-        /// Waits for the planned successor to receive the complete log.
-        catching_up,
         /// Waits for the answer to the promotion order.
         promoting,
         /// Waits for the candidate to report a higher term.
@@ -211,8 +226,17 @@
     static bool must_evacuate(const target_observation& primary,
                               const group_observation& observation);
     void choose_candidate(const group_observation& observation, time_point now);
-    void await_catch_up(const group_observation& observation, time_point now);
+    /// Whether the log that ends at `log_end` contains every commit that is
+    /// known.
+    bool is_complete(log_position log_end,
+                     const group_observation& observation) const;
+    /// Continues the term if the old primary of a planned replacement still
+    /// answers and no promotion can have been ordered. Returns whether it did.
+    bool call_off_planned(time_point now);
     void write_candidate(const std::string& target, time_point now);
+    /// The target's report, if the log cannot have grown since.
+    const target_report* final_report(const std::string& target) const;
+    void forget_reports();
     void request_report(const std::string& target, time_point now);
     void order_promotion(const std::string& target, time_point now);
     void verify_promotion(time_point now);
@@ -228,8 +252,24 @@
     time_point step_entered_at_;
     /// Earliest time of the next request to each target.
     std::map<std::string, time_point> next_request_at_;
+    struct timed_report
+    {
+        target_report report;
+        time_point requested_at;
+    };
+
     /// Latest report of each target in this replacement.
-    std::map<std::string, target_report> reports_;
+    std::map<std::string, timed_report> reports_;
+    /// When the closed record became binding, after which the old primary
+    /// commits nothing.
+    time_point binding_since_;
+    /// Furthest position in the recorded term that is known in this
+    /// replacement.
+    log_position furthest_position_;
+    /// Since when no target that answers has the complete log.
+    std::optional<time_point> incomplete_since_;
+    /// No planned replacement is begun before.
+    time_point planned_retry_at_;
     /// When each target last refused its promotion or was unreachable for it.
     std::map<std::string, time_point> promotion_refused_at_;
     /// The target that is to be promoted.
--- a/include/oleandergrade/process/failover/primary_record.hpp
+++ b/include/oleandergrade/process/failover/primary_record.hpp
@@ -1,6 +1,7 @@
 /// The stored record of which target is the primary of a group.
 #pragma once
 
+#include <oleandergrade/connection/log_position.hpp>
 #include <oleandergrade/error.hpp>
 
 #include <cstdint>
@@ -26,6 +27,9 @@
     /// The target whose promotion has been ordered or is about to be ordered.
     /// Empty as long as no promotion can have ended the term.
     std::string candidate;
+    /// Furthest position of the term's log that was known when the candidate
+    /// was recorded.
+    log_position known_position;
     /// The store's revision of the record; not part of the stored value.
     std::uint64_t revision = 0;
 
--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -197,6 +197,10 @@
         configuration == nullptr ? nullptr : configuration->find_group(group);
     observation.synchronous_replicas =
         limits == nullptr ? 0 : limits->synchronous_replicas;
+    const auto positions = state_.view.positions.find(group);
+    if (positions != state_.view.positions.end())
+        observation.primary_position =
+            positions->second.newest().value_or(log_position{});
     observation.is_record_binding =
         found != groups_.end() &&
         vm_reports_.is_binding(found->second.record(), state_.members,
@@ -349,6 +353,7 @@
                                                       std::string target,
                                                       std::string text)
 {
+    const auto requested_at = current_time();
     auto outcome =
         co_await exchange(target, std::move(text), report_request_timeout);
     result<target_report> report =
@@ -373,7 +378,7 @@
                    {"term", value_of(report).term},
                    {"received_term", value_of(report).received_position.term},
                    {"received", value_of(report).received_position.index}});
-    groups_.at(group).on_report(target, report, current_time());
+    groups_.at(group).on_report(target, report, requested_at, current_time());
     wake();
 }
 
--- a/src/process/failover/group_failover.cpp
+++ b/src/process/failover/group_failover.cpp
@@ -1,9 +1,11 @@
 #include <oleandergrade/process/failover/group_failover.hpp>
 
 #include <oleandergrade/invariant.hpp>
+#include <oleandergrade/process/event_log.hpp>
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 namespace oleandergrade
@@ -33,9 +35,9 @@
 
 const char* group_failover::step_name() const
 {
-    static constexpr std::array<const char*, 7> names{
-        "watching",    "writing",   "binding",  "reporting",
-        "catching up", "promoting", "verifying"};
+    static constexpr std::array<const char*, 6> names{"watching",  "writing",
+                                                      "binding",   "reporting",
+                                                      "promoting", "verifying"};
     return names[static_cast<std::size_t>(step_)];
 }
 
@@ -48,10 +50,17 @@
 void group_failover::abort_replacement()
 {
     step_ = step::watching;
-    reports_.clear();
+    forget_reports();
     actions_.clear();
 }
 
+void group_failover::forget_reports()
+{
+    reports_.clear();
+    furthest_position_ = record_.known_position;
+    incomplete_since_.reset();
+}
+
 void group_failover::enter_step(step next, time_point now)
 {
     step_ = next;
@@ -64,7 +73,6 @@
 {
     // A write whose answer was lost has opened the record meanwhile.
     const bool replaces = step_ == step::binding || step_ == step::reporting ||
-                          step_ == step::catching_up ||
                           step_ == step::verifying;
     if (replaces && record_.is_open)
         abort_replacement();
@@ -79,16 +87,17 @@
     case step::binding:
         request_reports(observation, now);
         if (!adopt_primary(observation, now) && observation.is_record_binding)
+        {
+            binding_since_ = now;
             enter_step(step::reporting, now);
+            request_reports(observation, now);
+        }
         break;
     case step::reporting:
         request_reports(observation, now);
         if (!adopt_primary(observation, now))
             choose_candidate(observation, now);
         break;
-    case step::catching_up:
-        await_catch_up(observation, now);
-        break;
     case step::verifying:
         verify_promotion(now);
         break;
@@ -105,7 +114,7 @@
     {
         // A previous leader closed the record and did not finish the
         // replacement.
-        reports_.clear();
+        forget_reports();
         actions_.push_back(announce_primary{});
         return enter_step(step::binding, now);
     }
@@ -114,9 +123,12 @@
         return close_record(false, now);
     // A primary that the leader itself can reach still reports the length of
     // its log, so that its replacement can be a planned one.
-    if (is_lost(*primary, observation))
-        return close_record(!primary->leader_failing_for, now);
-    if (primary->record.is_draining || must_evacuate(*primary, observation))
+    const bool is_lost_by_vms = is_lost(*primary, observation);
+    if (is_lost_by_vms && primary->leader_failing_for)
+        return close_record(false, now);
+    if ((is_lost_by_vms || primary->record.is_draining ||
+         must_evacuate(*primary, observation)) &&
+        now >= planned_retry_at_)
         return close_record(true, now);
     check_for_later_primary(observation, *primary, now);
 }
@@ -135,8 +147,8 @@
             id == record_.target)
             continue;
         const auto found = reports_.find(id);
-        if (found != reports_.end() && found->second.is_primary &&
-            found->second.term > record_.term)
+        if (found != reports_.end() && found->second.report.is_primary &&
+            found->second.report.term > record_.term)
             return close_record(false, now);
         auto& next = next_request_at_[id];
         if (now < next)
@@ -181,9 +193,10 @@
                                           time_point now)
 {
     request_reports(observation, now);
-    for (const auto& [id, report] : reports_)
-        if (report.is_primary && report.term == highest_term())
-            return open_record(id, report.term, now);
+    for (const auto& [id, received] : reports_)
+        if (received.report.is_primary &&
+            received.report.term == highest_term())
+            return open_record(id, received.report.term, now);
 }
 
 void group_failover::close_record(bool is_planned, time_point now)
@@ -192,7 +205,9 @@
     closed.is_open = false;
     closed.candidate.clear();
     closed.is_planned = is_planned;
-    reports_.clear();
+    closed.known_position = {};
+    forget_reports();
+    furthest_position_ = {};
     write_record(closed, now);
 }
 
@@ -234,7 +249,7 @@
     actions_.push_back(announce_primary{});
     if (pending_record_.is_open)
     {
-        reports_.clear();
+        forget_reports();
         return enter_step(step::watching, now);
     }
     if (pending_record_.candidate.empty())
@@ -249,7 +264,11 @@
     {
         const auto& id = target.record.id;
         auto& next = next_request_at_[id];
-        if (reports_.contains(id) || now < next)
+        const bool is_known =
+            step_ == step::reporting
+                ? final_report(id) != nullptr && !incomplete_since_
+                : reports_.contains(id);
+        if (is_known || now < next)
             continue;
         next = now + (target.leader_failing_for ? unresponsive_request_interval
                                                 : request_interval);
@@ -265,12 +284,15 @@
 
 void group_failover::on_report(const std::string& target,
                                const result<target_report>& outcome,
-                               time_point now)
+                               time_point requested_at, time_point now)
 {
     if (!succeeded(outcome))
         return;
     const auto& report = value_of(outcome);
-    reports_[target] = report;
+    reports_[target] = {report, requested_at};
+    if (report.term == record_.term)
+        furthest_position_ =
+            std::max(furthest_position_, report.received_position);
     if (step_ == step::verifying && target == candidate_ && report.is_primary &&
         report.term > record_.term)
     {
@@ -296,21 +318,21 @@
     for (const auto& target : observation.targets)
     {
         const auto found = reports_.find(target.record.id);
-        if (found == reports_.end() || !found->second.is_primary ||
-            found->second.term <= term ||
+        if (found == reports_.end() || !found->second.report.is_primary ||
+            found->second.report.term <= term ||
             (awaits_candidate && target.record.id != candidate))
             continue;
-        const bool is_later_term = found->second.term > record_.term;
+        const bool is_later_term = found->second.report.term > record_.term;
         // No promotion has been ordered, so the term cannot have ended and the
         // log of this target is complete.
-        const bool is_same_term = found->second.term == record_.term &&
+        const bool is_same_term = found->second.report.term == record_.term &&
                                   candidate.empty() && !record_.is_planned &&
                                   !target.record.is_draining &&
                                   !must_evacuate(target, observation);
         if (!is_later_term && !is_same_term)
             continue;
         latest = &target;
-        term = found->second.term;
+        term = found->second.report.term;
     }
     if (latest == nullptr)
         return false;
@@ -318,22 +340,32 @@
     return true;
 }
 
+const target_report*
+group_failover::final_report(const std::string& target) const
+{
+    const auto found = reports_.find(target);
+    return found == reports_.end() ||
+                   found->second.requested_at < binding_since_
+               ? nullptr
+               : &found->second.report;
+}
+
 void group_failover::choose_candidate(const group_observation& observation,
                                       time_point now)
 {
-    std::size_t missing_reports = 0;
+    bool misses_reports = false;
     std::string best_id;
-    bool best_is_draining = true;
-    log_position longest_log;
+    std::tuple<bool, bool, log_position> best_rank;
+    log_position best_log_end;
     for (const auto& target : observation.targets)
     {
         const auto& id = target.record.id;
         if (id == record_.target)
             continue;
-        const auto found = reports_.find(id);
-        if (found == reports_.end())
+        const auto* report = final_report(id);
+        if (report == nullptr)
         {
-            missing_reports += target.leader_failing_for ? 0 : 1;
+            misses_reports = misses_reports || !target.leader_failing_for;
             continue;
         }
         const auto refused = promotion_refused_at_.find(id);
@@ -348,27 +380,71 @@
             continue;
         // This target's term may be superseded: the unreachable candidate may
         // be the primary of a later term.
-        if (found->second.is_primary && !record_.candidate.empty())
+        if (report->is_primary && !record_.candidate.empty())
             continue;
-        const auto log_end = found->second.received_position;
-        const bool is_draining = target.record.is_draining;
-        if (best_id.empty() || (best_is_draining && !is_draining) ||
-            (best_is_draining == is_draining && longest_log < log_end))
-        {
-            best_id = id;
-            best_is_draining = is_draining;
-            longest_log = log_end;
-        }
+        const auto log_end = report->received_position;
+        const std::tuple rank(is_complete(log_end, observation),
+                              !target.record.is_draining, log_end);
+        if (!best_id.empty() && rank <= best_rank)
+            continue;
+        best_id = id;
+        best_rank = rank;
+        best_log_end = log_end;
     }
-    if (best_id.empty() ||
-        (missing_reports > 0 && now - step_entered_at_ < report_timeout))
+    if (best_id.empty())
         return;
-    if (!record_.is_planned)
+    const bool is_best_complete = std::get<0>(best_rank);
+    if (is_best_complete &&
+        (!misses_reports || now - step_entered_at_ >= report_timeout))
         return write_candidate(best_id, now);
-    candidate_ = best_id;
-    reports_.erase(record_.target);
-    reports_.erase(candidate_);
-    enter_step(step::catching_up, now);
+    if (is_best_complete)
+        return;
+    if (!incomplete_since_)
+        incomplete_since_ = now;
+    const auto waited = now - *incomplete_since_;
+    if (record_.is_planned && waited >= catch_up_timeout &&
+        call_off_planned(now))
+        return;
+    if (waited < complete_log_timeout)
+        return;
+    log_event(
+        event_level::warning, "failover", "commits given up",
+        {{"group", group_},
+         {"target", best_id},
+         {"term", record_.term},
+         {"received", best_log_end.index},
+         {"known",
+          std::max(furthest_position_, observation.primary_position).index}});
+    write_candidate(best_id, now);
+}
+
+// Positions of other terms than the recorded one say nothing about its log.
+bool group_failover::is_complete(log_position log_end,
+                                 const group_observation& observation) const
+{
+    const auto is_reached = [&](log_position position)
+    { return position.term != record_.term || log_end >= position; };
+    // The primary itself shows what is complete, unless it may have been
+    // superseded.
+    const bool needs_primary =
+        record_.is_planned && record_.candidate.empty() &&
+        find_target(observation, record_.target) != nullptr;
+    return is_reached(furthest_position_) &&
+           is_reached(observation.primary_position) &&
+           (!needs_primary || final_report(record_.target) != nullptr);
+}
+
+bool group_failover::call_off_planned(time_point now)
+{
+    const auto found = reports_.find(record_.target);
+    if (!record_.candidate.empty() || found == reports_.end() ||
+        now - found->second.requested_at >= primary_report_validity ||
+        !found->second.report.is_primary ||
+        found->second.report.term != record_.term)
+        return false;
+    planned_retry_at_ = now + planned_retry_delay;
+    open_record(record_.target, record_.term, now);
+    return true;
 }
 
 // The candidate is written to the record before its promotion is ordered: it
@@ -377,36 +453,10 @@
 {
     auto updated = record_;
     updated.candidate = target;
+    updated.known_position = furthest_position_;
     write_record(updated, now);
 }
 
-// The closed record is binding for all VMs, so the old primary receives no
-// more statements and its log does not grow any further.
-void group_failover::await_catch_up(const group_observation& observation,
-                                    time_point now)
-{
-    const auto primary = reports_.find(record_.target);
-    const auto successor = reports_.find(candidate_);
-    const bool has_complete_log = primary != reports_.end() &&
-                                  successor != reports_.end() &&
-                                  successor->second.received_position >=
-                                      primary->second.received_position;
-    const auto* candidate = find_target(observation, candidate_);
-    if (candidate != nullptr && candidate->is_evacuated)
-    {
-        // Its promotion has not been ordered yet.
-        reports_.clear();
-        return enter_step(step::reporting, now);
-    }
-    const bool can_wait = find_target(observation, record_.target) != nullptr &&
-                          now - step_entered_at_ < catch_up_timeout;
-    if (has_complete_log || !can_wait)
-        return write_candidate(candidate_, now);
-    if (primary == reports_.end())
-        request_report(record_.target, now);
-    request_report(candidate_, now);
-}
-
 void group_failover::request_report(const std::string& target, time_point now)
 {
     auto& next = next_request_at_[target];
@@ -457,8 +507,8 @@
 std::uint64_t group_failover::highest_term() const
 {
     std::uint64_t highest = 0;
-    for (const auto& [id, report] : reports_)
-        highest = std::max(highest, report.term);
+    for (const auto& [id, received] : reports_)
+        highest = std::max(highest, received.report.term);
     return highest;
 }
 
--- a/src/process/failover/primary_record.cpp
+++ b/src/process/failover/primary_record.cpp
@@ -8,12 +8,15 @@
 
 std::string serialize_primary_record(const primary_record& record)
 {
-    return json::serialize(json::object{{"group", record.group},
-                                        {"term", record.term},
-                                        {"target", record.target},
-                                        {"open", record.is_open},
-                                        {"planned", record.is_planned},
-                                        {"candidate", record.candidate}});
+    return json::serialize(
+        json::object{{"group", record.group},
+                     {"term", record.term},
+                     {"target", record.target},
+                     {"open", record.is_open},
+                     {"planned", record.is_planned},
+                     {"candidate", record.candidate},
+                     {"known_term", record.known_position.term},
+                     {"known_index", record.known_position.index}});
 }
 
 result<primary_record> parse_primary_record(const std::string& value,
@@ -31,6 +34,8 @@
     record.is_open = bool_field(fields, "open");
     record.is_planned = bool_field(fields, "planned");
     record.candidate = string_field(fields, "candidate");
+    record.known_position = {unsigned_field(fields, "known_term"),
+                             unsigned_field(fields, "known_index")};
     record.revision = revision;
     if (record.group.empty() || record.target.empty() || record.term == 0)
         return error{error_kind::invalid, "parse primary record", "",
--- a/tests/fakes/fleet_simulation_vm.cpp
+++ b/tests/fakes/fleet_simulation_vm.cpp
@@ -757,6 +757,10 @@
             target->id, node->failover.opened_at(), now);
         observation.targets.push_back(std::move(observed));
     }
+    const auto positions = node->view.positions.find(group_name);
+    if (positions != node->view.positions.end())
+        observation.primary_position =
+            positions->second.newest().value_or(log_position{});
     observation.is_record_binding =
         defect_ == injected_defect::promotion_before_binding ||
         node->vm_reports.is_binding(node->failover.record(), node->members,
@@ -854,6 +858,7 @@
 {
     if (!node->pending_report_requests.insert(target).second)
         return;
+    const auto requested_at = network_.now();
     call_server(
         node, target, report_request_timeout,
         [this, demote_below_term](standins::group_server& server)
@@ -864,7 +869,7 @@
             reply.report = make_target_report(server);
             return reply;
         },
-        [this, node, target](const result<server_reply>& outcome)
+        [this, node, target, requested_at](const result<server_reply>& outcome)
         {
             node->pending_report_requests.erase(target);
             result<target_report> report = target_report{};
@@ -872,7 +877,8 @@
                 report = value_of(outcome).report;
             else
                 report = error_of(outcome);
-            node->failover.on_report(target, report, network_.now());
+            node->failover.on_report(target, report, requested_at,
+                                     network_.now());
         });
 }
 
--- a/tests/test_failover_logic.cpp
+++ b/tests/test_failover_logic.cpp
@@ -100,13 +100,19 @@
     group_fixture group;
     group.close();
     cr_assert(find_action<announce_primary>(group.tick()) != nullptr);
-    group.failover.on_report("r1", make_report(false, 1, 40), group.now);
-    group.failover.on_report("r2", make_report(false, 1, 42), group.now);
+    group.failover.on_report("r1", make_report(false, 1, 40), group.now,
+                             group.now);
+    group.failover.on_report("r2", make_report(false, 1, 42), group.now,
+                             group.now);
     // No candidate is recorded before the closed record is binding for all VMs.
     for (int i = 0; i < 50; ++i)
         cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
     group.observation.is_record_binding = true;
     group.tick();
+    group.failover.on_report("r1", make_report(false, 1, 40), group.now,
+                             group.now);
+    group.failover.on_report("r2", make_report(false, 1, 42), group.now,
+                             group.now);
     const auto updated = group.tick();
     cr_assert(find_action<promote_target>(updated) == nullptr);
     cr_assert(find_action<write_primary_record>(updated)->record.candidate ==
@@ -115,9 +121,11 @@
     cr_assert(find_action<promote_target>(group.tick())->target == "r2");
     group.failover.on_promotion_result("r2", true, group.now);
     group.tick();
-    group.failover.on_report("r2", make_report(false, 1, 42), group.now);
+    group.failover.on_report("r2", make_report(false, 1, 42), group.now,
+                             group.now);
     cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
-    group.failover.on_report("r2", make_report(true, 2, 42), group.now);
+    group.failover.on_report("r2", make_report(true, 2, 42), group.now,
+                             group.now);
     const auto opened = group.tick();
     cr_assert(find_action<demote_target>(opened)->target == "p");
     const auto* write = find_action<write_primary_record>(opened);
@@ -134,7 +142,8 @@
     group.close();
     group.tick();
     group.observation.targets.push_back(make_observation("p2", true));
-    group.failover.on_report("p2", make_report(true, 1, 42), group.now);
+    group.failover.on_report("p2", make_report(true, 1, 42), group.now,
+                             group.now);
     const auto* write = find_action<write_primary_record>(group.tick());
     cr_assert(write != nullptr);
     cr_assert(write->record.is_open && write->record.term == 1);
@@ -149,11 +158,14 @@
     group.failover.on_record(updated);
     group.lose_primary();
     group.tick();
-    group.failover.on_report("p", make_report(true, 1, 42), group.now);
-    group.failover.on_report("r1", make_report(false, 1, 40), group.now);
-    group.failover.on_report("r2", make_report(false, 1, 41), group.now);
     group.observation.is_record_binding = true;
     group.tick();
+    group.failover.on_report("p", make_report(true, 1, 42), group.now,
+                             group.now);
+    group.failover.on_report("r1", make_report(false, 1, 40), group.now,
+                             group.now);
+    group.failover.on_report("r2", make_report(false, 1, 41), group.now,
+                             group.now);
     // A previous leader may have ordered this promotion, so it is repeated.
     const auto actions = group.tick();
     cr_assert(find_action<write_primary_record>(actions) == nullptr);
@@ -165,7 +177,8 @@
     group_fixture group;
     group.close();
     group.tick();
-    group.failover.on_report("r1", make_report(true, 2, 40), group.now);
+    group.failover.on_report("r1", make_report(true, 2, 40), group.now,
+                             group.now);
     const auto* write = find_action<write_primary_record>(group.tick());
     cr_assert(write->record.is_open && write->record.term == 2);
 }
@@ -183,10 +196,12 @@
     group.failover.on_record(updated);
     group.lose_primary();
     group.tick();
-    group.failover.on_report("r1", make_report(true, 2, 40), group.now);
-    group.failover.on_report("r2", make_report(false, 3, 40), group.now);
     group.observation.is_record_binding = true;
     group.tick();
+    group.failover.on_report("r1", make_report(true, 2, 40), group.now,
+                             group.now);
+    group.failover.on_report("r2", make_report(false, 3, 40), group.now,
+                             group.now);
     const auto actions = group.tick();
     cr_assert(find_action<write_primary_record>(actions) == nullptr);
     cr_assert(find_action<promote_target>(actions)->target == "r2");
@@ -200,10 +215,13 @@
     group.failover.on_record(updated);
     group.lose_primary();
     group.observation.targets.push_back(make_observation("r3"));
+    group.tick();
     group.observation.is_record_binding = true;
     group.tick();
-    group.failover.on_report("r1", make_report(true, 2, 44), group.now);
-    group.failover.on_report("r3", make_report(false, 2, 41), group.now);
+    group.failover.on_report("r1", make_report(true, 2, 44), group.now,
+                             group.now);
+    group.failover.on_report("r3", make_report(false, 2, 41), group.now,
+                             group.now);
     group.tick();
     // The unreachable candidate may be the primary of a later term.
     const auto actions =
@@ -217,8 +235,10 @@
     group_fixture group;
     group.close();
     group.tick();
-    group.failover.on_report("r1", make_report(true, 2, 40), group.now);
-    group.failover.on_report("r2", make_report(true, 3, 38), group.now);
+    group.failover.on_report("r1", make_report(true, 2, 40), group.now,
+                             group.now);
+    group.failover.on_report("r2", make_report(true, 3, 38), group.now,
+                             group.now);
     const auto* write = find_action<write_primary_record>(group.tick());
     cr_assert(write->record.target == "r2" && write->record.term == 3);
 }
@@ -232,20 +252,147 @@
     group.failover.on_write_result(std::uint64_t(11), group.now);
     group.observation.is_record_binding = true;
     group.tick();
-    group.failover.on_report("p", make_report(true, 1, 50), group.now);
-    group.failover.on_report("r1", make_report(false, 1, 48), group.now);
-    group.failover.on_report("r2", make_report(false, 1, 47), group.now);
+    group.failover.on_report("p", make_report(true, 1, 50), group.now,
+                             group.now);
+    group.failover.on_report("r1", make_report(false, 1, 48), group.now,
+                             group.now);
+    group.failover.on_report("r2", make_report(false, 1, 47), group.now,
+                             group.now);
     group.tick();
     group.tick();
-    group.failover.on_report("p", make_report(true, 1, 50), group.now);
-    group.failover.on_report("r1", make_report(false, 1, 49), group.now);
+    group.failover.on_report("p", make_report(true, 1, 50), group.now,
+                             group.now);
+    group.failover.on_report("r1", make_report(false, 1, 49), group.now,
+                             group.now);
     cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
-    group.failover.on_report("r1", make_report(false, 1, 50), group.now);
+    group.failover.on_report("r1", make_report(false, 1, 50), group.now,
+                             group.now);
     cr_assert(
         find_action<write_primary_record>(group.tick())->record.candidate ==
         "r1");
 }
 
+namespace
+{
+
+/// Lets the targets report at this moment, with positions in term 1.
+void report_positions(group_fixture& group,
+                      const std::map<std::string, std::uint64_t>& positions)
+{
+    for (const auto& [id, position] : positions)
+        group.failover.on_report(id, make_report(id == "p", 1, position),
+                                 group.now, group.now);
+}
+
+/// Returns the candidate or reopened primary that is written within `ticks`
+/// steps, while the targets go on reporting the same positions.
+std::optional<primary_record>
+await_written_record(group_fixture& group, int ticks,
+                     const std::map<std::string, std::uint64_t>& positions)
+{
+    for (int i = 0; i < ticks; ++i)
+    {
+        report_positions(group, positions);
+        const auto actions = group.tick();
+        if (const auto* write = find_action<write_primary_record>(actions))
+            return write->record;
+    }
+    return std::nullopt;
+}
+
+/// Begins the replacement of a draining primary, up to the binding record.
+void close_draining(group_fixture& group)
+{
+    group.observation.targets[0].record.is_draining = true;
+    group.tick();
+    group.failover.on_write_result(std::uint64_t(11), group.now);
+    group.observation.is_record_binding = true;
+    group.tick();
+}
+
+} // namespace
+
+// Guards against the loss of an acknowledged write (seed 1322): the replica
+// that was ahead at first has stopped receiving, and the other one catches up.
+Test(failover_logic, a_planned_successor_is_the_replica_that_catches_up)
+{
+    group_fixture group;
+    close_draining(group);
+    report_positions(group, {{"p", 16}, {"r1", 15}, {"r2", 13}});
+    group.tick();
+    const auto written =
+        await_written_record(group, 5, {{"p", 16}, {"r1", 15}, {"r2", 16}});
+    cr_assert(written && written->candidate == "r2");
+}
+
+// Guards against the loss of an acknowledged write: no replica catches up, and
+// the old primary is still there.
+Test(failover_logic, a_planned_replacement_without_a_successor_is_called_off)
+{
+    group_fixture group;
+    close_draining(group);
+    const std::map<std::string, std::uint64_t> behind{
+        {"p", 16}, {"r1", 15}, {"r2", 15}};
+    const auto written = await_written_record(group, 60, behind);
+    cr_assert(written && written->is_open && written->target == "p" &&
+              written->term == 1);
+    group.failover.on_write_result(std::uint64_t(12), group.now);
+    // It is tried again later, and not at once.
+    cr_assert(!await_written_record(group, 40, behind));
+    const auto retried = await_written_record(group, 40, behind);
+    cr_assert(retried && !retried->is_open && retried->is_planned);
+}
+
+// Guards against the loss of acknowledged writes (seed 1070): a replica that
+// has reported before the record was binding may have received more since.
+Test(failover_logic, positions_from_before_the_log_ended_do_not_decide)
+{
+    group_fixture group;
+    group.close();
+    group.tick();
+    report_positions(group, {{"r1", 276}, {"r2", 270}});
+    group.observation.is_record_binding = true;
+    group.tick();
+    cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
+    const auto written =
+        await_written_record(group, 5, {{"r1", 276}, {"r2", 278}});
+    cr_assert(written && written->candidate == "r2");
+}
+
+// Guards against the loss of an acknowledged write (seed 1113): the candidate
+// of the previous leader has more of the log than the targets that answer.
+Test(failover_logic, the_next_leader_waits_for_the_position_that_is_recorded)
+{
+    group_fixture group;
+    auto closed = make_record(1, "p", false, 12);
+    closed.candidate = "r1";
+    closed.known_position = {1, 171};
+    group.failover.on_record(closed);
+    group.observation.is_record_binding = true;
+    group.observation.targets[0].leader_failing_for = milliseconds(900);
+    group.observation.targets[1].leader_failing_for = milliseconds(900);
+    cr_assert(!await_written_record(group, 40, {{"r2", 170}}));
+    report_positions(group, {{"r1", 171}});
+    const auto* order = find_action<promote_target>(group.tick());
+    cr_assert(order != nullptr && order->target == "r1");
+}
+
+// Guards against a group that never has a primary again: the target with the
+// longest log is lost for good.
+Test(failover_logic, commits_that_no_target_has_are_given_up_in_the_end)
+{
+    group_fixture group;
+    group.close();
+    group.observation.primary_position = {1, 43};
+    group.observation.is_record_binding = true;
+    group.tick();
+    const auto ticks = group_failover::complete_log_timeout / milliseconds(50);
+    cr_assert(!await_written_record(group, ticks - 2, {{"r2", 42}}));
+    const auto written = await_written_record(group, 5, {{"r2", 42}});
+    cr_assert(written && written->candidate == "r2" &&
+              written->known_position.index == 42);
+}
+
 // Registrations lag behind promotions. Closing the record whenever the two
 // differ would repeatedly leave the outcome of writes unknown.
 Test(failover_logic, a_stale_registration_does_not_close_the_record)
@@ -261,12 +408,14 @@
         {
             is_requested = true;
             cr_assert(request->target == "p");
-            group.failover.on_report("p", make_report(true, 1, 42), group.now);
+            group.failover.on_report("p", make_report(true, 1, 42), group.now,
+                                     group.now);
         }
     }
     cr_assert(is_requested);
     // A primary that reports a later term makes the leader close the record.
-    group.failover.on_report("p", make_report(true, 3, 42), group.now);
+    group.failover.on_report("p", make_report(true, 3, 42), group.now,
+                             group.now);
     cr_assert(find_action<write_primary_record>(group.tick()) != nullptr);
 }
 
@@ -301,7 +450,8 @@
     group_fixture group;
     group.close();
     group.tick();
-    group.failover.on_report("p", make_report(true, 1, 40), group.now);
+    group.failover.on_report("p", make_report(true, 1, 40), group.now,
+                             group.now);
     const auto opening = group.tick();
     const auto* write = find_action<write_primary_record>(opening);
     cr_assert(write != nullptr && write->record.is_open);
@@ -310,7 +460,8 @@
     group.tick();
     cr_assert(std::string(group.failover.step_name()) == "binding");
     group.failover.on_record(make_record(1, "p", true, 12));
-    group.failover.on_report("p", make_report(true, 1, 40), group.now);
+    group.failover.on_report("p", make_report(true, 1, 40), group.now,
+                             group.now);
     group.observation.targets[0].leader_failing_for.reset();
     group.observation.targets[0].vms_failing_to_reach = 0;
     for (int i = 0; i < 10; ++i)
@@ -670,15 +821,21 @@
     group_fixture group;
     group.observation.targets[1].is_evacuated = true;
     close_evacuated(group);
-    group.failover.on_report("p", make_report(true, 1, 50), group.now);
-    group.failover.on_report("r1", make_report(false, 1, 50), group.now);
-    group.failover.on_report("r2", make_report(false, 1, 48), group.now);
+    group.failover.on_report("p", make_report(true, 1, 50), group.now,
+                             group.now);
+    group.failover.on_report("r1", make_report(false, 1, 50), group.now,
+                             group.now);
+    group.failover.on_report("r2", make_report(false, 1, 48), group.now,
+                             group.now);
     group.tick();
     group.tick();
-    group.failover.on_report("p", make_report(true, 1, 50), group.now);
-    group.failover.on_report("r2", make_report(false, 1, 49), group.now);
+    group.failover.on_report("p", make_report(true, 1, 50), group.now,
+                             group.now);
+    group.failover.on_report("r2", make_report(false, 1, 49), group.now,
+                             group.now);
     cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
-    group.failover.on_report("r2", make_report(false, 1, 50), group.now);
+    group.failover.on_report("r2", make_report(false, 1, 50), group.now,
+                             group.now);
     cr_assert(
         find_action<write_primary_record>(group.tick())->record.candidate ==
         "r2");
@@ -709,20 +866,23 @@
 {
     group_fixture group;
     close_evacuated(group);
-    const auto report_all = [&]
+    const auto report_all = [&](std::uint64_t second_replica)
     {
-        group.failover.on_report("p", make_report(true, 1, 50), group.now);
-        group.failover.on_report("r1", make_report(false, 1, 49), group.now);
-        group.failover.on_report("r2", make_report(false, 1, 48), group.now);
+        group.failover.on_report("p", make_report(true, 1, 50), group.now,
+                                 group.now);
+        group.failover.on_report("r1", make_report(false, 1, 49), group.now,
+                                 group.now);
+        group.failover.on_report("r2", make_report(false, 1, second_replica),
+                                 group.now, group.now);
     };
-    report_all();
+    report_all(48);
     group.tick();
     group.tick();
     group.observation.targets[1].is_evacuated = true;
     std::string candidate;
     for (int i = 0; i < 60 && candidate.empty(); ++i)
     {
-        report_all();
+        report_all(i < 5 ? 48 : 50);
         const auto actions = group.tick();
         if (const auto* write = find_action<write_primary_record>(actions))
             candidate = write->record.candidate;
@@ -745,9 +905,12 @@
     std::string candidate;
     for (int i = 0; i < 60 && candidate.empty(); ++i)
     {
-        group.failover.on_report("p", make_report(true, 1, 50), group.now);
-        group.failover.on_report("r1", make_report(false, 1, 50), group.now);
-        group.failover.on_report("r2", make_report(false, 1, 50), group.now);
+        group.failover.on_report("p", make_report(true, 1, 50), group.now,
+                                 group.now);
+        group.failover.on_report("r1", make_report(false, 1, 50), group.now,
+                                 group.now);
+        group.failover.on_report("r2", make_report(false, 1, 50), group.now,
+                                 group.now);
         const auto actions = group.tick();
         const auto* write = find_action<write_primary_record>(actions);
         if (write != nullptr)
@@ -768,12 +931,15 @@
     group.observation.targets[0].is_evacuated = true;
     group.observation.targets[0].leader_failing_for.reset();
     group.tick();
-    group.failover.on_report("p", make_report(true, 1, 42), group.now);
+    group.failover.on_report("p", make_report(true, 1, 42), group.now,
+                             group.now);
     cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
-    group.failover.on_report("r1", make_report(false, 1, 41), group.now);
-    group.failover.on_report("r2", make_report(false, 1, 42), group.now);
     group.observation.is_record_binding = true;
     group.tick();
+    group.failover.on_report("r1", make_report(false, 1, 41), group.now,
+                             group.now);
+    group.failover.on_report("r2", make_report(false, 1, 42), group.now,
+                             group.now);
     cr_assert(
         find_action<write_primary_record>(group.tick())->record.candidate ==
         "r2");
