Grant to restarted VMs at once, and give limits to VMs that begin anew

Cause: after all VMs were killed, a VM got no grant before its own registration was written, and the leader kept the shares of VMs that had just started at 0 for 3 s and all limits free for those that had not reported. Change: the registration of an earlier process is enough for a grant, as grants are recorded by the VM's name. Only shares of an earlier leader are kept for 3 s. VMs that are no lenders hold at most the shared part of a rate, and missing lenders are counted by name. Openings are refused at once when a VM has had no configuration for 0.4 s since its start (1.5 s for each before).

--- a/include/oleandergrade/process/serving/session_server.hpp
+++ b/include/oleandergrade/process/serving/session_server.hpp
@@ -23,9 +23,10 @@
     /// Maximum time from connecting until the message that opens the session
     /// has been received.
     milliseconds opening_timeout{5000};
-    /// Maximum time that an opening waits for the first configuration after the
-    /// process has started.
-    milliseconds configuration_timeout{1500};
+    /// For this time after the start, openings wait for the first configuration.
+    /// Later ones are refused at once: the VM is cut off, and another one may
+    /// serve the caller.
+    milliseconds configuration_timeout{400};
     /// Maximum time for a caller to read an answer before it is disconnected.
     /// The session server does not apply it at present.
     milliseconds write_timeout{10000};
@@ -96,6 +97,8 @@
     /// All sessions that have not been closed.
     std::set<std::shared_ptr<live_session>> sessions_;
     bool close_after_answer_ = false;
+    /// When the first configuration must have arrived.
+    time_point configuration_deadline_;
 };
 
 } // namespace oleandergrade
--- a/src/process/limits/share_allocator.cpp
+++ b/src/process/limits/share_allocator.cpp
@@ -36,9 +36,9 @@
 /// report takes.
 constexpr auto connected_timeout =
     operation_limiter::large_fleet_share_validity - milliseconds(2000);
-/// For this time after its election, the leader of a large fleet leaves all
-/// shares as they are reported. VMs that were killed together with the previous
-/// leader have started again by then.
+/// For this time after its election, the leader of a large fleet leaves the
+/// shares that VMs hold as they are reported. VMs that were killed together
+/// with the previous leader have started again by then.
 constexpr auto adoption_time = milliseconds(3000);
 
 } // namespace
@@ -61,7 +61,7 @@
         if (!is_new)
             refill_reserve(state, now);
         state.budget = budget_of(account, tolerance_);
-        state.reserve_after_election = restart_burst(account, tolerance_) / 2;
+        state.restart_burst = restart_burst(account, tolerance_);
         state.refilled_at = now;
         if (is_new && fill_reserves)
             state.reserve = state.budget.reserved_burst();
@@ -100,7 +100,7 @@
         // There is no record of how much the previous leader left in the
         // reserve.
         account.reserve =
-            std::max(account.reserve, account.reserve_after_election);
+            std::max(account.reserve, reserve_after_election(account));
     }
 }
 
@@ -191,16 +191,30 @@
 // A VM that is gone for good never reports. Without this bound, a leader that
 // is elected after all VMs were killed would admit nothing until the shares
 // that this VM may hold have expired.
-double share_allocator::max_unreported_fraction() const
+double
+share_allocator::max_unreported_fraction(const account_budget& budget) const
 {
-    if (vms_with_demands_ >= member_count_)
+    if (vms_with_demands_ >= member_count_ || budget.rate <= 0)
         return 0;
-    const auto missing = static_cast<double>(member_count_ - vms_with_demands_);
-    const auto max_missing_lenders =
-        std::min(missing, static_cast<double>(lenders_.size()));
-    return std::min(1.0, missing * max_equal_parts / member_count_ +
-                             max_missing_lenders /
-                                 static_cast<double>(lenders_.size()));
+    const auto missing_lenders =
+        std::count_if(lenders_.begin(), lenders_.end(),
+                      [&](const std::string& lender)
+                      {
+                          const auto found = reported_vms_.find(lender);
+                          return found == reported_vms_.end() ||
+                                 !found->second.has_reported_demands;
+                      });
+    const auto missing_others =
+        std::max(0.0, static_cast<double>(member_count_ - vms_with_demands_) -
+                          static_cast<double>(missing_lenders));
+    // The VMs that are no lenders hold the shared part of the rate at most, and
+    // the lenders hold equal parts of the rest.
+    const auto others_fraction =
+        std::min(budget.shared_rate() / budget.rate,
+                 missing_others * max_equal_parts / member_count_);
+    return others_fraction + (1 - others_fraction) *
+                                 static_cast<double>(missing_lenders) /
+                                 static_cast<double>(lenders_.size());
 }
 
 // VMs that report get shares by demand; for each other VM an equal fraction of
@@ -291,14 +305,17 @@
     // only for larger changes.
     const auto min_change = fair_rate * (is_lender ? min_lender_change_fraction
                                                    : min_share_change_fraction);
+    if (demand.held_rate > 0 && own_share.max_held_rate == 0)
+        own_share.held_since = {};
+    // Shares that this leader has allocated may move at once.
+    const bool is_adopting =
+        rebuilding &&
+        (!is_large_fleet() || (now < elected_at_ + adoption_time &&
+                               own_share.held_since == time_point()));
     const bool keeps_share =
-        (rebuilding &&
-         (!is_large_fleet() || now < elected_at_ + adoption_time)) ||
-        std::abs(fair_rate - demand.held_rate) < min_change;
+        is_adopting || std::abs(fair_rate - demand.held_rate) < min_change;
     const auto rate =
         keeps_share ? demand.held_rate : std::min(fair_rate, free_rate);
-    if (demand.held_rate > 0 && own_share.max_held_rate == 0)
-        own_share.held_since = {};
     own_share.max_held_rate = std::max(rate, demand.held_rate);
     own_share.valid_until = now + share_validity() + validity_margin;
     account.total_held_rate += own_share.max_held_rate;
@@ -311,11 +328,17 @@
     return has_lenders() ? budget.rate : budget.shared_rate();
 }
 
+double
+share_allocator::reserve_after_election(const account_state& account) const
+{
+    return account.restart_burst / 2;
+}
+
 double share_allocator::rebuilding_rate(const account_budget& budget) const
 {
-    return has_lenders()
-               ? divisible_rate_of(budget) * (1 - max_unreported_fraction())
-               : 0;
+    return has_lenders() ? divisible_rate_of(budget) *
+                               (1 - max_unreported_fraction(budget))
+                         : 0;
 }
 
 double share_allocator::share_burst(const account_budget& budget,
@@ -387,7 +410,7 @@
                                    budget.reserved_burst() * fraction);
         return;
     }
-    auto burst = account.reserve_after_election;
+    auto burst = reserve_after_election(account);
     if (!rebuilding)
         burst = std::max(
             burst, budget.burst - share_burst(budget, account.total_held_rate) +
--- a/src/process/membership/grant_issuer.cpp
+++ b/src/process/membership/grant_issuer.cpp
@@ -205,9 +205,10 @@
         report.configuration_version > state_.configuration.version())
         on_newer_configuration(reporting_member->address);
     // This leader would not wait for the grant of a VM that it has not seen
-    // registered in the store, nor would the next leader if the VM is not.
-    if (!common.accepted || !report.is_registered ||
-        reporting_member == nullptr || report.highest_token > election_.token())
+    // registered in the store, nor would the next leader. The registration of
+    // an earlier process of the VM is enough, as grants are recorded by name.
+    if (!common.accepted || reporting_member == nullptr ||
+        report.highest_token > election_.token())
         return grant;
     grant.accepted = true;
     if (!report.lost_relay.empty())
--- a/src/process/serving/session_server.cpp
+++ b/src/process/serving/session_server.cpp
@@ -113,6 +113,7 @@
 
 void session_server::start()
 {
+    configuration_deadline_ = current_time() + limits_.configuration_timeout;
     asio::co_spawn(acceptor_.get_executor(), accept_loop(), asio::detached);
 }
 
@@ -178,8 +179,8 @@
                         "the first message must open a session");
         co_return false;
     }
-    const auto deadline = clock::now() + limits_.configuration_timeout;
-    while (configuration_.current() == nullptr && clock::now() < deadline)
+    while (configuration_.current() == nullptr &&
+           current_time() < configuration_deadline_)
         co_await sleep_for(poll_interval);
     const auto failure = runner_.check_opening(*opening);
     if (failure != session_error::none)
