Share sessions from five VMs on, and leave room for a fleet that begins anew

Cause: six VMs with two connections each at a target opened 700 sessions for 1,000 requests, 12 ms of a slot each. Change: sessions are shared from 5 VMs on; holders keep half of their connections while idle; VMs that do not know the holders yet open one connection; the first table is made 0.3 s after the election instead of 0.8 s; a group has one slice unless its targets have four slots or more, as holders do not see each other's queues. Restarted VMs report to a leader that they find in the store at once, and look for one every 100 ms.

--- a/include/oleandergrade/process/serving/connection_share.hpp
+++ b/include/oleandergrade/process/serving/connection_share.hpp
@@ -48,10 +48,16 @@
     bool operator==(const sharing_role&) const = default;
 };
 
+/// Returns the share of a VM that does not know the holders yet, in a fleet
+/// that shares its sessions. All VMs begin like this after the loss of the
+/// whole fleet, while the targets still count the connections of before.
+connection_share unassigned_connection_share();
+
 /// Returns the share of one VM if the sessions are shared. The holder of a
 /// slice may open an equal part of the connections for each slice and keeps
-/// three quarters of them while they are idle. A quarter of a slice's part is
-/// for its standby. The others open a few on demand.
+/// half of them while they are idle. The rest is for its standby, and for the
+/// next holder while a target still counts the connections of a lost one. The
+/// others open a few on demand.
 connection_share
 compute_shared_connection_share(std::uint32_t connections_per_target,
                                 const sharing_role& role);
--- a/src/process/fleet_state.cpp
+++ b/src/process/fleet_state.cpp
@@ -75,11 +75,15 @@
         if (member_count == 0)
             continue;
         const auto role = role_in(name);
-        connections[name] =
-            role ? compute_shared_connection_share(
-                       group.max_connections_per_target, *role)
-                 : compute_connection_share(group.max_connections_per_target,
-                                            member_count);
+        if (role)
+            connections[name] = compute_shared_connection_share(
+                group.max_connections_per_target, *role);
+        else if (settings.sharing.applies(group.max_connections_per_target,
+                                          member_count))
+            connections[name] = unassigned_connection_share();
+        else
+            connections[name] = compute_connection_share(
+                group.max_connections_per_target, member_count);
         // The queue of a VM that runs statements for others decides who waits;
         // a target's own queue is filled only beyond its slots.
         if (role && (role->held_slices > 0 || role->is_standby))
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -170,8 +170,12 @@
     for (const auto& name : unlisted_members)
         if (name != state_.settings.name)
             state_.members.remove(name);
+    const auto earlier_leader = election_.known_leader().address;
     election_.on_key_observed(leader_item, range.store_revision,
                               current_time());
+    // A VM that starts does not wait for the next interval of the report loop.
+    if (election_.known_leader().address != earlier_leader)
+        switch_to_leader("");
     on_election_event();
     on_members_changed();
     on_changes_applied(range.store_revision);
@@ -451,7 +455,8 @@
                        {"holder", election_.known_leader().vm}});
             state_.pool.serve_all_waiting();
         }
-        report_wake_timer_.expires_after(report_interval);
+        report_wake_timer_.expires_after(has_grant ? report_interval
+                                                   : seeking_interval);
         error_code ignored;
         co_await report_wake_timer_.async_wait(
             asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/process/membership/grant_issuer.cpp
+++ b/src/process/membership/grant_issuer.cpp
@@ -13,9 +13,11 @@
 /// How often the holder table is brought up to date.
 constexpr auto holder_update_interval = milliseconds(500);
 /// Time after an election in which holders count as available before they have
-/// reported, and no first table is made. Every VM that is running has reported
-/// twice within it.
+/// reported. Every VM that is running has reported twice within it.
 constexpr auto holder_settling_time = milliseconds(800);
+/// Time after an election in which no first table is made. Most VMs have
+/// reported once within it.
+constexpr auto first_table_delay = milliseconds(300);
 
 } // namespace
 
@@ -46,7 +48,8 @@
     const auto& table = state_.configuration.current();
     const bool is_settling = now < elected_at_ + holder_settling_time;
     if (table == nullptr || state_.members.size() == 0 ||
-        (is_settling && holder_assigner_.table().groups.empty()) ||
+        (now < elected_at_ + first_table_delay &&
+         holder_assigner_.table().groups.empty()) ||
         (!is_due && now - holders_updated_at_ < holder_update_interval))
         return;
     holders_updated_at_ = now;
@@ -58,6 +61,11 @@
     assignment_input input;
     for (const auto& [name, group] : table->groups)
         input.connections_per_target[name] = group.max_connections_per_target;
+    for (const auto& [id, target] : state_.view.registry.all())
+    {
+        auto& slots = input.slots_per_target[target.group];
+        slots = std::max(slots, target.slots);
+    }
     input.members = &state_.members;
     input.leader = state_.settings.name;
     input.token = election_.token();
--- a/src/process/serving/connection_share.cpp
+++ b/src/process/serving/connection_share.cpp
@@ -40,6 +40,11 @@
     return {on_demand_connections, on_demand_idle_timeout};
 }
 
+connection_share unassigned_connection_share()
+{
+    return {1, on_demand_idle_timeout};
+}
+
 connection_share
 compute_shared_connection_share(std::uint32_t connections_per_target,
                                 const sharing_role& role)
@@ -54,7 +59,7 @@
     {
         const auto held = per_slice * role.held_slices;
         return {held, std::nullopt,
-                std::max(held - held / standby_divisor, 1U)};
+                std::max(held / 2, 1U)};
     }
     const auto on_demand = std::min(on_demand_connections, usable_connections);
     return {role.is_standby ? std::max(per_slice / standby_divisor, on_demand)
