Holders keep all connections but one for each VM

Change: of a target's connections a holder leaves one for each VM, half at most, instead of half in every fleet.

--- a/include/oleandergrade/process/serving/connection_share.hpp
+++ b/include/oleandergrade/process/serving/connection_share.hpp
@@ -42,6 +42,8 @@
     std::uint32_t slices = 1;
     /// Number of these slices that the VM holds.
     std::uint32_t held_slices = 0;
+    /// Number of VMs in the fleet.
+    std::uint32_t vms = 0;
     /// The VM is the standby of a slice that it does not hold.
     bool is_standby = false;
 
@@ -54,10 +56,11 @@
 connection_share unassigned_connection_share();
 
 /// Returns the share of one VM if the sessions are shared. The holder of a
-/// slice may open an equal part of the connections for each slice and keeps
-/// half of them while they are idle. The rest is for its standby, and for the
-/// next holder while a target still counts the connections of a lost one. The
-/// others open a few on demand.
+/// slice may open an equal part of the connections for each slice. It keeps
+/// them while they are idle, except for one for each VM, or half of them in a
+/// large fleet: a fleet that was lost as a whole begins anew with these while
+/// the target still counts the others. The standby may open a quarter of a
+/// slice's part, and the other VMs a few, on demand.
 connection_share
 compute_shared_connection_share(std::uint32_t connections_per_target,
                                 const sharing_role& role);
--- a/src/process/fleet_state.cpp
+++ b/src/process/fleet_state.cpp
@@ -52,6 +52,7 @@
     const auto& own_address = settings.advertised_peer_address;
     sharing_role role;
     role.slices = static_cast<std::uint32_t>(found->second.size());
+    role.vms = std::max(members.size(), min_member_count);
     for (const auto& slice : found->second)
     {
         role.held_slices += slice.holder == own_address ? 1 : 0;
--- a/src/process/serving/connection_share.cpp
+++ b/src/process/serving/connection_share.cpp
@@ -20,8 +20,10 @@
 /// connection, short enough that the number of open connections stays far below
 /// the target's limit.
 constexpr auto on_demand_idle_timeout = milliseconds(300);
-/// Divisor of the part of a slice's connections that its holder does not keep
-/// idle. They are left to the standby.
+/// Divisor of the largest part of its connections that a holder does not keep
+/// idle.
+constexpr std::uint32_t max_spare_divisor = 2;
+/// Divisor of the part of a slice's connections that its standby may open.
 constexpr std::uint32_t standby_divisor = 4;
 
 } // namespace
@@ -58,8 +60,11 @@
     if (role.held_slices > 0)
     {
         const auto held = per_slice * role.held_slices;
-        return {held, std::nullopt,
-                std::max(held / 2, 1U)};
+        const auto vms_per_slice =
+            (role.vms + role.slices - 1) / std::max(role.slices, 1U);
+        const auto spare = std::min(vms_per_slice * role.held_slices,
+                                    held / max_spare_divisor);
+        return {held, std::nullopt, std::max(held - spare, 1U)};
     }
     const auto on_demand = std::min(on_demand_connections, usable_connections);
     return {role.is_standby ? std::max(per_slice / standby_divisor, on_demand)
--- a/tests/test_forwarding.cpp
+++ b/tests/test_forwarding.cpp
@@ -365,19 +365,24 @@
 // target counts them for some seconds, and the fleet starts with what is left.
 Test(forwarding, holders_leave_a_part_of_the_connections_to_their_standbys)
 {
-    const auto holder = compute_shared_connection_share(66, {2, 1, false});
+    const auto holder = compute_shared_connection_share(66, {2, 1, 90, false});
     cr_assert(holder == (connection_share{32, std::nullopt, 16}));
-    const auto both = compute_shared_connection_share(66, {2, 2, false});
+    const auto both = compute_shared_connection_share(66, {2, 2, 90, false});
     cr_assert(both == (connection_share{64, std::nullopt, 32}));
-    const auto standby = compute_shared_connection_share(66, {2, 0, true});
+    const auto small_fleet =
+        compute_shared_connection_share(16, {1, 1, 6, false});
+    cr_assert(small_fleet == (connection_share{15, std::nullopt, 9}));
+    const auto standby = compute_shared_connection_share(66, {2, 0, 90, true});
     cr_assert(standby.max_connections == 8);
     cr_assert(standby.idle_timeout == milliseconds(300));
-    const auto other = compute_shared_connection_share(66, {2, 0, false});
+    const auto other = compute_shared_connection_share(66, {2, 0, 90, false});
     cr_assert(other.max_connections == 3);
     cr_assert(other.idle_timeout == milliseconds(300));
     // Targets that accept fewer connections than there are slices.
     cr_assert(
-        compute_shared_connection_share(1, {4, 1, false}).max_connections == 1);
+        compute_shared_connection_share(1, {4, 1, 90, false}).max_connections ==
+        1);
     cr_assert(
-        compute_shared_connection_share(2, {4, 0, false}).max_connections == 1);
+        compute_shared_connection_share(2, {4, 0, 90, false}).max_connections ==
+        1);
 }
