One number of slices again; call off a replacement whose primary answers

Removed with its input and test. Of targets with incomplete logs the longest counts before drains; the position seen by the leader goes into the record; an old primary that answers continues its term also if the replacement was not planned.

--- a/include/oleandergrade/process/failover/group_failover.hpp
+++ b/include/oleandergrade/process/failover/group_failover.hpp
@@ -116,9 +116,9 @@
 /// 4. A target whose log is complete is written to the record as the candidate
 ///    and is promoted. Complete means as long as the old primary's, or, if that
 ///    one is lost, as the longest that any target or VM has shown. If no target
-///    that answers has the complete log in time, a planned replacement is
-///    called off and the old primary continues; if it is lost, the target with
-///    the longest log is promoted, and what it lacks is logged as given up.
+///    that answers has the complete log in time, the old primary continues its
+///    term if it answers; otherwise the target with the longest log is
+///    promoted, and what it lacks is logged as given up.
 /// 5. The record is opened with the new term, in the store and at every VM.
 ///
 /// A primary that returns, possibly under another identifier, continues its
@@ -146,8 +146,7 @@
     /// Maximum time to wait until a planned successor has caught up with the
     /// old primary.
     static constexpr milliseconds catch_up_timeout{1500};
-    /// Time after which a planned replacement that was called off is tried
-    /// again.
+    /// Time after which a replacement that was called off is tried again.
     static constexpr milliseconds planned_retry_delay{3000};
     /// Maximum time to wait, after the loss of a primary, for a target that has
     /// every commit that is known.
@@ -204,6 +203,12 @@
         verifying
     };
 
+    struct timed_report
+    {
+        target_report report;
+        time_point requested_at;
+    };
+
     void enter_step(step next, time_point now);
     void watch_primary(const group_observation& observation, time_point now);
     void check_for_later_primary(const group_observation& observation,
@@ -226,15 +231,18 @@
     static bool must_evacuate(const target_observation& primary,
                               const group_observation& observation);
     void choose_candidate(const group_observation& observation, time_point now);
+    /// The furthest position in the recorded term's log that is known.
+    log_position known_position(const group_observation& observation) const;
     /// Whether the log that ends at `log_end` contains every commit that is
     /// known.
     bool is_complete(log_position log_end,
                      const group_observation& observation) const;
-    /// Continues the term if the old primary of a planned replacement still
-    /// answers and no promotion can have been ordered. Returns whether it did.
-    bool call_off_planned(time_point now);
-    void write_candidate(const std::string& target, time_point now);
-    /// The target's report, if the log cannot have grown since.
+    /// Continues the term if the old primary still answers and no promotion can
+    /// have been ordered. Returns whether it did.
+    bool call_off_replacement(time_point now);
+    void write_candidate(const std::string& target,
+                         const group_observation& observation, time_point now);
+    /// The target's report; null if it was requested before the log ended.
     const target_report* final_report(const std::string& target) const;
     void forget_reports();
     void request_report(const std::string& target, time_point now);
@@ -252,19 +260,13 @@
     time_point step_entered_at_;
     /// Earliest time of the next request to each target.
     std::map<std::string, time_point> next_request_at_;
-    struct timed_report
-    {
-        target_report report;
-        time_point requested_at;
-    };
-
     /// Latest report of each target in this replacement.
     std::map<std::string, timed_report> reports_;
     /// When the closed record became binding, after which the old primary
     /// commits nothing.
     time_point binding_since_;
-    /// Furthest position in the recorded term that is known in this
-    /// replacement.
+    /// Furthest position in the recorded term that a target has reported in
+    /// this replacement, or that the record contains.
     log_position furthest_position_;
     /// Since when no target that answers has the complete log.
     std::optional<time_point> incomplete_since_;
--- a/include/oleandergrade/process/forwarding/holder_assigner.hpp
+++ b/include/oleandergrade/process/forwarding/holder_assigner.hpp
@@ -20,9 +20,6 @@
 {
     /// Number of connections that each target of a group accepts, by group.
     std::map<std::string, std::uint32_t> connections_per_target;
-    /// Number of statements that each target of a group runs at a time, by
-    /// group. Groups without a registered target are not listed.
-    std::map<std::string, std::uint32_t> slots_per_target;
     const member_list* members = nullptr;
     /// Whether the VM with this name reports to the leader and does not stop.
     std::function<bool(const std::string& vm)> is_available;
--- a/include/oleandergrade/process/forwarding/sharing_policy.hpp
+++ b/include/oleandergrade/process/forwarding/sharing_policy.hpp
@@ -1,7 +1,6 @@
 /// Decides whether the fleet shares the sessions at a group's targets.
 #pragma once
 
-#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 
@@ -12,14 +11,12 @@
 /// of a fleet must have the same.
 struct sharing_policy
 {
-    static constexpr std::uint32_t min_slots_per_slice = 2;
-
     /// Number of VMs in the fleet from which on sessions are shared.
     std::size_t min_vms = 5;
     /// Sessions are shared if a target accepts fewer than this for each VM.
     std::size_t dedicated_sessions = 4;
-    /// Largest number of slices into which the accounts of a group are divided,
-    /// each with a holder of its own.
+    /// Number of slices into which the accounts of a group are divided, each
+    /// with a holder of its own.
     std::size_t slices = 2;
 
     /// Returns whether the VMs share the sessions at targets that accept
@@ -30,15 +27,6 @@
                connections_per_target < dedicated_sessions * vms;
     }
 
-    /// Returns the number of slices of a group whose targets run `target_slots`
-    /// statements at a time. The holders do not see each other's queues, so
-    /// that there are fewer of them than the slots would allow.
-    std::size_t slices_for(std::uint32_t target_slots) const
-    {
-        return std::clamp<std::size_t>(target_slots / min_slots_per_slice, 1,
-                                       slices);
-    }
-
     bool operator==(const sharing_policy&) const = default;
 };
 
--- a/include/oleandergrade/process/limits/share_allocator.hpp
+++ b/include/oleandergrade/process/limits/share_allocator.hpp
@@ -114,8 +114,8 @@
         double rebuilt_rate = 0;
         /// No share expires before this time.
         time_point next_expiry = time_point::max();
-        /// Operations that all VMs together may run right after a restart.
-        double restart_burst = 0;
+        /// Operations in the reserve right after the election of a leader.
+        double reserve_after_election = 0;
         /// Operations in the reserve.
         double reserve = 0;
         time_point refilled_at;
@@ -153,12 +153,9 @@
     /// Whether VMs may still hold shares from an earlier leader that this VM
     /// has no record of.
     bool is_rebuilding(time_point now) const;
-    /// The largest fraction of an account's rate that VMs of a large fleet may
-    /// hold that have not reported since the election.
+    /// The largest fraction of an account's rate that VMs of a fleet with
+    /// lenders may hold that have not reported since the election.
     double max_unreported_fraction(const account_budget& budget) const;
-    /// Operations in the reserve right after the election of a leader. In
-    /// fleets without lenders the VMs spend half of the restart burst.
-    double reserve_after_election(const account_state& account) const;
     /// The rate that no VM holds which has not reported since the election;
     /// zero in fleets without lenders.
     double rebuilding_rate(const account_budget& budget) const;
--- a/include/oleandergrade/process/serving/session_server.hpp
+++ b/include/oleandergrade/process/serving/session_server.hpp
@@ -23,9 +23,9 @@
     /// Maximum time from connecting until the message that opens the session
     /// has been received.
     milliseconds opening_timeout{5000};
-    /// For this time after the start, openings wait for the first configuration.
-    /// Later ones are refused at once: the VM is cut off, and another one may
-    /// serve the caller.
+    /// For this time after the start, openings wait for the first
+    /// configuration. Later ones are refused at once: the VM is cut off, and
+    /// another one may serve the caller.
     milliseconds configuration_timeout{400};
     /// Maximum time for a caller to read an answer before it is disconnected.
     /// The session server does not apply it at present.
--- a/src/process/failover/group_failover.cpp
+++ b/src/process/failover/group_failover.cpp
@@ -355,7 +355,7 @@
 {
     bool misses_reports = false;
     std::string best_id;
-    std::tuple<bool, bool, log_position> best_rank;
+    std::tuple<bool, bool, log_position, bool> best_rank;
     log_position best_log_end;
     for (const auto& target : observation.targets)
     {
@@ -383,8 +383,10 @@
         if (report->is_primary && !record_.candidate.empty())
             continue;
         const auto log_end = report->received_position;
-        const std::tuple rank(is_complete(log_end, observation),
-                              !target.record.is_draining, log_end);
+        const bool has_all = is_complete(log_end, observation);
+        const bool is_staying = !target.record.is_draining;
+        const std::tuple rank(has_all, has_all && is_staying, log_end,
+                              is_staying);
         if (!best_id.empty() && rank <= best_rank)
             continue;
         best_id = id;
@@ -394,47 +396,52 @@
     if (best_id.empty())
         return;
     const bool is_best_complete = std::get<0>(best_rank);
-    if (is_best_complete &&
-        (!misses_reports || now - step_entered_at_ >= report_timeout))
-        return write_candidate(best_id, now);
     if (is_best_complete)
+    {
+        if (!misses_reports || now - step_entered_at_ >= report_timeout)
+            write_candidate(best_id, observation, now);
         return;
+    }
     if (!incomplete_since_)
         incomplete_since_ = now;
     const auto waited = now - *incomplete_since_;
-    if (record_.is_planned && waited >= catch_up_timeout &&
-        call_off_planned(now))
+    if (waited >= catch_up_timeout && call_off_replacement(now))
         return;
     if (waited < complete_log_timeout)
         return;
-    log_event(
-        event_level::warning, "failover", "commits given up",
-        {{"group", group_},
-         {"target", best_id},
-         {"term", record_.term},
-         {"received", best_log_end.index},
-         {"known",
-          std::max(furthest_position_, observation.primary_position).index}});
-    write_candidate(best_id, now);
+    const auto known = known_position(observation);
+    if (best_log_end < known)
+        log_event(event_level::warning, "failover", "commits given up",
+                  {{"group", group_},
+                   {"target", best_id},
+                   {"term", record_.term},
+                   {"received", best_log_end.index},
+                   {"known", known.index}});
+    write_candidate(best_id, observation, now);
+}
+
+log_position
+group_failover::known_position(const group_observation& observation) const
+{
+    // A position of another term says nothing about this log.
+    return observation.primary_position.term == record_.term
+               ? std::max(furthest_position_, observation.primary_position)
+               : furthest_position_;
 }
 
-// Positions of other terms than the recorded one say nothing about its log.
 bool group_failover::is_complete(log_position log_end,
                                  const group_observation& observation) const
 {
-    const auto is_reached = [&](log_position position)
-    { return position.term != record_.term || log_end >= position; };
     // The primary itself shows what is complete, unless it may have been
     // superseded.
     const bool needs_primary =
         record_.is_planned && record_.candidate.empty() &&
         find_target(observation, record_.target) != nullptr;
-    return is_reached(furthest_position_) &&
-           is_reached(observation.primary_position) &&
+    return log_end >= known_position(observation) &&
            (!needs_primary || final_report(record_.target) != nullptr);
 }
 
-bool group_failover::call_off_planned(time_point now)
+bool group_failover::call_off_replacement(time_point now)
 {
     const auto found = reports_.find(record_.target);
     if (!record_.candidate.empty() || found == reports_.end() ||
@@ -449,11 +456,13 @@
 
 // The candidate is written to the record before its promotion is ordered: it
 // shows the next leader that the term may have ended.
-void group_failover::write_candidate(const std::string& target, time_point now)
+void group_failover::write_candidate(const std::string& target,
+                                     const group_observation& observation,
+                                     time_point now)
 {
     auto updated = record_;
     updated.candidate = target;
-    updated.known_position = furthest_position_;
+    updated.known_position = known_position(observation);
     write_record(updated, now);
 }
 
--- a/src/process/forwarding/holder_assigner.cpp
+++ b/src/process/forwarding/holder_assigner.cpp
@@ -180,15 +180,10 @@
         if (!policy_.applies(connections, input.members->size()))
             continue;
         const auto found = table_.groups.find(group);
-        const auto present = found == table_.groups.end()
-                                 ? std::vector<slice_holder>()
-                                 : found->second;
-        const auto slots = input.slots_per_target.find(group);
-        std::size_t slice_count =
-            present.empty() ? policy_.slices : present.size();
-        if (slots != input.slots_per_target.end())
-            slice_count = policy_.slices_for(slots->second);
-        groups[group] = retain_available(present, slice_count, vms);
+        groups[group] = retain_available(found == table_.groups.end()
+                                             ? std::vector<slice_holder>()
+                                             : found->second,
+                                         policy_.slices, vms);
     }
     for (const auto& [group, slices] : groups)
         for (const auto& slice : slices)
--- a/src/process/limits/share_allocator.cpp
+++ b/src/process/limits/share_allocator.cpp
@@ -61,7 +61,7 @@
         if (!is_new)
             refill_reserve(state, now);
         state.budget = budget_of(account, tolerance_);
-        state.restart_burst = restart_burst(account, tolerance_);
+        state.reserve_after_election = restart_burst(account, tolerance_) / 2;
         state.refilled_at = now;
         if (is_new && fill_reserves)
             state.reserve = state.budget.reserved_burst();
@@ -100,7 +100,7 @@
         // There is no record of how much the previous leader left in the
         // reserve.
         account.reserve =
-            std::max(account.reserve, reserve_after_election(account));
+            std::max(account.reserve, account.reserve_after_election);
     }
 }
 
@@ -328,12 +328,6 @@
     return has_lenders() ? budget.rate : budget.shared_rate();
 }
 
-double
-share_allocator::reserve_after_election(const account_state& account) const
-{
-    return account.restart_burst / 2;
-}
-
 double share_allocator::rebuilding_rate(const account_budget& budget) const
 {
     return has_lenders() ? divisible_rate_of(budget) *
@@ -410,7 +404,7 @@
                                    budget.reserved_burst() * fraction);
         return;
     }
-    auto burst = reserve_after_election(account);
+    auto burst = account.reserve_after_election;
     if (!rebuilding)
         burst = std::max(
             burst, budget.burst - share_burst(budget, account.total_held_rate) +
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -174,7 +174,8 @@
     election_.on_key_observed(leader_item, range.store_revision,
                               current_time());
     // A VM that starts does not wait for the next interval of the report loop.
-    if (election_.known_leader().address != earlier_leader)
+    const auto& leader_address = election_.known_leader().address;
+    if (!leader_address.empty() && leader_address != earlier_leader)
         switch_to_leader("");
     on_election_event();
     on_members_changed();
--- a/src/process/membership/grant_issuer.cpp
+++ b/src/process/membership/grant_issuer.cpp
@@ -61,11 +61,6 @@
     assignment_input input;
     for (const auto& [name, group] : table->groups)
         input.connections_per_target[name] = group.max_connections_per_target;
-    for (const auto& [id, target] : state_.view.registry.all())
-    {
-        auto& slots = input.slots_per_target[target.group];
-        slots = std::max(slots, target.slots);
-    }
     input.members = &state_.members;
     input.leader = state_.settings.name;
     input.token = election_.token();
