--- a/include/oleandergrade/connection/log_position.hpp
+++ b/include/oleandergrade/connection/log_position.hpp
@@ -1,6 +1,7 @@
 /// A position in the replicated log of a database group.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 
 namespace oleandergrade
--- a/include/oleandergrade/process/own_settings.hpp
+++ b/include/oleandergrade/process/own_settings.hpp
@@ -22,7 +22,7 @@
 ///     advertise = 127.0.0.1:9000
 ///     [fleet]
 ///     relay_from = 100
-///     share_sessions_from = 12
+///     share_sessions_from = 5
 ///     dedicated_sessions = 4
 ///     slices = 2
 ///     [sessions]
