--- a/tests/test_failover_logic.cpp
+++ b/tests/test_failover_logic.cpp
@@ -69,6 +69,12 @@
         return failover.tick(observation, now);
     }
 
+    /// Passes on a report that is requested and answered now.
+    void report(const std::string& target, const result<target_report>& outcome)
+    {
+        failover.on_report(target, outcome, now, now);
+    }
+
     /// Makes the leader and three of five other VMs fail to reach the primary.
     void lose_primary()
     {
@@ -100,19 +106,15 @@
     group_fixture group;
     group.close();
     cr_assert(find_action<announce_primary>(group.tick()) != nullptr);
-    group.failover.on_report("r1", make_report(false, 1, 40), group.now,
-                             group.now);
-    group.failover.on_report("r2", make_report(false, 1, 42), group.now,
-                             group.now);
+    group.report("r1", make_report(false, 1, 40));
+    group.report("r2", make_report(false, 1, 42));
     // No candidate is recorded before the closed record is binding for all VMs.
     for (int i = 0; i < 50; ++i)
         cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
     group.observation.is_record_binding = true;
     group.tick();
-    group.failover.on_report("r1", make_report(false, 1, 40), group.now,
-                             group.now);
-    group.failover.on_report("r2", make_report(false, 1, 42), group.now,
-                             group.now);
+    group.report("r1", make_report(false, 1, 40));
+    group.report("r2", make_report(false, 1, 42));
     const auto updated = group.tick();
     cr_assert(find_action<promote_target>(updated) == nullptr);
     cr_assert(find_action<write_primary_record>(updated)->record.candidate ==
@@ -121,11 +123,9 @@
     cr_assert(find_action<promote_target>(group.tick())->target == "r2");
     group.failover.on_promotion_result("r2", true, group.now);
     group.tick();
-    group.failover.on_report("r2", make_report(false, 1, 42), group.now,
-                             group.now);
+    group.report("r2", make_report(false, 1, 42));
     cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
-    group.failover.on_report("r2", make_report(true, 2, 42), group.now,
-                             group.now);
+    group.report("r2", make_report(true, 2, 42));
     const auto opened = group.tick();
     cr_assert(find_action<demote_target>(opened)->target == "p");
     const auto* write = find_action<write_primary_record>(opened);
@@ -142,8 +142,7 @@
     group.close();
     group.tick();
     group.observation.targets.push_back(make_observation("p2", true));
-    group.failover.on_report("p2", make_report(true, 1, 42), group.now,
-                             group.now);
+    group.report("p2", make_report(true, 1, 42));
     const auto* write = find_action<write_primary_record>(group.tick());
     cr_assert(write != nullptr);
     cr_assert(write->record.is_open && write->record.term == 1);
@@ -160,12 +159,9 @@
     group.tick();
     group.observation.is_record_binding = true;
     group.tick();
-    group.failover.on_report("p", make_report(true, 1, 42), group.now,
-                             group.now);
-    group.failover.on_report("r1", make_report(false, 1, 40), group.now,
-                             group.now);
-    group.failover.on_report("r2", make_report(false, 1, 41), group.now,
-                             group.now);
+    group.report("p", make_report(true, 1, 42));
+    group.report("r1", make_report(false, 1, 40));
+    group.report("r2", make_report(false, 1, 41));
     // A previous leader may have ordered this promotion, so it is repeated.
     const auto actions = group.tick();
     cr_assert(find_action<write_primary_record>(actions) == nullptr);
@@ -177,8 +173,7 @@
     group_fixture group;
     group.close();
     group.tick();
-    group.failover.on_report("r1", make_report(true, 2, 40), group.now,
-                             group.now);
+    group.report("r1", make_report(true, 2, 40));
     const auto* write = find_action<write_primary_record>(group.tick());
     cr_assert(write->record.is_open && write->record.term == 2);
 }
@@ -198,10 +193,8 @@
     group.tick();
     group.observation.is_record_binding = true;
     group.tick();
-    group.failover.on_report("r1", make_report(true, 2, 40), group.now,
-                             group.now);
-    group.failover.on_report("r2", make_report(false, 3, 40), group.now,
-                             group.now);
+    group.report("r1", make_report(true, 2, 40));
+    group.report("r2", make_report(false, 3, 40));
     const auto actions = group.tick();
     cr_assert(find_action<write_primary_record>(actions) == nullptr);
     cr_assert(find_action<promote_target>(actions)->target == "r2");
@@ -218,10 +211,8 @@
     group.tick();
     group.observation.is_record_binding = true;
     group.tick();
-    group.failover.on_report("r1", make_report(true, 2, 44), group.now,
-                             group.now);
-    group.failover.on_report("r3", make_report(false, 2, 41), group.now,
-                             group.now);
+    group.report("r1", make_report(true, 2, 44));
+    group.report("r3", make_report(false, 2, 41));
     group.tick();
     // The unreachable candidate may be the primary of a later term.
     const auto actions =
@@ -235,10 +226,8 @@
     group_fixture group;
     group.close();
     group.tick();
-    group.failover.on_report("r1", make_report(true, 2, 40), group.now,
-                             group.now);
-    group.failover.on_report("r2", make_report(true, 3, 38), group.now,
-                             group.now);
+    group.report("r1", make_report(true, 2, 40));
+    group.report("r2", make_report(true, 3, 38));
     const auto* write = find_action<write_primary_record>(group.tick());
     cr_assert(write->record.target == "r2" && write->record.term == 3);
 }
@@ -252,21 +241,15 @@
     group.failover.on_write_result(std::uint64_t(11), group.now);
     group.observation.is_record_binding = true;
     group.tick();
-    group.failover.on_report("p", make_report(true, 1, 50), group.now,
-                             group.now);
-    group.failover.on_report("r1", make_report(false, 1, 48), group.now,
-                             group.now);
-    group.failover.on_report("r2", make_report(false, 1, 47), group.now,
-                             group.now);
+    group.report("p", make_report(true, 1, 50));
+    group.report("r1", make_report(false, 1, 48));
+    group.report("r2", make_report(false, 1, 47));
     group.tick();
     group.tick();
-    group.failover.on_report("p", make_report(true, 1, 50), group.now,
-                             group.now);
-    group.failover.on_report("r1", make_report(false, 1, 49), group.now,
-                             group.now);
+    group.report("p", make_report(true, 1, 50));
+    group.report("r1", make_report(false, 1, 49));
     cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
-    group.failover.on_report("r1", make_report(false, 1, 50), group.now,
-                             group.now);
+    group.report("r1", make_report(false, 1, 50));
     cr_assert(
         find_action<write_primary_record>(group.tick())->record.candidate ==
         "r1");
@@ -280,8 +263,7 @@
                       const std::map<std::string, std::uint64_t>& positions)
 {
     for (const auto& [id, position] : positions)
-        group.failover.on_report(id, make_report(id == "p", 1, position),
-                                 group.now, group.now);
+        group.report(id, make_report(id == "p", 1, position));
 }
 
 /// Returns the candidate or reopened primary that is written within `ticks`
@@ -408,14 +390,12 @@
         {
             is_requested = true;
             cr_assert(request->target == "p");
-            group.failover.on_report("p", make_report(true, 1, 42), group.now,
-                                     group.now);
+            group.report("p", make_report(true, 1, 42));
         }
     }
     cr_assert(is_requested);
     // A primary that reports a later term makes the leader close the record.
-    group.failover.on_report("p", make_report(true, 3, 42), group.now,
-                             group.now);
+    group.report("p", make_report(true, 3, 42));
     cr_assert(find_action<write_primary_record>(group.tick()) != nullptr);
 }
 
@@ -450,8 +430,7 @@
     group_fixture group;
     group.close();
     group.tick();
-    group.failover.on_report("p", make_report(true, 1, 40), group.now,
-                             group.now);
+    group.report("p", make_report(true, 1, 40));
     const auto opening = group.tick();
     const auto* write = find_action<write_primary_record>(opening);
     cr_assert(write != nullptr && write->record.is_open);
@@ -460,8 +439,7 @@
     group.tick();
     cr_assert(std::string(group.failover.step_name()) == "binding");
     group.failover.on_record(make_record(1, "p", true, 12));
-    group.failover.on_report("p", make_report(true, 1, 40), group.now,
-                             group.now);
+    group.report("p", make_report(true, 1, 40));
     group.observation.targets[0].leader_failing_for.reset();
     group.observation.targets[0].vms_failing_to_reach = 0;
     for (int i = 0; i < 10; ++i)
@@ -821,21 +799,15 @@
     group_fixture group;
     group.observation.targets[1].is_evacuated = true;
     close_evacuated(group);
-    group.failover.on_report("p", make_report(true, 1, 50), group.now,
-                             group.now);
-    group.failover.on_report("r1", make_report(false, 1, 50), group.now,
-                             group.now);
-    group.failover.on_report("r2", make_report(false, 1, 48), group.now,
-                             group.now);
+    group.report("p", make_report(true, 1, 50));
+    group.report("r1", make_report(false, 1, 50));
+    group.report("r2", make_report(false, 1, 48));
     group.tick();
     group.tick();
-    group.failover.on_report("p", make_report(true, 1, 50), group.now,
-                             group.now);
-    group.failover.on_report("r2", make_report(false, 1, 49), group.now,
-                             group.now);
+    group.report("p", make_report(true, 1, 50));
+    group.report("r2", make_report(false, 1, 49));
     cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
-    group.failover.on_report("r2", make_report(false, 1, 50), group.now,
-                             group.now);
+    group.report("r2", make_report(false, 1, 50));
     cr_assert(
         find_action<write_primary_record>(group.tick())->record.candidate ==
         "r2");
@@ -868,12 +840,9 @@
     close_evacuated(group);
     const auto report_all = [&](std::uint64_t second_replica)
     {
-        group.failover.on_report("p", make_report(true, 1, 50), group.now,
-                                 group.now);
-        group.failover.on_report("r1", make_report(false, 1, 49), group.now,
-                                 group.now);
-        group.failover.on_report("r2", make_report(false, 1, second_replica),
-                                 group.now, group.now);
+        group.report("p", make_report(true, 1, 50));
+        group.report("r1", make_report(false, 1, 49));
+        group.report("r2", make_report(false, 1, second_replica));
     };
     report_all(48);
     group.tick();
@@ -905,12 +874,9 @@
     std::string candidate;
     for (int i = 0; i < 60 && candidate.empty(); ++i)
     {
-        group.failover.on_report("p", make_report(true, 1, 50), group.now,
-                                 group.now);
-        group.failover.on_report("r1", make_report(false, 1, 50), group.now,
-                                 group.now);
-        group.failover.on_report("r2", make_report(false, 1, 50), group.now,
-                                 group.now);
+        group.report("p", make_report(true, 1, 50));
+        group.report("r1", make_report(false, 1, 50));
+        group.report("r2", make_report(false, 1, 50));
         const auto actions = group.tick();
         const auto* write = find_action<write_primary_record>(actions);
         if (write != nullptr)
@@ -931,15 +897,12 @@
     group.observation.targets[0].is_evacuated = true;
     group.observation.targets[0].leader_failing_for.reset();
     group.tick();
-    group.failover.on_report("p", make_report(true, 1, 42), group.now,
-                             group.now);
+    group.report("p", make_report(true, 1, 42));
     cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
     group.observation.is_record_binding = true;
     group.tick();
-    group.failover.on_report("r1", make_report(false, 1, 41), group.now,
-                             group.now);
-    group.failover.on_report("r2", make_report(false, 1, 42), group.now,
-                             group.now);
+    group.report("r1", make_report(false, 1, 41));
+    group.report("r2", make_report(false, 1, 42));
     cr_assert(
         find_action<write_primary_record>(group.tick())->record.candidate ==
         "r2");
--- a/tests/test_limit_shares.cpp
+++ b/tests/test_limit_shares.cpp
@@ -429,16 +429,6 @@
               totals.refused_fraction());
 }
 
-void expect_no_refusals_with_leader(const char* name,
-                                    const limit_fleet_faults& faults)
-{
-    limit_fleet_settings settings;
-    settings.faults = faults;
-    const auto totals = run_fleets(name, settings);
-    cr_assert(totals.refused_inside_with_leader == 0, "%lu of %lu",
-              totals.refused_inside_with_leader, totals.offered);
-}
-
 void expect_limits_hold(const char* name, limit_fleet_settings settings)
 {
     settings.overloaded_fraction = 0.5;
@@ -508,34 +498,23 @@
 
 // The target for accounts inside 0.8 of their limits: from 1 s after the
 // election on, a VM that reaches the leader refuses them nothing.
-Test(limit_shares, a_large_fleet_with_a_leader_refuses_nothing)
-{
-    expect_no_refusals_with_leader("calm", {});
-}
-
-Test(limit_shares, a_new_leader_refuses_nothing)
-{
-    expect_no_refusals_with_leader("lost leaders", lost_leaders);
-}
-
-Test(limit_shares, a_leader_refuses_nothing_after_the_store_returns)
-{
-    expect_no_refusals_with_leader("lost store", lost_store);
-}
-
-Test(limit_shares, a_leader_refuses_nothing_in_a_partition)
-{
-    expect_no_refusals_with_leader("partitions", split_domains);
-}
-
-Test(limit_shares, a_leader_refuses_nothing_after_a_mass_kill)
-{
-    expect_no_refusals_with_leader("killed halves", killed_halves);
-}
-
-Test(limit_shares, a_leader_refuses_nothing_after_a_total_loss)
-{
-    expect_no_refusals_with_leader("killed fleet", killed_fleet);
+Test(limit_shares, a_leader_refuses_nothing_inside_the_limits)
+{
+    const std::map<const char*, limit_fleet_faults> kinds{
+        {"calm", {}},
+        {"lost leaders", lost_leaders},
+        {"lost store", lost_store},
+        {"partitions", split_domains},
+        {"killed halves", killed_halves},
+        {"killed fleet", killed_fleet}};
+    for (const auto& [name, faults] : kinds)
+    {
+        limit_fleet_settings settings;
+        settings.faults = faults;
+        const auto totals = run_fleets(name, settings);
+        cr_expect(totals.refused_inside_with_leader == 0, "%s: %lu of %lu",
+                  name, totals.refused_inside_with_leader, totals.offered);
+    }
 }
 
 Test(limit_shares, a_large_fleet_serves_accounts_while_vms_stop_in_turn)
