Require the new registration again in fleets with relays

Change: from relay_from VMs on a grant needs the new registration, as before; the interval of VMs without a grant grows by 1 ms a VM above 100.

--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -60,8 +60,6 @@
 {
 public:
     static constexpr milliseconds report_interval{250};
-    /// The same of a VM without a grant, which asks other VMs for the leader.
-    static constexpr milliseconds seeking_interval{100};
     /// Timeout of reports and probes.
     static constexpr milliseconds call_timeout{400};
     /// Timeout of reports to a relay. Together with a report to the leader that
--- a/include/oleandergrade/process/membership/store_pacing.hpp
+++ b/include/oleandergrade/process/membership/store_pacing.hpp
@@ -25,6 +25,8 @@
     static constexpr milliseconds watch_pause_per_member{5};
     static constexpr milliseconds min_watch_pause{50};
     static constexpr milliseconds max_watch_pause{1500};
+    static constexpr milliseconds seeking_interval_per_member{1};
+    static constexpr milliseconds min_seeking_interval{100};
     static constexpr milliseconds registration_spread_per_member{10};
     static constexpr milliseconds max_registration_spread{2000};
     /// The longest delays between failed calls for one prefix. With a jitter of
@@ -65,6 +67,10 @@
     /// The longest delay between failed calls for the fleet's own keys while
     /// there is no leader; 0 in a small fleet.
     milliseconds retry_delay_limit() const;
+    /// The interval at which a VM without a grant asks other VMs for the
+    /// leader. All VMs of a fleet that begins anew do so, hence it grows with
+    /// the fleet up to the regular interval of reports.
+    milliseconds seeking_interval(milliseconds report_interval) const;
     /// How long a VM without a leader waits before it follows the store, by its
     /// rank among the `domain_size` VMs of its failure domain.
     static milliseconds follow_delay(std::size_t rank_in_domain,
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -456,8 +456,9 @@
                        {"holder", election_.known_leader().vm}});
             state_.pool.serve_all_waiting();
         }
-        report_wake_timer_.expires_after(has_grant ? report_interval
-                                                   : seeking_interval);
+        report_wake_timer_.expires_after(
+            has_grant ? report_interval
+                      : pacing().seeking_interval(report_interval));
         error_code ignored;
         co_await report_wake_timer_.async_wait(
             asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/process/membership/grant_issuer.cpp
+++ b/src/process/membership/grant_issuer.cpp
@@ -210,7 +210,12 @@
     // This leader would not wait for the grant of a VM that it has not seen
     // registered in the store, nor would the next leader. The registration of
     // an earlier process of the VM is enough, as grants are recorded by name.
+    // In the largest fleets the spread of the new registrations also spreads
+    // the first grants and the copies that the VMs fetch then.
+    const bool must_be_registered =
+        state_.members.size() >= state_.settings.relay_from;
     if (!common.accepted || reporting_member == nullptr ||
+        (must_be_registered && !report.is_registered) ||
         report.highest_token > election_.token())
         return grant;
     grant.accepted = true;
--- a/src/process/membership/store_pacing.cpp
+++ b/src/process/membership/store_pacing.cpp
@@ -28,6 +28,13 @@
                                   max_registration_spread);
 }
 
+milliseconds store_pacing::seeking_interval(milliseconds report_interval) const
+{
+    return std::clamp(seeking_interval_per_member *
+                          static_cast<int>(fleet_size_),
+                      min_seeking_interval, report_interval);
+}
+
 milliseconds store_pacing::retry_delay_limit() const
 {
     if (!is_large_fleet())
