--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -173,9 +173,11 @@
     const auto earlier_leader = election_.known_leader().address;
     election_.on_key_observed(leader_item, range.store_revision,
                               current_time());
-    // A VM that starts does not wait for the next interval of the report loop.
+    // A VM that starts does not wait for the next interval of the report loop,
+    // unless the leader would receive the reports of too many VMs at once.
     const auto& leader_address = election_.known_leader().address;
-    if (!leader_address.empty() && leader_address != earlier_leader)
+    if (!leader_address.empty() && leader_address != earlier_leader &&
+        state_.members.size() < state_.settings.relay_from)
         switch_to_leader("");
     on_election_event();
     on_members_changed();
--- a/src/process/membership/grant_issuer.cpp
+++ b/src/process/membership/grant_issuer.cpp
@@ -15,8 +15,9 @@
 /// Time after an election in which holders count as available before they have
 /// reported. Every VM that is running has reported twice within it.
 constexpr auto holder_settling_time = milliseconds(800);
-/// Time after an election in which no first table is made. Most VMs have
-/// reported once within it.
+/// Time after an election in which no first table is made in a fleet without
+/// relays; in others it is the settling time. Most VMs have reported once
+/// within it.
 constexpr auto first_table_delay = milliseconds(300);
 
 } // namespace
@@ -47,9 +48,11 @@
 {
     const auto& table = state_.configuration.current();
     const bool is_settling = now < elected_at_ + holder_settling_time;
+    const bool has_relays = state_.members.size() >= state_.settings.relay_from;
+    const bool awaits_first_reports =
+        has_relays ? is_settling : now < elected_at_ + first_table_delay;
     if (table == nullptr || state_.members.size() == 0 ||
-        (now < elected_at_ + first_table_delay &&
-         holder_assigner_.table().groups.empty()) ||
+        (awaits_first_reports && holder_assigner_.table().groups.empty()) ||
         (!is_due && now - holders_updated_at_ < holder_update_interval))
         return;
     holders_updated_at_ = now;
