--- a/include/oleandergrade/connection/fleet_message.hpp
+++ b/include/oleandergrade/connection/fleet_message.hpp
@@ -3,6 +3,7 @@
 
 #include <oleandergrade/clock.hpp>
 #include <oleandergrade/connection/holder_table.hpp>
+#include <oleandergrade/connection/lender_table.hpp>
 #include <oleandergrade/process/failover/primary_record.hpp>
 
 #include <cstdint>
@@ -72,6 +73,8 @@
     std::uint64_t holders_version = 0;
     /// The VM takes no more forwarded statements because it stops.
     bool is_stopping = false;
+    /// Version of the lender table that the VM has.
+    std::uint64_t lenders_version = 0;
 
     bool operator==(const fleet_report&) const = default;
 };
@@ -125,6 +128,10 @@
     /// Failure domains whose targets get no more work, as the leader knows
     /// them.
     std::vector<std::string> evacuated_domains;
+    /// Left out (version 0) if the VM has reported that it has this version.
+    lender_table lenders;
+    /// The level of the protocol in force: the lowest of all members.
+    std::uint32_t level = 0;
 
     bool operator==(const fleet_grant&) const = default;
 };
--- a/include/oleandergrade/process/limits/share_allocator.hpp
+++ b/include/oleandergrade/process/limits/share_allocator.hpp
@@ -4,6 +4,7 @@
 
 #include <oleandergrade/clock.hpp>
 #include <oleandergrade/connection/fleet_message.hpp>
+#include <oleandergrade/connection/lender_table.hpp>
 #include <oleandergrade/process/limits/operation_limiter.hpp>
 #include <oleandergrade/version/route_table.hpp>
 
@@ -52,8 +53,9 @@
     /// including this one.
     void set_member_counts(std::uint32_t member_count,
                            std::uint32_t reporting_count);
-    /// Replaces the VMs that hold what the others do not need, to lend it.
-    void set_lenders(std::set<std::string> vms);
+    /// Replaces the VMs that hold what the others do not need, to lend it. The
+    /// table must be in the store already.
+    void set_lenders(const lender_table& table);
     /// This VM was elected leader. The shares that VMs hold are reconstructed
     /// from their reports.
     void on_elected(time_point now);
@@ -101,6 +103,7 @@
     };
     struct account_state
     {
+        std::string name;
         account_budget budget;
         /// Valid shares by the name of the VM.
         std::map<std::string, vm_share> shares_by_vm;
@@ -119,6 +122,9 @@
         /// Operations in the reserve.
         double reserve = 0;
         time_point refilled_at;
+        /// VMs that lend, or may have lent, operations of the account since
+        /// the election or shortly before.
+        std::set<std::string> possible_lenders;
     };
 
     /// Computes the VM's new share of one account.
@@ -150,15 +156,22 @@
                                  time_point now) const;
     /// Counts the VMs that do not use their equal fraction.
     void update_connected_count(time_point now);
+    /// Adds the lenders of the current table to those that may hold a lender's
+    /// share of the account.
+    void add_possible_lenders(account_state& account) const;
     /// Whether VMs may still hold shares from an earlier leader that this VM
     /// has no record of.
     bool is_rebuilding(time_point now) const;
+    bool is_lender(const std::string& account, const std::string& vm) const;
+    /// Number of VMs that may hold a lender's share of the account and have not
+    /// reported since the election.
+    std::size_t unreported_lenders(const account_state& account) const;
     /// The largest fraction of an account's rate that VMs of a fleet with
     /// lenders may hold that have not reported since the election.
-    double max_unreported_fraction(const account_budget& budget) const;
+    double max_unreported_fraction(const account_state& account) const;
     /// The rate that no VM holds which has not reported since the election;
     /// zero in fleets without lenders.
-    double rebuilding_rate(const account_budget& budget) const;
+    double rebuilding_rate(const account_state& account) const;
     /// Removes the shares that are no longer valid.
     static void drop_expired_shares(account_state& account, time_point now);
     /// Adds the operations that have accumulated in the reserve since the last
@@ -175,7 +188,7 @@
     std::map<std::string, vm_status> reported_vms_;
     /// Number of those that have reported their demands.
     std::uint32_t vms_with_demands_ = 0;
-    std::set<std::string> lenders_;
+    account_lenders lenders_;
     std::uint32_t connected_count_ = 0;
     time_point connected_count_updated_at_;
     std::map<std::string, account_state> accounts_;
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -6,12 +6,12 @@
 #include <oleandergrade/process/failover/failover_driver.hpp>
 #include <oleandergrade/process/failover/grant_tracker.hpp>
 #include <oleandergrade/process/fleet_state.hpp>
+#include <oleandergrade/process/limits/operation_lending.hpp>
 #include <oleandergrade/process/membership/copy_fetcher.hpp>
 #include <oleandergrade/process/membership/grant_issuer.hpp>
 #include <oleandergrade/process/membership/isolation_monitor.hpp>
 #include <oleandergrade/process/membership/leader_election.hpp>
 #include <oleandergrade/process/membership/leader_tracker.hpp>
-#include <oleandergrade/process/membership/lender_directory.hpp>
 #include <oleandergrade/process/membership/peer_client.hpp>
 #include <oleandergrade/process/membership/peer_sample.hpp>
 #include <oleandergrade/process/membership/report_relay.hpp>
@@ -39,12 +39,6 @@
     /// How often the VM's grant has run out.
     std::uint64_t grants_lost = 0;
     std::uint64_t reports_unanswered = 0;
-    /// Operations that other VMs, the leader or lenders, have lent to this VM.
-    std::uint64_t operations_borrowed = 0;
-    /// Requests for operations that the leader or lenders have refused.
-    std::uint64_t operations_refused_by_leader = 0;
-    /// Operations that this VM has lent to others as the leader or a lender.
-    std::uint64_t operations_lent = 0;
     /// Reports that a relay has not answered.
     std::uint64_t relays_lost = 0;
 };
@@ -80,7 +74,10 @@
     /// short time, and records them in the limiter, except the one that runs
     /// now. Asks the leader and the lenders one after another; not admitted if
     /// none of them lends in time.
-    boost::asio::awaitable<admission> borrow(std::string account);
+    boost::asio::awaitable<admission> borrow(std::string account)
+    {
+        return lending_.borrow(std::move(account));
+    }
 
     /// Whether this VM gets no answer from the leader, and fewer than half of
     /// the other VMs that it probed have answered. Its callers are better
@@ -115,6 +112,10 @@
     std::uint64_t reports_relayed() const { return relay_.relayed_count(); }
     std::uint64_t snapshots_fetched() const { return copies_.fetched_count(); }
     const fleet_counts& counts() const { return counts_; }
+    const struct lending_counts& lending_counts() const
+    {
+        return lending_.counts();
+    }
     /// Returns what is known of each prefix of the store that the VM follows.
     std::vector<followed_prefix> followed_prefixes(time_point now) const;
     std::uint64_t promotions_ordered() const
@@ -213,13 +214,6 @@
     /// Returns the reply to a message that concerns forwarded statements.
     boost::asio::awaitable<peer_body>
     handle_forwarding_request(peer_body body, std::uint64_t link);
-    /// Asks the VM at `address` to lend operations.
-    boost::asio::awaitable<result<borrow_reply>>
-    request_loan(std::string address, std::string account,
-                 std::uint32_t operations, duration timeout);
-    /// Lends operations to another VM, out of the reserve or this VM's share.
-    /// Not accepted if this VM neither may grant nor is a lender.
-    borrow_reply handle_borrow_request(const borrow_request& request);
     /// Applies the leader's notification about primaries. The receipt promises
     /// that no more statements are sent under a closed record, and that no
     /// answer to an earlier one is passed on as a success.
@@ -232,7 +226,7 @@
     peer_client peers_;
     failover_driver failover_;
     grant_issuer grants_;
-    lender_directory lenders_;
+    operation_lending lending_;
     isolation_monitor isolation_;
     report_relay relay_;
     store_mirror store_mirror_;
--- a/include/oleandergrade/process/membership/grant_issuer.hpp
+++ b/include/oleandergrade/process/membership/grant_issuer.hpp
@@ -63,9 +63,16 @@
     /// `validity` is that of the grant, which must not be zero.
     void grant_to_self(milliseconds validity, time_point now);
     /// Sets the VMs that lend in addition to the leader.
-    void set_lenders(const std::set<std::string>& vms)
+    void set_lenders(const lender_table& table)
     {
-        share_allocator_.set_lenders(vms);
+        lenders_ = table;
+        share_allocator_.set_lenders(table);
+    }
+    /// Whether the VM has reported recently and does not stop.
+    bool is_present(const std::string& vm, time_point now) const
+    {
+        return failover_.vm_reports().is_reporting(vm, now) &&
+               !stopping_vms_.contains(vm);
     }
     /// Takes up to `operations` out of an account's reserve. To be called only
     /// while this VM may issue grants.
@@ -83,10 +90,10 @@
     /// Records a report, and that it is answered with `common` if it may be.
     relayed_grant answer_with(const fleet_grant& common,
                               const fleet_report& report, time_point now);
-    /// Adds the holder table to what the grants have in common if one of the
-    /// VMs has another version.
-    void add_holders(relayed_grants& answer,
-                     const relayed_reports& reports) const;
+    /// Adds the holder table and the lender table to what the grants have in
+    /// common if one of the VMs has another version.
+    void add_tables(relayed_grants& answer,
+                    const relayed_reports& reports) const;
     /// Brings the holder table up to date, at intervals, or at once if
     /// `is_due`.
     void update_holders(bool is_due, time_point now);
@@ -102,6 +109,7 @@
     share_allocator share_allocator_;
     relay_chooser relay_chooser_;
     holder_assigner holder_assigner_;
+    lender_table lenders_;
     time_point elected_at_;
     time_point holders_updated_at_;
     /// Names of the VMs that have reported that they stop.
--- a/include/oleandergrade/process/membership/member_list.hpp
+++ b/include/oleandergrade/process/membership/member_list.hpp
@@ -28,6 +28,8 @@
     std::string failure_domain = {};
     /// Processor time that the VM may use; 0 if it is not known.
     unsigned processor_millicores = 0;
+    /// Highest level of the protocol that the VM's build knows.
+    std::uint32_t level = 0;
 
     bool operator==(const fleet_member&) const = default;
 };
@@ -62,6 +64,8 @@
     std::size_t rank_in_domain(const std::string& name) const;
     /// Number of registered VMs in a failure domain.
     std::size_t domain_size(const std::string& failure_domain) const;
+    /// The lowest level of the protocol of all VMs; 0 if there is none.
+    std::uint32_t lowest_level() const;
     std::uint32_t size() const
     {
         return static_cast<std::uint32_t>(members_.size());
--- a/include/oleandergrade/process/own_settings.hpp
+++ b/include/oleandergrade/process/own_settings.hpp
@@ -25,6 +25,7 @@
 ///     share_sessions_from = 5
 ///     dedicated_sessions = 4
 ///     slices = 2
+///     lenders_per_domain = 5
 ///     [sessions]
 ///     most = 3500
 ///     [log]
@@ -41,6 +42,8 @@
     std::size_t relay_from = 100;
     /// When the VMs of the fleet share sessions at targets.
     sharing_policy sharing;
+    /// Number of VMs of a failure domain that a leader lists as lenders.
+    std::size_t lenders_per_domain = 5;
     /// Maximum number of callers' sessions that are open at one VM.
     std::size_t max_sessions = 3500;
     /// Maximum number of log lines per second, for single statements and for
--- a/include/oleandergrade/process/store_layout.hpp
+++ b/include/oleandergrade/process/store_layout.hpp
@@ -20,6 +20,8 @@
 inline constexpr const char* members_prefix = "oleander/vm/";
 /// Prefix of the primary records, followed by the group's name.
 inline constexpr const char* primaries_prefix = "oleander/primary/";
+/// Key of the lender table.
+inline constexpr const char* lenders_key = "oleander/lenders";
 
 /// Keys that the platform uses in the store, and decoders of their values.
 struct store_layout
--- a/include/oleandergrade/process/vm_settings.hpp
+++ b/include/oleandergrade/process/vm_settings.hpp
@@ -57,6 +57,9 @@
     std::size_t relay_from = 100;
     /// When the VMs of the fleet share sessions at targets.
     sharing_policy sharing;
+    /// Number of VMs of a failure domain that a leader lists as lenders and
+    /// divides the accounts among.
+    std::size_t lenders_per_domain = 5;
     /// The fleet starts for the first time, so there is no earlier incarnation.
     bool is_first_start = false;
 
--- a/src/connection/fleet_message_codec.cpp
+++ b/src/connection/fleet_message_codec.cpp
@@ -98,6 +98,36 @@
     return out;
 }
 
+void write(wire::LenderTable::Builder out, const lender_table& in)
+{
+    out.setVersion(in.version);
+    out.setLendersPerDomain(in.lenders_per_domain);
+    auto lenders = out.initLenders(size_of(in.lenders));
+    for (unsigned i = 0; i < in.lenders.size(); ++i)
+    {
+        lenders[i].setVm(in.lenders[i].vm);
+        lenders[i].setAddress(in.lenders[i].address);
+        lenders[i].setDomain(in.lenders[i].failure_domain);
+    }
+    auto former = out.initFormerLenders(size_of(in.former_lenders));
+    for (unsigned i = 0; i < in.former_lenders.size(); ++i)
+        former.set(i, in.former_lenders[i]);
+}
+
+lender_table read(wire::LenderTable::Reader in)
+{
+    lender_table out;
+    out.version = in.getVersion();
+    out.lenders_per_domain = in.getLendersPerDomain();
+    for (const auto listed : in.getLenders())
+        out.lenders.push_back({string_from_wire(listed.getVm()),
+                               string_from_wire(listed.getAddress()),
+                               string_from_wire(listed.getDomain())});
+    for (const auto vm : in.getFormerLenders())
+        out.former_lenders.push_back(string_from_wire(vm));
+    return out;
+}
+
 } // namespace
 
 void write(wire::FleetReport::Builder out, const fleet_report& in)
@@ -113,6 +143,7 @@
     out.setOmitsDemands(in.omits_demands);
     out.setHoldersVersion(in.holders_version);
     out.setIsStopping(in.is_stopping);
+    out.setLendersVersion(in.lenders_version);
     auto failing_targets = out.initTroubles(size_of(in.failing_targets));
     for (unsigned i = 0; i < in.failing_targets.size(); ++i)
     {
@@ -143,6 +174,7 @@
     out.omits_demands = in.getOmitsDemands();
     out.holders_version = in.getHoldersVersion();
     out.is_stopping = in.getIsStopping();
+    out.lenders_version = in.getLendersVersion();
     for (const auto failure : in.getTroubles())
         out.failing_targets.push_back(
             {string_from_wire(failure.getTarget()),
@@ -172,6 +204,9 @@
     auto domains = out.initEvacuatedDomains(size_of(in.evacuated_domains));
     for (unsigned i = 0; i < in.evacuated_domains.size(); ++i)
         domains.set(i, in.evacuated_domains[i]);
+    if (in.lenders.version != 0)
+        write(out.initLenders(), in.lenders);
+    out.setLevel(in.level);
 }
 
 fleet_grant read(wire::FleetGrant::Reader in)
@@ -192,6 +227,8 @@
     out.holders = read(in.getHolders());
     for (const auto domain : in.getEvacuatedDomains())
         out.evacuated_domains.push_back(string_from_wire(domain));
+    out.lenders = read(in.getLenders());
+    out.level = in.getLevel();
     return out;
 }
 
--- a/src/connection/peer_message.capnp
+++ b/src/connection/peer_message.capnp
@@ -80,6 +80,8 @@
   holdersVersion @11 :UInt64;
   # The VM takes no more forwarded statements because it stops.
   isStopping @12 :Bool;
+  # Version of the lender table that the VM has.
+  lendersVersion @13 :UInt64;
 }
 
 # A primary record with the newest known position of the primary's log.
@@ -122,6 +124,24 @@
   holders @12 :HolderTable;
   # Failure domains whose targets get no more work, as the leader knows them.
   evacuatedDomains @13 :List(Text);
+  # Left out (version 0) unless the VM has reported another version.
+  lenders @14 :LenderTable;
+  # The level of the protocol in force.
+  level @15 :UInt32;
+}
+
+# Which VMs lend operations of the client accounts' limits.
+struct LenderTable {
+  version @0 :UInt64;
+  lendersPerDomain @1 :UInt32;
+  lenders @2 :List(Lender);
+  formerLenders @3 :List(Text);
+}
+
+struct Lender {
+  vm @0 :Text;
+  address @1 :Text;
+  domain @2 :Text;
 }
 
 # Which VMs hold the sessions at the targets of each group.
--- a/src/connection/peer_message.capnp.h
+++ b/src/connection/peer_message.capnp.h
@@ -23,6 +23,8 @@
 CAPNP_DECLARE_SCHEMA(c0b5d968c807550f);
 CAPNP_DECLARE_SCHEMA(ad9a6e04ecbb9685);
 CAPNP_DECLARE_SCHEMA(d24114f6741fb05c);
+CAPNP_DECLARE_SCHEMA(cb52e749b24039cd);
+CAPNP_DECLARE_SCHEMA(e9b7c71cb3240865);
 CAPNP_DECLARE_SCHEMA(d4a7c70696dd6add);
 CAPNP_DECLARE_SCHEMA(901f6ad21f5e7fa4);
 CAPNP_DECLARE_SCHEMA(f2d6ebf8bbb9c0fb);
@@ -131,7 +133,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c0b5d968c807550f, 7, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c0b5d968c807550f, 8, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -161,7 +163,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d24114f6741fb05c, 7, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(d24114f6741fb05c, 8, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LenderTable {
+  LenderTable() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cb52e749b24039cd, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Lender {
+  Lender() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e9b7c71cb3240865, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -965,6 +997,8 @@
 
   inline bool getIsStopping() const;
 
+  inline  ::uint64_t getLendersVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1048,6 +1082,9 @@
   inline bool getIsStopping();
   inline void setIsStopping(bool value);
 
+  inline  ::uint64_t getLendersVersion();
+  inline void setLendersVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1251,6 +1288,11 @@
   inline bool hasEvacuatedDomains() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuatedDomains() const;
 
+  inline bool hasLenders() const;
+  inline  ::oleandergrade::wire::LenderTable::Reader getLenders() const;
+
+  inline  ::uint32_t getLevel() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1346,6 +1388,16 @@
   inline void adoptEvacuatedDomains(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuatedDomains();
 
+  inline bool hasLenders();
+  inline  ::oleandergrade::wire::LenderTable::Builder getLenders();
+  inline void setLenders( ::oleandergrade::wire::LenderTable::Reader value);
+  inline  ::oleandergrade::wire::LenderTable::Builder initLenders();
+  inline void adoptLenders(::capnp::Orphan< ::oleandergrade::wire::LenderTable>&& value);
+  inline ::capnp::Orphan< ::oleandergrade::wire::LenderTable> disownLenders();
+
+  inline  ::uint32_t getLevel();
+  inline void setLevel( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1365,6 +1417,210 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::oleandergrade::wire::HolderTable::Pipeline getHolders();
+  inline  ::oleandergrade::wire::LenderTable::Pipeline getLenders();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LenderTable::Reader {
+public:
+  typedef LenderTable Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint32_t getLendersPerDomain() const;
+
+  inline bool hasLenders() const;
+  inline  ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>::Reader getLenders() const;
+
+  inline bool hasFormerLenders() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getFormerLenders() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LenderTable::Builder {
+public:
+  typedef LenderTable Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint32_t getLendersPerDomain();
+  inline void setLendersPerDomain( ::uint32_t value);
+
+  inline bool hasLenders();
+  inline  ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>::Builder getLenders();
+  inline void setLenders( ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>::Builder initLenders(unsigned int size);
+  inline void adoptLenders(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>> disownLenders();
+
+  inline bool hasFormerLenders();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getFormerLenders();
+  inline void setFormerLenders( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setFormerLenders(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initFormerLenders(unsigned int size);
+  inline void adoptFormerLenders(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownFormerLenders();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LenderTable::Pipeline {
+public:
+  typedef LenderTable Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Lender::Reader {
+public:
+  typedef Lender Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Lender::Builder {
+public:
+  typedef Lender Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Lender::Pipeline {
+public:
+  typedef Lender Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4259,6 +4515,20 @@
       ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FleetReport::Reader::getLendersVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetReport::Builder::getLendersVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void FleetReport::Builder::setLendersVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PrimaryState::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4750,6 +5020,261 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool FleetGrant::Reader::hasLenders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetGrant::Builder::hasLenders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandergrade::wire::LenderTable::Reader FleetGrant::Reader::getLenders() const {
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::LenderTable>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::oleandergrade::wire::LenderTable::Builder FleetGrant::Builder::getLenders() {
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::LenderTable>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::oleandergrade::wire::LenderTable::Pipeline FleetGrant::Pipeline::getLenders() {
+  return  ::oleandergrade::wire::LenderTable::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void FleetGrant::Builder::setLenders( ::oleandergrade::wire::LenderTable::Reader value) {
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::LenderTable>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandergrade::wire::LenderTable::Builder FleetGrant::Builder::initLenders() {
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::LenderTable>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void FleetGrant::Builder::adoptLenders(
+    ::capnp::Orphan< ::oleandergrade::wire::LenderTable>&& value) {
+  ::capnp::_::PointerHelpers< ::oleandergrade::wire::LenderTable>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandergrade::wire::LenderTable> FleetGrant::Builder::disownLenders() {
+  return ::capnp::_::PointerHelpers< ::oleandergrade::wire::LenderTable>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t FleetGrant::Reader::getLevel() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FleetGrant::Builder::getLevel() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void FleetGrant::Builder::setLevel( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LenderTable::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LenderTable::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LenderTable::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LenderTable::Reader::getLendersPerDomain() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LenderTable::Builder::getLendersPerDomain() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LenderTable::Builder::setLendersPerDomain( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LenderTable::Reader::hasLenders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LenderTable::Builder::hasLenders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>::Reader LenderTable::Reader::getLenders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>::Builder LenderTable::Builder::getLenders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LenderTable::Builder::setLenders( ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>::Builder LenderTable::Builder::initLenders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LenderTable::Builder::adoptLenders(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>> LenderTable::Builder::disownLenders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LenderTable::Reader::hasFormerLenders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LenderTable::Builder::hasFormerLenders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader LenderTable::Reader::getFormerLenders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder LenderTable::Builder::getFormerLenders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LenderTable::Builder::setFormerLenders( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void LenderTable::Builder::setFormerLenders(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder LenderTable::Builder::initFormerLenders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LenderTable::Builder::adoptFormerLenders(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> LenderTable::Builder::disownFormerLenders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Lender::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Lender::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Lender::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Lender::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Lender::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Lender::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Lender::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Lender::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Lender::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Lender::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Lender::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Lender::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Lender::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Lender::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Lender::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Lender::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Lender::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Lender::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Lender::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Lender::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Lender::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Lender::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Lender::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Lender::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t HolderTable::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/process/limits/share_allocator.cpp
+++ b/src/process/limits/share_allocator.cpp
@@ -58,8 +58,15 @@
     {
         const auto [found, is_new] = accounts_.try_emplace(name);
         auto& state = found->second;
-        if (!is_new)
+        if (is_new)
+        {
+            state.name = name;
+            add_possible_lenders(state);
+        }
+        else
+        {
             refill_reserve(state, now);
+        }
         state.budget = budget_of(account, tolerance_);
         state.reserve_after_election = restart_burst(account, tolerance_) / 2;
         state.refilled_at = now;
@@ -76,9 +83,25 @@
         std::clamp<std::uint32_t>(reporting_count, 1, member_count_);
 }
 
-void share_allocator::set_lenders(std::set<std::string> vms)
+void share_allocator::set_lenders(const lender_table& table)
+{
+    lenders_ = account_lenders(table);
+    for (auto& [name, account] : accounts_)
+        add_possible_lenders(account);
+}
+
+void share_allocator::add_possible_lenders(account_state& account) const
 {
-    lenders_ = std::move(vms);
+    for (const auto& listed : lenders_.of(account.name))
+        account.possible_lenders.insert(listed.vm);
+    account.possible_lenders.insert(lenders_.table().former_lenders.begin(),
+                                    lenders_.table().former_lenders.end());
+}
+
+bool share_allocator::is_lender(const std::string& account,
+                                const std::string& vm) const
+{
+    return has_lenders() && lenders_.contains(account, vm);
 }
 
 void share_allocator::on_elected(time_point now)
@@ -97,6 +120,8 @@
         account.total_fair_rate = 0;
         account.rebuilt_rate = 0;
         account.refilled_at = now;
+        account.possible_lenders.clear();
+        add_possible_lenders(account);
         // There is no record of how much the previous leader left in the
         // reserve.
         account.reserve =
@@ -157,8 +182,8 @@
     if (is_first_report)
         ++vms_with_demands_;
     std::vector<account_share> shares;
+    const bool lends = has_lenders() && lenders_.contains(vm);
     std::set<std::string> allocated;
-    const bool is_lender = has_lenders() && lenders_.contains(vm);
     for (const auto& demand : demands)
     {
         const auto found = accounts_.find(demand.account);
@@ -166,15 +191,15 @@
             continue;
         if (is_first_report)
             found->second.rebuilt_rate += demand.held_rate;
-        if (is_lender)
+        if (lends)
             allocated.insert(demand.account);
         shares.push_back(allocate_account(found->second, vm, demand, now));
     }
-    // A lender has a share of each account, also of those that its own callers
-    // do not use.
-    if (is_lender)
+    // A lender has a share of its accounts also if its own callers do not use
+    // them.
+    if (lends)
         for (auto& [name, account] : accounts_)
-            if (!allocated.contains(name))
+            if (!allocated.contains(name) && lenders_.contains(name, vm))
                 shares.push_back(
                     allocate_account(account, vm, {name, 0, 0}, now));
     return shares;
@@ -188,33 +213,41 @@
            vms_with_demands_ < member_count_;
 }
 
+std::size_t
+share_allocator::unreported_lenders(const account_state& account) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        account.possible_lenders.begin(), account.possible_lenders.end(),
+        [&](const std::string& vm)
+        {
+            const auto found = reported_vms_.find(vm);
+            return found == reported_vms_.end() ||
+                   !found->second.has_reported_demands;
+        }));
+}
+
 // A VM that is gone for good never reports. Without this bound, a leader that
 // is elected after all VMs were killed would admit nothing until the shares
 // that this VM may hold have expired.
 double
-share_allocator::max_unreported_fraction(const account_budget& budget) const
+share_allocator::max_unreported_fraction(const account_state& account) const
 {
+    const auto& budget = account.budget;
     if (vms_with_demands_ >= member_count_ || budget.rate <= 0)
         return 0;
     const auto missing_lenders =
-        std::count_if(lenders_.begin(), lenders_.end(),
-                      [&](const std::string& lender)
-                      {
-                          const auto found = reported_vms_.find(lender);
-                          return found == reported_vms_.end() ||
-                                 !found->second.has_reported_demands;
-                      });
+        static_cast<double>(unreported_lenders(account));
     const auto missing_others =
         std::max(0.0, static_cast<double>(member_count_ - vms_with_demands_) -
-                          static_cast<double>(missing_lenders));
+                          missing_lenders);
     // The VMs that are no lenders hold the shared part of the rate at most, and
     // the lenders hold equal parts of the rest.
     const auto others_fraction =
         std::min(budget.shared_rate() / budget.rate,
                  missing_others * max_equal_parts / member_count_);
-    return others_fraction + (1 - others_fraction) *
-                                 static_cast<double>(missing_lenders) /
-                                 static_cast<double>(lenders_.size());
+    const auto lenders_fraction =
+        std::min(1.0, missing_lenders / static_cast<double>(lenders_.count()));
+    return others_fraction + (1 - others_fraction) * lenders_fraction;
 }
 
 // VMs that report get shares by demand; for each other VM an equal fraction of
@@ -278,7 +311,7 @@
     account.total_wanted_rate += demand.wanted_rate - own_share.wanted_rate;
     own_share.wanted_rate = demand.wanted_rate;
     const auto fraction = reporting_fraction();
-    const bool is_lender = has_lenders() && lenders_.contains(vm);
+    const bool lends = is_lender(account.name, vm);
     // While VMs that have not reported may hold shares of the previous leader,
     // only what the others reported is moved among them. A small fleet waits
     // for the reports instead, and every VM keeps the share that it has.
@@ -286,16 +319,15 @@
     const auto allowed_rate = divisible_rate_of(account.budget) * fraction;
     const auto divisible_rate =
         rebuilding && is_large_fleet()
-            ? std::min(std::max(account.rebuilt_rate,
-                                rebuilding_rate(account.budget)),
+            ? std::min(std::max(account.rebuilt_rate, rebuilding_rate(account)),
                        allowed_rate)
             : allowed_rate;
     const auto fair_rate =
-        is_lender ? std::max(0.0, divisible_rate - account.total_fair_rate) /
-                        static_cast<double>(lenders_.size())
-                  : demanded_rate(account, demand.wanted_rate, fraction);
+        lends ? std::max(0.0, divisible_rate - account.total_fair_rate) /
+                    static_cast<double>(lenders_.count())
+              : demanded_rate(account, demand.wanted_rate, fraction);
     // Lenders share what the other VMs need not have.
-    const auto demanded = is_lender ? 0 : fair_rate;
+    const auto demanded = lends ? 0 : fair_rate;
     account.total_fair_rate +=
         demanded - std::exchange(own_share.fair_rate, demanded);
     const auto free_rate =
@@ -303,8 +335,8 @@
     // What is taken from a VM's share still counts as held there until that VM
     // reports again. Until then it is missing at both VMs, so shares are moved
     // only for larger changes.
-    const auto min_change = fair_rate * (is_lender ? min_lender_change_fraction
-                                                   : min_share_change_fraction);
+    const auto min_change = fair_rate * (lends ? min_lender_change_fraction
+                                               : min_share_change_fraction);
     if (demand.held_rate > 0 && own_share.max_held_rate == 0)
         own_share.held_since = {};
     // Shares that this leader has allocated may move at once.
@@ -328,10 +360,10 @@
     return has_lenders() ? budget.rate : budget.shared_rate();
 }
 
-double share_allocator::rebuilding_rate(const account_budget& budget) const
+double share_allocator::rebuilding_rate(const account_state& account) const
 {
-    return has_lenders() ? divisible_rate_of(budget) *
-                               (1 - max_unreported_fraction(budget))
+    return has_lenders() ? divisible_rate_of(account.budget) *
+                               (1 - max_unreported_fraction(account))
                          : 0;
 }
 
@@ -366,9 +398,9 @@
                                               time_point now) const
 {
     double missing = 0;
-    for (const auto& lender : lenders_)
+    for (const auto& listed : lenders_.of(account.name))
     {
-        const auto found = account.shares_by_vm.find(lender);
+        const auto found = account.shares_by_vm.find(listed.vm);
         if (found == account.shares_by_vm.end())
             continue;
         const auto& share = found->second;
@@ -392,7 +424,7 @@
     const auto fraction = reporting_fraction();
     const bool rebuilding = is_rebuilding(now);
     const auto unheld_rate =
-        (rebuilding ? rebuilding_rate(budget) : budget.rate * fraction) -
+        (rebuilding ? rebuilding_rate(account) : budget.rate * fraction) -
         account.total_held_rate;
     if (!has_lenders())
     {
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -3,6 +3,7 @@
 #include <oleandergrade/connection/async_event.hpp>
 #include <oleandergrade/connection/endpoint.hpp>
 #include <oleandergrade/connection/listener.hpp>
+#include <oleandergrade/connection/protocol_level.hpp>
 #include <oleandergrade/connection/socket_options.hpp>
 #include <oleandergrade/process/event_log.hpp>
 #include <oleandergrade/process/membership/member_registration.hpp>
@@ -43,12 +44,6 @@
 constexpr auto planned_closing_timeout = milliseconds(250);
 /// How often it is checked whether these statements have ended.
 constexpr auto planned_closing_poll_interval = milliseconds(10);
-/// Timeout of a request to the leader's reserve. It is short because a
-/// caller's statement waits meanwhile.
-constexpr auto borrow_timeout = milliseconds(120);
-/// Timeout of a request to one of several lenders, so that another one can be
-/// asked in time when one does not answer.
-constexpr auto lender_timeout = milliseconds(50);
 /// If the store last answered the leader longer ago than this, VMs confirm the
 /// state of the store themselves instead of relying on the leader.
 constexpr auto max_leader_store_age = milliseconds(2000);
@@ -70,6 +65,8 @@
       failover_(context.get_executor(), state, election_, grant_tracker_,
                 peers_),
       grants_(state, election_, leader_, failover_, grant_tracker_),
+      lending_(context.get_executor(), state, election_, grants_, peers_,
+               [this] { return leader_address(); }),
       isolation_(context.get_executor(), state, leader_, peers_,
                  [this] { return make_report(); }),
       relay_(context.get_executor(), [this](relayed_reports reports)
@@ -218,6 +215,8 @@
             own_keys_follower_.delay_next_watch(pacing().watch_pause());
         return;
     }
+    if (change.key == lenders_key)
+        return lending_.on_stored_table(change);
     if (!change.key.starts_with(primaries_prefix) || !change.value)
         return;
     auto record = parse_primary_record(*change.value, change.revision);
@@ -265,8 +264,6 @@
 {
     const auto rank = state_.members.rank_of(state_.settings.name);
     election_.set_rank(std::min(rank, max_election_rank));
-    lenders_.update(state_.members, state_.settings.name);
-    grants_.set_lenders(lenders_.names());
     grants_.on_members_changed(current_time());
     rank_in_domain_ = state_.members.rank_in_domain(state_.settings.name);
     is_follower_ = known_fleet_size() < large_fleet_size ||
@@ -286,8 +283,10 @@
 {
     const fleet_member self{state_.settings.name,
                             state_.settings.advertised_peer_address,
-                            state_.incarnation, state_.settings.failure_domain,
-                            state_.settings.processor_millicores};
+                            state_.incarnation,
+                            state_.settings.failure_domain,
+                            state_.settings.processor_millicores,
+                            protocol_level};
     member_registration registration(
         state_.store, members_prefix + self.name, self,
         {[this] { return pacing(); },
@@ -390,6 +389,7 @@
     {
         ++counts_.elections_won;
         grants_.on_elected(now);
+        lending_.on_elected(now);
         state_.view.authority.on_token(election_.token());
         grant_to_self(now);
     }
@@ -419,6 +419,7 @@
     leader_.on_grant(election_.token(), 0, now);
     isolation_.on_grant();
     grants_.grant_to_self(validity, now);
+    lending_.review(now);
 }
 
 asio::awaitable<void> fleet_service::run_report_loop()
@@ -617,6 +618,7 @@
     report.lost_relay = lost_relay_;
     report.holders_version = state_.holders.table().version;
     report.is_stopping = state_.is_stopping;
+    report.lenders_version = lending_.table_version();
     return report;
 }
 
@@ -765,6 +767,7 @@
     state_.view.authority.on_grant(grant.token, report_sent_at, grant.validity);
     state_.limiter.set_shares(grant.shares, report_sent_at, now);
     state_.apply_holder_table(grant.holders);
+    lending_.on_granted_table(grant.lenders);
     if (!had_grant)
         state_.pool.serve_all_waiting();
 }
@@ -851,7 +854,7 @@
     if (const auto* reports = std::get_if<relayed_reports>(&body))
         co_return grants_.answer_relayed_reports(*reports, current_time());
     if (const auto* request = std::get_if<borrow_request>(&body))
-        co_return handle_borrow_request(*request);
+        co_return lending_.handle_request(*request);
     if (auto* notice = std::get_if<primary_notice>(&body))
     {
         auto receipt = co_await handle_notice(std::move(*notice));
@@ -863,99 +866,6 @@
     co_return fleet_grant{};
 }
 
-asio::awaitable<admission> fleet_service::borrow(std::string account)
-{
-    const auto requested_at = current_time();
-    const auto operations = state_.limiter.loan_size(account, requested_at);
-    admission decision{false, borrow_timeout, false};
-    bool is_answered = false;
-    if (grants_.may_issue(requested_at))
-    {
-        is_answered = true;
-        decision = grants_.borrow(account, operations, requested_at);
-        if (decision.admitted)
-        {
-            state_.limiter.on_loan(
-                account, decision.operations,
-                requested_at + operation_limiter::loan_validity, requested_at);
-            co_return decision;
-        }
-    }
-    const auto deadline = requested_at + borrow_timeout;
-    for (const auto& address :
-         lenders_.addresses_to_ask(leader_address(), requested_at))
-    {
-        const auto sent_at = current_time();
-        if (sent_at >= deadline)
-            break;
-        const auto timeout =
-            lenders_.names().empty()
-                ? duration(borrow_timeout)
-                : std::min<duration>(lender_timeout, deadline - sent_at);
-        const auto outcome =
-            co_await request_loan(address, account, operations, timeout);
-        const auto now = current_time();
-        if (!succeeded(outcome))
-        {
-            // Without lenders there is nobody else to ask.
-            if (!lenders_.names().empty())
-                lenders_.on_unanswered(address, now);
-            continue;
-        }
-        const auto& reply = value_of(outcome);
-        if (!reply.accepted)
-            continue;
-        if (reply.admitted)
-        {
-            // VMs of earlier versions lend one operation and do not say so.
-            const auto lent = std::max(reply.operations, 1U);
-            counts_.operations_borrowed += lent;
-            state_.limiter.on_loan(account, lent, sent_at + reply.valid_for,
-                                   now);
-            co_return admission{true, milliseconds(0), false, lent};
-        }
-        ++counts_.operations_refused_by_leader;
-        decision.retry_after =
-            std::exchange(is_answered, true)
-                ? std::min(decision.retry_after, reply.retry_after)
-                : reply.retry_after;
-    }
-    co_return decision;
-}
-
-asio::awaitable<result<borrow_reply>>
-fleet_service::request_loan(std::string address, std::string account,
-                            std::uint32_t operations, duration timeout)
-{
-    peer_body body =
-        borrow_request{state_.settings.name, std::move(account), operations};
-    auto outcome = co_await peers_.call(address, std::move(body), timeout);
-    if (!succeeded(outcome))
-        co_return error_of(outcome);
-    const auto* reply = std::get_if<borrow_reply>(&value_of(outcome));
-    if (reply == nullptr)
-        co_return error{error_kind::invalid, "borrow", address,
-                        "the answer is of another type"};
-    co_return *reply;
-}
-
-borrow_reply fleet_service::handle_borrow_request(const borrow_request& request)
-{
-    const auto now = current_time();
-    const bool is_leader = grants_.may_issue(now);
-    if (!is_leader && !lenders_.is_lender(state_.settings.name))
-        return {};
-    admission decision;
-    if (is_leader)
-        decision = grants_.borrow(request.account, request.operations, now);
-    if (!decision.admitted && lenders_.is_lender(state_.settings.name))
-        decision =
-            state_.limiter.lend(request.account, request.operations, now);
-    counts_.operations_lent += decision.operations;
-    return {true, decision.admitted, decision.retry_after, decision.operations,
-            operation_limiter::loan_validity};
-}
-
 asio::awaitable<notice_receipt>
 fleet_service::handle_notice(primary_notice notice)
 {
--- a/src/process/membership/grant_issuer.cpp
+++ b/src/process/membership/grant_issuer.cpp
@@ -115,7 +115,7 @@
     relayed_reports reports;
     reports.reports.push_back(report);
     relayed_grants answer{common, {answer_with(common, report, now)}};
-    add_holders(answer, reports);
+    add_tables(answer, reports);
     return relayed_grant_for(reports, answer, 0);
 }
 
@@ -130,22 +130,28 @@
         now);
     for (const auto& report : reports.reports)
         answer.grants.push_back(answer_with(answer.common, report, now));
-    add_holders(answer, reports);
+    add_tables(answer, reports);
     return answer;
 }
 
-// The table is the largest part of a grant. One table for each of the VMs of a
-// large domain would exceed the size limit of messages.
-void grant_issuer::add_holders(relayed_grants& answer,
-                               const relayed_reports& reports) const
+// The tables are the largest part of a grant. One of each for each of the VMs
+// of a large domain would exceed the size limit of messages.
+void grant_issuer::add_tables(relayed_grants& answer,
+                              const relayed_reports& reports) const
 {
-    const auto& table = holder_assigner_.table();
-    const bool is_wanted =
-        std::any_of(reports.reports.begin(), reports.reports.end(),
-                    [&](const fleet_report& report)
-                    { return report.holders_version != table.version; });
-    if (answer.common.accepted && is_wanted)
-        answer.common.holders = table;
+    if (!answer.common.accepted)
+        return;
+    const auto& holders = holder_assigner_.table();
+    const auto is_wanted = [&](auto version_of, std::uint64_t version)
+    {
+        return std::any_of(reports.reports.begin(), reports.reports.end(),
+                           [&](const fleet_report& report)
+                           { return report.*version_of != version; });
+    };
+    if (is_wanted(&fleet_report::holders_version, holders.version))
+        answer.common.holders = holders;
+    if (is_wanted(&fleet_report::lenders_version, lenders_.version))
+        answer.common.lenders = lenders_;
 }
 
 void grant_issuer::grant_to_self(milliseconds validity, time_point now)
@@ -190,6 +196,7 @@
                           : grant_tracker::store_outage_tolerance;
     grant.validity = validity;
     grant.primaries = failover_.primary_states(now);
+    grant.level = state_.members.lowest_level();
     grant.stamp = static_cast<std::uint64_t>(
         std::chrono::nanoseconds(now.time_since_epoch()).count());
     grant.relay_address = relay_chooser_.relay_address(
--- a/src/process/membership/member_list.cpp
+++ b/src/process/membership/member_list.cpp
@@ -29,7 +29,8 @@
                      {"address", member.address},
                      {"incarnation", member.incarnation},
                      {"domain", member.failure_domain},
-                     {"millicores", member.processor_millicores}});
+                     {"millicores", member.processor_millicores},
+                     {"level", member.level}});
 }
 
 result<fleet_member> parse_fleet_member(const std::string& value)
@@ -40,10 +41,13 @@
                      error_of(parsed).message};
     const auto& fields = value_of(parsed);
     fleet_member member{
-        string_field(fields, "name"), string_field(fields, "address"),
-        unsigned_field(fields, "incarnation"), string_field(fields, "domain"),
+        string_field(fields, "name"),
+        string_field(fields, "address"),
+        unsigned_field(fields, "incarnation"),
+        string_field(fields, "domain"),
         static_cast<unsigned>(std::min<std::uint64_t>(
-            unsigned_field(fields, "millicores"), max_millicores))};
+            unsigned_field(fields, "millicores"), max_millicores)),
+        static_cast<std::uint32_t>(unsigned_field(fields, "level"))};
     if (member.name.empty() || member.address.empty())
         return error{error_kind::invalid, "parse fleet member", "",
                      "'name' or 'address' is missing or empty"};
@@ -106,4 +110,13 @@
         { return entry.second.failure_domain == failure_domain; }));
 }
 
+std::uint32_t member_list::lowest_level() const
+{
+    const auto lowest =
+        std::min_element(members_.begin(), members_.end(),
+                         [](const auto& left, const auto& right)
+                         { return left.second.level < right.second.level; });
+    return lowest == members_.end() ? 0 : lowest->second.level;
+}
+
 } // namespace oleandergrade
--- a/src/process/membership/report_relay.cpp
+++ b/src/process/membership/report_relay.cpp
@@ -27,9 +27,12 @@
             grant.holders = answer.grants[index].holders;
         if (grant.holders.version == reports.reports[index].holders_version)
             grant.holders = {};
+        if (grant.lenders.version == reports.reports[index].lenders_version)
+            grant.lenders = {};
         return grant;
     }
     grant.holders = {};
+    grant.lenders = {};
     grant.accepted = false;
     grant.validity = milliseconds(0);
     grant.primaries.clear();
--- a/src/process/own_settings.cpp
+++ b/src/process/own_settings.cpp
@@ -11,6 +11,7 @@
 constexpr std::uint64_t max_allowed_relay_from = 1'000'000;
 constexpr std::uint64_t max_allowed_dedicated_sessions = 1000;
 constexpr std::uint64_t max_allowed_slices = 64;
+constexpr std::uint64_t max_allowed_lenders = 1000;
 
 using section_parser = void (*)(ini_section_reader& reader,
                                 own_settings& settings);
@@ -37,6 +38,9 @@
                       max_allowed_dedicated_sessions);
     sharing.slices =
         reader.number("slices", sharing.slices, 1, max_allowed_slices);
+    settings.lenders_per_domain =
+        reader.number("lenders_per_domain", settings.lenders_per_domain, 1,
+                      max_allowed_lenders);
 }
 
 void parse_sessions(ini_section_reader& reader, own_settings& settings)
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -35,6 +35,7 @@
                                            ? settings.peer_address
                                            : own.advertised_peer_address;
     settings.relay_from = own.relay_from;
+    settings.lenders_per_domain = own.lenders_per_domain;
     settings.sharing = own.sharing;
     return settings;
 }
@@ -212,11 +213,10 @@
     add_metric("duties_taken_total", "counter", fleet.elections_won);
     add_metric("grants_lost_total", "counter", fleet.grants_lost);
     add_metric("reports_unanswered_total", "counter", fleet.reports_unanswered);
-    add_metric("operations_borrowed_total", "counter",
-               fleet.operations_borrowed);
-    add_metric("operations_not_lent_total", "counter",
-               fleet.operations_refused_by_leader);
-    add_metric("operations_lent_total", "counter", fleet.operations_lent);
+    const auto& lending = fleet_service_.lending_counts();
+    add_metric("operations_borrowed_total", "counter", lending.borrowed);
+    add_metric("operations_not_lent_total", "counter", lending.refused);
+    add_metric("operations_lent_total", "counter", lending.lent);
     add_metric("snapshots_fetched_total", "counter",
                fleet_service_.snapshots_fetched());
     add_metric("reports_relayed_total", "counter",
--- a/tests/fakes/limit_fleet.cpp
+++ b/tests/fakes/limit_fleet.cpp
@@ -1,5 +1,7 @@
 #include "limit_fleet.hpp"
 
+#include <oleandergrade/connection/protocol_level.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -33,7 +35,7 @@
 
 limit_fleet::limit_fleet(std::uint64_t seed, limit_fleet_settings settings)
     : settings_(settings), random_(seed), answer_random_(seed),
-      vms_(settings.vms)
+      vms_(settings.vms), assigner_(settings.lenders_per_domain)
 {
     make_accounts();
     for (std::size_t i = 0; i < vms_.size(); ++i)
@@ -44,18 +46,23 @@
         vm.next_report_at =
             now_ + random_time(milliseconds(0), report_interval);
         vm.next_demand_report_at = vm.next_report_at;
+        register_vm(vm);
+    }
+    started_vms_ = vms_.size();
+    for (auto& vm : vms_)
+    {
         vm.limiter = std::make_unique<operation_limiter>(tolerance, true);
-        vm.limiter->set_limits(limits_, static_cast<std::uint32_t>(vms_.size()),
-                               now_);
+        vm.limiter->set_limits(limits_, member_count(), now_);
     }
-    for (std::size_t domain = 0; domain < settings_.domains; ++domain)
-        for (std::size_t i = 0; i < lenders_per_domain(); ++i)
-            lenders_.insert(vms_[lender_of(domain, i)].name);
     allocator_ = std::make_unique<share_allocator>(tolerance, true);
     allocator_->set_limits(limits_, now_);
-    allocator_->set_member_counts(static_cast<std::uint32_t>(vms_.size()), 1);
-    allocator_->set_lenders(lenders_);
+    allocator_->set_member_counts(member_count(), 1);
+    // The fleet has run before the accounts' callers come.
+    for (auto& vm : vms_)
+        vm.reported_at = now_;
+    review_lenders();
     allocator_->on_elected(now_);
+    assigner_.on_elected(now_);
     next_limit_change_at_ = now_ + seconds(4);
 }
 
@@ -133,8 +140,7 @@
             set_limit(account, account.base_rate * (1 + 2 * random_fraction()));
     for (auto& vm : vms_)
         if (vm.is_running)
-            vm.limiter->set_limits(
-                limits_, static_cast<std::uint32_t>(vms_.size()), now_);
+            vm.limiter->set_limits(limits_, member_count(), now_);
     allocator_->set_limits(limits_, now_);
 }
 
@@ -196,6 +202,8 @@
                 stop_vm(i, random_time(milliseconds(300), seconds(3)));
     if (occurs(faults.total_losses))
         lose_all_vms();
+    if (occurs(faults.replacements))
+        replace_vm();
     if (occurs(faults.rolling_stops) && to_stop_.empty())
     {
         const auto first = random_() % vms_.size();
@@ -245,13 +253,40 @@
 {
     vm.is_running = true;
     ++vm.incarnation;
+    if (gone_.contains(vm.name))
+    {
+        vm.name = "vm-" + std::to_string(started_vms_++);
+        vm.incarnation = 1;
+        vm.reported_at = {};
+        register_vm(vm);
+    }
     vm.next_report_at = now_ + random_time(milliseconds(0), milliseconds(100));
     vm.next_demand_report_at = vm.next_report_at;
     if (settings_.defect == limit_defect::restarted_vm_keeps_share)
         vm.earlier_limiter = std::move(vm.limiter);
     vm.limiter = std::make_unique<operation_limiter>(tolerance, false);
-    vm.limiter->set_limits(limits_, static_cast<std::uint32_t>(vms_.size()),
-                           now_);
+    vm.limiter->set_limits(limits_, member_count(), now_);
+}
+
+void limit_fleet::replace_vm()
+{
+    auto index = static_cast<std::size_t>(random_() % vms_.size());
+    if (random_fraction() < 0.5 && !lenders_.empty())
+    {
+        const auto& lenders = lenders_.table().lenders;
+        const auto& name = lenders[random_() % lenders.size()].vm;
+        for (std::size_t i = 0; i < vms_.size(); ++i)
+            if (vms_[i].name == name)
+                index = i;
+    }
+    else if (random_fraction() < 0.5)
+    {
+        index = leader_;
+    }
+    if (!vms_[index].is_running)
+        return;
+    stop_vm(index, random_time(seconds(1), seconds(4)));
+    gone_.insert(vms_[index].name);
 }
 
 void limit_fleet::lose_leader()
@@ -279,9 +314,47 @@
     allocator_ = std::make_unique<share_allocator>(
         tolerance, settings_.defect == limit_defect::shares_allocated_twice);
     allocator_->set_limits(limits_, now_);
-    allocator_->set_member_counts(static_cast<std::uint32_t>(vms_.size()), 1);
-    allocator_->set_lenders(lenders_);
+    allocator_->set_member_counts(member_count(), 1);
+    allocator_->set_lenders(lender_table_);
     allocator_->on_elected(now_);
+    assigner_.on_elected(now_);
+}
+
+void limit_fleet::register_vm(const vm_state& vm)
+{
+    members_.put({vm.name, vm.name, vm.incarnation, std::to_string(vm.domain),
+                  500, protocol_level});
+}
+
+void limit_fleet::review_lenders()
+{
+    if (now_ < store_unavailable_until_ ||
+        now_ < elected_at_ + milliseconds(200))
+        return;
+    const lender_input input{&members_, vms_[leader_].name,
+                             [&](const std::string& name)
+                             {
+                                 const auto* vm = find_running(name);
+                                 return vm != nullptr &&
+                                        now_ - vm->reported_at <
+                                            leader_report_validity;
+                             },
+                             members_.lowest_level()};
+    auto table = assigner_.update(lender_table_, input, now_);
+    if (!table)
+        return;
+    lender_table_ = std::move(*table);
+    ++lender_table_.version;
+    lenders_ = account_lenders(lender_table_);
+    allocator_->set_lenders(lender_table_);
+}
+
+limit_fleet::vm_state* limit_fleet::find_running(const std::string& name)
+{
+    const auto found =
+        std::find_if(vms_.begin(), vms_.end(),
+                     [&](const vm_state& vm) { return vm.name == name; });
+    return found == vms_.end() || !found->is_running ? nullptr : &*found;
 }
 
 bool limit_fleet::are_linked(const vm_state& first,
@@ -307,13 +380,18 @@
 
 void limit_fleet::report()
 {
+    if (!awaits_election_ && now_ >= next_lender_review_at_)
+    {
+        next_lender_review_at_ = now_ + report_interval;
+        review_lenders();
+    }
     for (auto& vm : vms_)
     {
         if (!vm.is_running || now_ < vm.next_report_at || !reaches_leader(vm))
             continue;
         vm.next_report_at = now_ + report_interval;
         vm.reported_at = now_;
-        allocator_->set_member_counts(static_cast<std::uint32_t>(vms_.size()),
+        allocator_->set_member_counts(member_count(),
                                       std::max(reporting_count(), 1U));
         allocator_->on_report(vm.name, vm.incarnation, now_);
         std::vector<account_share> shares;
@@ -370,25 +448,27 @@
     return decision.admitted;
 }
 
-// In the order of `fleet_service`: the lender of the VM's own failure domain,
-// the leader, the other lenders.
+// In the order of `operation_lending`: the lender of the VM's own failure
+// domain, the leader, the other lenders.
 admission limit_fleet::borrow(const std::string& account, const vm_state& vm,
                               std::uint32_t operations)
 {
     admission decision{false, milliseconds(20), false};
-    const auto borrow_from = [&](std::size_t index)
+    const auto borrow_from = [&](const std::string& name)
     {
-        auto& lender = vms_[index];
-        if (decision.admitted || &lender == &vm || !lender.is_running ||
-            !are_linked(vm, lender))
+        auto* lender = find_running(name);
+        if (decision.admitted || lender == nullptr || lender == &vm ||
+            !are_linked(vm, *lender))
             return;
         ++outcome_.loan_requests;
-        decision = lender.limiter->lend(account, operations, now_);
+        decision = lender->limiter->lend(account, operations, now_);
         if (is_answer_lost())
             decision = {false, milliseconds(20), false};
     };
-    for (std::size_t i = 0; i < lenders_per_domain(); ++i)
-        borrow_from(lender_of(vm.domain, i));
+    const auto domain = std::to_string(vm.domain);
+    for (const auto& listed : lenders_.of(account))
+        if (listed.failure_domain == domain)
+            borrow_from(listed.vm);
     if (!decision.admitted && reaches_leader(vm))
     {
         ++outcome_.loan_requests;
@@ -396,10 +476,9 @@
         if (is_answer_lost())
             decision = {false, milliseconds(20), false};
     }
-    for (std::size_t domain = 0; domain < settings_.domains; ++domain)
-        for (std::size_t i = 0; domain != vm.domain && i < lenders_per_domain();
-             ++i)
-            borrow_from(lender_of(domain, i));
+    for (const auto& listed : lenders_.of(account))
+        if (listed.failure_domain != domain)
+            borrow_from(listed.vm);
     return decision;
 }
 
--- a/tests/fakes/limit_fleet.hpp
+++ b/tests/fakes/limit_fleet.hpp
@@ -2,12 +2,14 @@
 /// fail. In virtual time, without network.
 #pragma once
 
+#include <oleandergrade/process/limits/lender_assigner.hpp>
 #include <oleandergrade/process/limits/share_allocator.hpp>
 
 #include <deque>
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,9 @@
     /// All VMs are killed and start again after 0.5 to 1 s, except for one that
     /// is gone for good.
     double total_losses = 0;
+    /// A VM is gone for good, and one of another name starts 1 to 4 s later;
+    /// the leader, or a lender, half of the time.
+    double replacements = 0;
     /// The VMs of a tenth of the fleet are stopped one after another.
     double rolling_stops = 0;
     /// Fraction of the answers to reports and loans that is lost.
@@ -78,6 +83,8 @@
 {
     std::size_t vms = 90;
     std::size_t domains = 3;
+    /// Number of VMs of each domain that the accounts are divided among.
+    std::size_t lenders_per_domain = 5;
     std::size_t accounts = 87;
     /// Operations per second of all accounts.
     double operations_per_second = 1078;
@@ -156,8 +163,14 @@
     void stop_vm(std::size_t index, milliseconds downtime);
     void lose_all_vms();
     void start_vm(vm_state& vm);
+    void replace_vm();
     void lose_leader();
     void elect_leader();
+    void register_vm(const vm_state& vm);
+    /// Brings the lender table up to date, as the leader does.
+    void review_lenders();
+    vm_state* find_running(const std::string& name);
+    std::uint32_t member_count() const { return members_.size(); }
     bool are_linked(const vm_state& first, const vm_state& second) const;
     bool has_leader() const { return now_ >= leaderless_until_; }
     bool reaches_leader(const vm_state& vm) const;
@@ -168,16 +181,6 @@
     bool admit(const account_state& account, vm_state& vm);
     admission borrow(const std::string& account, const vm_state& vm,
                      std::uint32_t operations);
-    std::size_t lenders_per_domain() const
-    {
-        return vms_.size() < lending_fleet_size ? 0 : 1;
-    }
-    /// Returns a lender of a failure domain: not the first of its VMs, which is
-    /// preferred as leader.
-    std::size_t lender_of(std::size_t domain, std::size_t index) const
-    {
-        return settings_.domains * (index + 1) + domain;
-    }
     void check(account_state& account, bool is_admitted, bool has_leader);
     static void drop_before(std::deque<time_point>& times, time_point start);
 
@@ -191,7 +194,15 @@
     std::vector<account_state> accounts_;
     std::map<std::string, client_account> limits_;
     std::unique_ptr<share_allocator> allocator_;
-    std::set<std::string> lenders_;
+    member_list members_;
+    lender_assigner assigner_;
+    /// The table in the store.
+    lender_table lender_table_;
+    account_lenders lenders_;
+    time_point next_lender_review_at_;
+    std::size_t started_vms_ = 0;
+    /// Names of VMs that are gone for good.
+    std::set<std::string> gone_;
     std::size_t leader_ = 0;
     bool awaits_election_ = false;
     time_point elected_at_;
--- a/tests/test_limit_shares.cpp
+++ b/tests/test_limit_shares.cpp
@@ -2,8 +2,9 @@
 /// OLEANDER_SEEDS sets the number of seeds of the randomized runs.
 #include "limit_fleet.hpp"
 
+#include <oleandergrade/process/limits/lender_assigner.hpp>
+#include <oleandergrade/process/limits/lender_directory.hpp>
 #include <oleandergrade/process/limits/share_allocator.hpp>
-#include <oleandergrade/process/membership/lender_directory.hpp>
 
 #include <criterion/criterion.h>
 
@@ -364,6 +365,14 @@
                                         .mass_kills = 0.1,
                                         .rolling_stops = 0.1,
                                         .lost_answers = 0.02};
+constexpr limit_fleet_faults replaced_vms{.replacements = 0.1};
+constexpr limit_fleet_faults replaced_vms_and_all_faults{.leader_losses = 0.1,
+                                                         .store_outages = 0.05,
+                                                         .partitions = 0.2,
+                                                         .mass_kills = 0.1,
+                                                         .replacements = 0.3,
+                                                         .rolling_stops = 0.1,
+                                                         .lost_answers = 0.02};
 constexpr auto fleet_run_length = seconds(20);
 /// One cycle of callers that move between VMs.
 constexpr auto moving_run_length = seconds(60);
@@ -522,6 +531,21 @@
     expect_few_refusals("stopped VMs", stopped_vms, 0.005);
 }
 
+// Guards against the part of every limit that a lost lender held, and against
+// shares of lenders that are used twice while leaders change with them.
+Test(limit_shares, a_large_fleet_serves_accounts_while_machines_are_replaced)
+{
+    expect_few_refusals("replaced VMs", replaced_vms, 0.02);
+}
+
+Test(limit_shares, limits_hold_while_machines_are_replaced)
+{
+    for (const std::size_t listed : {1U, 5U})
+        expect_limits_hold("replaced VMs and all faults",
+                           {.lenders_per_domain = listed,
+                            .faults = replaced_vms_and_all_faults});
+}
+
 // Guards against windows above the bound: half of the accounts have ten times
 // their rate, at times, while everything fails and limits rise and fall.
 Test(limit_shares, limits_hold_in_a_large_fleet_under_all_faults)
@@ -574,7 +598,7 @@
     share_allocator allocator(tolerance, false);
     allocator.set_limits(one_account(), now);
     allocator.set_member_counts(30, 30);
-    allocator.set_lenders({"vm-1"});
+    allocator.set_lenders({1, 0, {{"vm-1", "address-1", "domain"}}, {}});
     allocator.on_elected(now);
     return allocator;
 }
@@ -670,29 +694,99 @@
     cr_assert(!limiter.lend("gate", 1, start + seconds(12)).admitted);
 }
 
-// Guards against a lender that is lost together with the leader, and against
-// waiting for a lender that does not answer.
-Test(limit_shares, lenders_are_chosen_in_each_failure_domain)
+namespace
+{
+
+/// Fifteen VMs, five in each of three failure domains; the strongest VM of a
+/// domain has the lowest number.
+member_list fifteen_members()
 {
     member_list members;
-    lender_directory lenders;
     for (int i = 0; i < 15; ++i)
         members.put({"vm-" + std::to_string(10 + i),
                      "address-" + std::to_string(10 + i), 1,
-                     "domain-" + std::to_string(i % 3), 500});
-    lenders.update(members, "vm-10");
-    cr_assert(lenders.names().empty());
+                     "domain-" + std::to_string(i % 3), 500, 1});
+    return members;
+}
+
+std::set<std::string> lender_names(const lender_table& table)
+{
+    std::set<std::string> names;
+    for (const auto& listed : table.lenders)
+        names.insert(listed.vm);
+    return names;
+}
+
+} // namespace
+
+// Guards against waiting for a lender that does not answer, again and again.
+Test(limit_shares, a_silent_lender_is_asked_ever_less_often)
+{
+    auto members = fifteen_members();
+    cr_assert(derive_lenders(members).lenders.empty());
     members.put({"vm-25", "address-25", 1, "domain-0", 500});
-    lenders.update(members, "vm-10");
+    auto table = derive_lenders(members);
     const std::set<std::string> expected_lenders{"vm-13", "vm-14", "vm-15"};
-    cr_assert(lenders.names() == expected_lenders);
+    cr_assert(lender_names(table) == expected_lenders);
+    table.version = 1;
+    lender_directory directory("address-10", "domain-0");
+    cr_assert(directory.apply(table));
     const auto now = time_point(seconds(100));
     const std::vector<std::string> expected_addresses{
         "address-13", "address-11", "address-14", "address-15"};
-    cr_assert(lenders.addresses_to_ask("address-11", now) ==
+    cr_assert(directory.addresses_to_ask("gate", "address-11", now) ==
               expected_addresses);
-    lenders.on_unanswered("address-13", now);
-    cr_assert(lenders.addresses_to_ask("", now).front() == "address-14");
-    cr_assert(lenders.addresses_to_ask("", now + seconds(1)).front() ==
-              "address-13");
+    const auto is_asked = [&](milliseconds after)
+    {
+        return directory.addresses_to_ask("gate", "", now + after).front() ==
+               "address-13";
+    };
+    directory.on_unanswered("address-13", now);
+    directory.on_unanswered("address-13", now);
+    cr_assert(!is_asked(milliseconds(999)) && is_asked(milliseconds(1000)));
+    directory.on_unanswered("address-13", now + milliseconds(1000));
+    cr_assert(!is_asked(milliseconds(2999)) && is_asked(milliseconds(3000)));
+    directory.on_answered("address-13");
+    cr_assert(is_asked(milliseconds(1)));
+}
+
+// Guards against a lender that is gone for good: its domain's callers waited
+// for it, and its part of every limit was missing, until the end of the day.
+Test(limit_shares, a_lender_that_is_gone_is_replaced)
+{
+    auto members = fifteen_members();
+    members.put({"vm-25", "address-25", 1, "domain-0", 500, 1});
+    std::set<std::string> absent;
+    auto now = time_point(seconds(100));
+    lender_assigner assigner;
+    assigner.on_elected(now);
+    const lender_input input{&members, "vm-10",
+                             [&](const std::string& vm)
+                             { return !absent.contains(vm); },
+                             members.lowest_level()};
+    auto table = assigner.update({}, input, now).value();
+    cr_assert(lender_names(table) ==
+              std::set<std::string>({"vm-13", "vm-14", "vm-15"}));
+    absent = {"vm-13", "vm-16"};
+    now += milliseconds(1000);
+    cr_assert(!assigner.update(table, input, now), "silent for a moment only");
+    now += lender_assigner::max_absence;
+    table = assigner.update(table, input, now).value();
+    cr_assert(lender_names(table) ==
+              std::set<std::string>({"vm-14", "vm-15", "vm-19"}));
+    cr_assert(table.former_lenders == std::vector<std::string>{"vm-13"});
+    // The lenders do not change back.
+    absent.clear();
+    now += lender_assigner::former_lender_time;
+    table = assigner.update(table, input, now).value();
+    cr_assert(lender_names(table).contains("vm-19"));
+    cr_assert(table.former_lenders.empty());
+    const auto parsed = parse_lender_table(serialize_lender_table(table), 0);
+    cr_assert(succeeded(parsed) && value_of(parsed) == table);
+    // A member of an earlier build would not know the choice.
+    members.put({"vm-26", "address-26", 1, "domain-1", 500, 0});
+    auto mixed = input;
+    mixed.level = members.lowest_level();
+    cr_assert(lender_names(assigner.update(table, mixed, now).value()) ==
+              lender_names(derive_lenders(members)));
 }
