Tell callers that a transaction was ended by the VM

Cause: a VM that stops, or whose transaction is idle for too long, rolls back a transaction between two statements.

Change: the first statement after that is answered as aborted, unless it ends the transaction; later ones are malformed as before, because the caller knows.

--- a/include/oleandergrade/connection/caller_session.hpp
+++ b/include/oleandergrade/connection/caller_session.hpp
@@ -49,6 +49,14 @@
     /// Records that the open transaction has failed. Does nothing if none is
     /// open.
     void fail_transaction();
+    /// Records that an answer has told the caller the transaction's state.
+    void on_state_told() { is_state_told_ = true; }
+    /// Whether the transaction has failed without any fault of the caller, who
+    /// does not know it yet.
+    bool has_failed_untold() const
+    {
+        return transaction_ == transaction_state::failed && !is_state_told_;
+    }
     /// Records that the transaction was committed or rolled back.
     void end_transaction();
     transaction_state transaction() const { return transaction_; }
@@ -73,6 +81,8 @@
     std::map<std::string, prepared_statement> prepared_statements_;
     transaction_state transaction_ = transaction_state::none;
     bool transaction_read_only_ = false;
+    /// The caller knows the state of its transaction.
+    bool is_state_told_ = true;
     std::optional<log_position> last_commit_position_;
 };
 
--- a/include/oleandergrade/process/serving/statement_runner.hpp
+++ b/include/oleandergrade/process/serving/statement_runner.hpp
@@ -198,6 +198,9 @@
     /// Answers the statement with an error and ends its transaction if the VM
     /// stops too soon for it.
     void refuse_while_stopping(run_state& run);
+    /// Answers the first statement after the VM has ended the caller's
+    /// transaction.
+    void report_failed_transaction(run_state& run);
     /// Applies the account's rate limit. If the operation is over the limit, it
     /// answers the statement and returns false.
     boost::asio::awaitable<bool> admit(run_state& run);
--- a/src/connection/caller_session.cpp
+++ b/src/connection/caller_session.cpp
@@ -45,8 +45,10 @@
 
 void caller_session::fail_transaction()
 {
-    if (transaction_ == transaction_state::open)
-        transaction_ = transaction_state::failed;
+    if (transaction_ != transaction_state::open)
+        return;
+    transaction_ = transaction_state::failed;
+    is_state_told_ = false;
 }
 
 void caller_session::end_transaction()
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -93,6 +93,7 @@
                 std::min(run.deadline, run.arrived_at + call.caller_timeout);
         if (stop_schedule_)
             refuse_while_stopping(run);
+        report_failed_transaction(run);
     }
     if (!run.answered)
     {
@@ -154,6 +155,16 @@
              stopping_retry_after);
 }
 
+// A VM may end a transaction between two statements. The caller has done
+// nothing wrong then and may repeat the transaction.
+void statement_runner::report_failed_transaction(run_state& run)
+{
+    const bool ends = run.call.verb == session_verb::commit ||
+                      run.call.verb == session_verb::rollback;
+    if (!run.answered && !ends && run.session.caller_state.has_failed_untold())
+        fail(run, session_error::aborted, "the transaction was rolled back");
+}
+
 // Looks up the route and the account for each statement again, so that a
 // revoked key stops working in open sessions too. An open transaction keeps its
 // route, and must keep its account; if it has lost it, only a rollback is
@@ -622,6 +633,7 @@
 void statement_runner::finish(run_state& run)
 {
     codec_.append_readiness(run.reply, run.session.caller_state.transaction());
+    run.session.caller_state.on_state_told();
     const auto latency = current_time() - run.arrived_at;
     const auto consistency = run.matched_route == nullptr
                                  ? read_consistency::current
