Give the part of a VM that is gone for good to the others after 25 s

Cause: for each registered VM that does not report the leader kept 1/N of every limit free for ever, also for machines that never come back (1/7 in the smallest fleets), because such a VM may use that part without a request.

Change: a VM uses its equal part for at most 20 s after its last answered report or its acknowledged registration; the leader keeps it free for 25 s after the last report, registration or election, provided that all members know the rule (level 1) and that it sees registrations at once. Registrations stay in the store: grants and majorities rest on them. Weighed and not built: leaders that delete registrations. Two leaders that are elected from lists of members that have shrunk and grown again may both find a majority.

--- a/include/oleandergrade/process/limits/operation_limiter.hpp
+++ b/include/oleandergrade/process/limits/operation_limiter.hpp
@@ -55,6 +55,9 @@
     /// share. The leader reserves that fraction for VMs that do not report, and
     /// does so a little before this time is over.
     static constexpr milliseconds reporting_validity{900};
+    /// How long after its last answered report, or its registration, a VM may
+    /// use its equal fraction. The leader keeps the fraction free for longer.
+    static constexpr milliseconds equal_fraction_validity{20'000};
     /// Time constant of the exponential average of the demand.
     static constexpr milliseconds demand_time_constant{1000};
     /// The same in large fleets. With the shorter one, a
@@ -79,6 +82,10 @@
     void set_shares(const std::vector<account_share>& shares,
                     time_point requested_at, time_point now);
 
+    /// The store has acknowledged the VM's registration, which was sent at
+    /// `sent_at`.
+    void on_registered(time_point sent_at);
+
     /// Takes one operation out of the account's bucket. Refuses accounts that
     /// are not configured.
     admission admit(const std::string& account, time_point now);
@@ -146,6 +153,12 @@
     /// Adds the tokens that have accumulated since the last call.
     void refill(token_bucket& state, time_point now) const;
     /// Adds this VM's part of the initial tokens, once the number of VMs is
+    /// Whether the VM may use its equal fraction.
+    bool has_equal_fraction(time_point now) const
+    {
+        return knows_members() && !is_connected(now) &&
+               now < equal_fraction_until_;
+    }
     /// known.
     void take_initial_tokens(token_bucket& state) const;
     /// Brings the decaying demand up to date.
@@ -163,6 +176,9 @@
     bool starts_full_;
     /// 0 while it is unknown.
     std::uint32_t member_count_ = 0;
+    /// From then on another leader may have given this VM's equal fraction to
+    /// other VMs.
+    time_point equal_fraction_until_;
     std::map<std::string, token_bucket> buckets_;
 };
 
--- a/include/oleandergrade/process/limits/share_allocator.hpp
+++ b/include/oleandergrade/process/limits/share_allocator.hpp
@@ -53,6 +53,12 @@
     /// including this one.
     void set_member_counts(std::uint32_t member_count,
                            std::uint32_t reporting_count);
+    /// Sets whether the equal fractions of VMs that have not been heard of for
+    /// long are given to the others. Only if all VMs stop to use it in time,
+    /// and this leader sees registrations at once.
+    void set_fractions_lapse(bool lapse) { fractions_lapse_ = lapse; }
+    /// A VM has registered, and may use its equal fraction before it reports.
+    void on_registered(const std::string& vm, time_point now);
     /// Replaces the VMs that hold what the others do not need, to lend it. The
     /// table must be in the store already.
     void set_lenders(const lender_table& table);
@@ -99,6 +105,7 @@
         std::uint64_t incarnation = 0;
         std::uint64_t previous_incarnation = 0;
         time_point reported_at;
+        time_point registered_at;
         bool has_reported_demands = false;
     };
     struct account_state
@@ -156,6 +163,9 @@
                                  time_point now) const;
     /// Counts the VMs that do not use their equal fraction.
     void update_connected_count(time_point now);
+    /// Counts the VMs that have not been heard of for so long that they may no
+    /// longer use their equal fraction.
+    std::uint32_t count_lapsed(time_point now) const;
     /// Adds the lenders of the current table to those that may hold a lender's
     /// share of the account.
     void add_possible_lenders(account_state& account) const;
@@ -190,6 +200,8 @@
     std::uint32_t vms_with_demands_ = 0;
     account_lenders lenders_;
     std::uint32_t connected_count_ = 0;
+    bool fractions_lapse_ = false;
+    std::uint32_t lapsed_count_ = 0;
     time_point connected_count_updated_at_;
     std::map<std::string, account_state> accounts_;
 };
--- a/include/oleandergrade/process/membership/grant_issuer.hpp
+++ b/include/oleandergrade/process/membership/grant_issuer.hpp
@@ -42,6 +42,11 @@
     void on_elected(time_point now);
     /// To be called after each change of the registered VMs.
     void on_members_changed(time_point now);
+    /// A VM has registered with a new incarnation.
+    void on_registered(const std::string& vm, time_point now)
+    {
+        share_allocator_.on_registered(vm, now);
+    }
     /// Replaces the limits that are divided into shares.
     void set_limits(const route_table& table, time_point now);
 
--- a/include/oleandergrade/process/membership/member_registration.hpp
+++ b/include/oleandergrade/process/membership/member_registration.hpp
@@ -41,8 +41,9 @@
                         fleet_member self, callbacks parts,
                         std::minstd_rand::result_type seed);
 
-    /// Returns when the store has confirmed the registration.
-    boost::asio::awaitable<void> run();
+    /// Returns once the store has confirmed the registration: the time when the
+    /// confirmed call was sent.
+    boost::asio::awaitable<time_point> run();
 
 private:
     /// Waits until the store answers other calls, in a small fleet for at most
--- a/src/process/limits/operation_limiter.cpp
+++ b/src/process/limits/operation_limiter.cpp
@@ -87,6 +87,8 @@
         std::max(reporting_until_, requested_at + reporting_validity);
     connected_until_ =
         std::max(connected_until_, requested_at + current_share_validity());
+    equal_fraction_until_ =
+        std::max(equal_fraction_until_, requested_at + equal_fraction_validity);
     for (const auto& share : shares)
     {
         const auto found = buckets_.find(share.account);
@@ -100,6 +102,12 @@
     }
 }
 
+void operation_limiter::on_registered(time_point sent_at)
+{
+    equal_fraction_until_ =
+        std::max(equal_fraction_until_, sent_at + equal_fraction_validity);
+}
+
 bool operation_limiter::is_connected(time_point now) const
 {
     return now < (is_large_fleet() ? connected_until_ : reporting_until_);
@@ -223,9 +231,7 @@
 {
     if (now < state.share_valid_until)
         return state.share_rate;
-    if (is_connected(now) || !knows_members())
-        return 0;
-    return state.budget.rate / member_count_;
+    return has_equal_fraction(now) ? state.budget.rate / member_count_ : 0;
 }
 
 double operation_limiter::current_burst(const token_bucket& state,
--- a/src/process/limits/share_allocator.cpp
+++ b/src/process/limits/share_allocator.cpp
@@ -36,6 +36,10 @@
 /// report takes.
 constexpr auto connected_timeout =
     operation_limiter::large_fleet_share_validity - milliseconds(2000);
+/// How long after a VM was last heard of its equal fraction is kept free.
+/// Longer than the VM uses it.
+constexpr auto equal_fraction_time =
+    operation_limiter::equal_fraction_validity + milliseconds(5000);
 /// For this time after its election, the leader of a large fleet leaves the
 /// shares that VMs hold as they are reported. VMs that were killed together
 /// with the previous leader have started again by then.
@@ -143,6 +147,11 @@
     return member_count_ >= lending_fleet_size && !lenders_.empty();
 }
 
+void share_allocator::on_registered(const std::string& vm, time_point now)
+{
+    reported_vms_[vm].registered_at = now;
+}
+
 bool share_allocator::on_report(const std::string& vm,
                                 std::uint64_t incarnation, time_point now)
 {
@@ -255,9 +264,11 @@
 double share_allocator::reporting_fraction() const
 {
     // In fleets of a size in between, VMs may use their equal fraction early.
-    if (member_count_ < lending_fleet_size)
-        return static_cast<double>(reporting_count_) / member_count_;
-    return std::min(1.0, static_cast<double>(connected_count_) / member_count_);
+    const auto present_count = member_count_ < lending_fleet_size
+                                   ? reporting_count_
+                                   : connected_count_;
+    return std::min(1.0, static_cast<double>(present_count + lapsed_count_) /
+                             member_count_);
 }
 
 void share_allocator::update_connected_count(time_point now)
@@ -265,6 +276,7 @@
     if (now < connected_count_updated_at_ + connected_check_interval)
         return;
     connected_count_updated_at_ = now;
+    lapsed_count_ = fractions_lapse_ ? count_lapsed(now) : 0;
     // VMs of a new fleet have just started, which counts like a report.
     if (!has_earlier_shares_ && now < elected_at_ + connected_timeout)
     {
@@ -277,6 +289,21 @@
         { return now < entry.second.reported_at + connected_timeout; }));
 }
 
+std::uint32_t share_allocator::count_lapsed(time_point now) const
+{
+    if (now < elected_at_ + equal_fraction_time)
+        return 0;
+    const auto heard_of = static_cast<std::uint32_t>(std::count_if(
+        reported_vms_.begin(), reported_vms_.end(),
+        [&](const auto& entry)
+        {
+            const auto& status = entry.second;
+            return now < std::max(status.reported_at, status.registered_at) +
+                             equal_fraction_time;
+        }));
+    return member_count_ - std::min(heard_of, member_count_);
+}
+
 void share_allocator::drop_expired_shares(account_state& account,
                                           time_point now)
 {
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -232,9 +232,14 @@
 {
     const auto name = change.key.substr(std::string(members_prefix).size());
     if (!change.value)
-        state_.members.remove(name);
-    else if (auto member = parse_fleet_member(*change.value); succeeded(member))
-        state_.members.put(value_of(member));
+        return state_.members.remove(name);
+    auto member = parse_fleet_member(*change.value);
+    if (!succeeded(member))
+        return;
+    const auto* known = state_.members.find(name);
+    if (known == nullptr || known->incarnation != value_of(member).incarnation)
+        grants_.on_registered(name, current_time());
+    state_.members.put(value_of(member));
 }
 
 void fleet_service::apply_primary_record(const primary_record& record,
@@ -296,7 +301,8 @@
                     own_keys_follower_.is_paused();
          }},
         random_());
-    co_await registration.run();
+    const auto sent_at = co_await registration.run();
+    state_.limiter.on_registered(sent_at);
     registered_ = true;
     election_wake_timer_.cancel();
     log_event(event_level::info, "membership", "registered",
--- a/src/process/membership/grant_issuer.cpp
+++ b/src/process/membership/grant_issuer.cpp
@@ -160,6 +160,8 @@
     grant_tracker_.on_granted(state_.settings.name, validity, now);
     share_allocator_.set_member_counts(
         state_.members.size(), failover_.vm_reports().reporting_vms(now) + 1);
+    share_allocator_.set_fractions_lapse(state_.members.lowest_level() >= 1 &&
+                                         is_current && is_current());
     share_allocator_.on_report(state_.settings.name, state_.incarnation, now);
     state_.limiter.set_shares(
         share_allocator_.allocate(state_.settings.name,
--- a/src/process/membership/member_registration.cpp
+++ b/src/process/membership/member_registration.cpp
@@ -24,7 +24,7 @@
 {
 }
 
-asio::awaitable<void> member_registration::run()
+asio::awaitable<time_point> member_registration::run()
 {
     auto retry_delay = initial_retry_delay;
     for (auto read_wait = max_read_wait;; read_wait = milliseconds(0))
@@ -34,9 +34,10 @@
         conditional_write change;
         change.key = key_;
         change.value = serialize_fleet_member(self_);
+        const auto sent_at = current_time();
         auto outcome = co_await store_.write(std::move(change));
         if (succeeded(outcome))
-            co_return;
+            co_return sent_at;
         const auto jitter =
             std::uniform_int_distribution<int>(75, 100)(random_);
         co_await sleep_for(std::max<milliseconds>(
--- a/tests/fakes/limit_fleet.cpp
+++ b/tests/fakes/limit_fleet.cpp
@@ -53,6 +53,7 @@
     {
         vm.limiter = std::make_unique<operation_limiter>(tolerance, true);
         vm.limiter->set_limits(limits_, member_count(), now_);
+        vm.limiter->on_registered(now_);
     }
     allocator_ = std::make_unique<share_allocator>(tolerance, true);
     allocator_->set_limits(limits_, now_);
@@ -266,6 +267,10 @@
         vm.earlier_limiter = std::move(vm.limiter);
     vm.limiter = std::make_unique<operation_limiter>(tolerance, false);
     vm.limiter->set_limits(limits_, member_count(), now_);
+    if (now_ < store_unavailable_until_)
+        return;
+    vm.limiter->on_registered(now_);
+    allocator_->on_registered(vm.name, now_);
 }
 
 void limit_fleet::replace_vm()
@@ -393,6 +398,7 @@
         vm.reported_at = now_;
         allocator_->set_member_counts(member_count(),
                                       std::max(reporting_count(), 1U));
+        allocator_->set_fractions_lapse(now_ >= store_unavailable_until_);
         allocator_->on_report(vm.name, vm.incarnation, now_);
         std::vector<account_share> shares;
         if (now_ >= vm.next_demand_report_at)
--- a/tests/test_limit_shares.cpp
+++ b/tests/test_limit_shares.cpp
@@ -54,6 +54,7 @@
         {
             vm.limiter = std::make_unique<operation_limiter>(tolerance, true);
             vm.limiter->set_limits(accounts_, members, now_);
+            vm.limiter->on_registered(now_);
         }
         elect_leader(true);
     }
@@ -111,6 +112,7 @@
             vm.limiter = std::make_unique<operation_limiter>(tolerance, false);
             vm.limiter->set_limits(
                 accounts_, static_cast<std::uint32_t>(vms_.size()), now_);
+            vm.limiter->on_registered(now_);
         }
     }
 
@@ -610,6 +612,52 @@
 
 } // namespace
 
+// Guards against a part of every limit that is never used again after a VM of a
+// small fleet is gone for good, and against a VM that was only silent and goes
+// on using it.
+Test(limit_shares, the_part_of_a_vm_that_is_gone_returns_to_the_others)
+{
+    const auto start = time_point(seconds(100));
+    share_allocator leader(tolerance, false);
+    leader.set_limits(one_account(), start);
+    leader.set_fractions_lapse(true);
+    leader.on_elected(start);
+    operation_limiter silent(tolerance, false);
+    silent.set_limits(one_account(), 5, start);
+    silent.on_registered(start);
+    leader.on_registered("vm-5", start);
+    const auto operations_of = [&](time_point now)
+    {
+        int count = 0;
+        while (silent.admit("gate", now).admitted)
+            ++count;
+        return count;
+    };
+    const auto held_by_others = [&](time_point now)
+    {
+        double held = 0;
+        leader.set_member_counts(5, 4);
+        for (int round = 0; round < 2; ++round)
+            for (const auto* vm : {"vm-1", "vm-2", "vm-3", "vm-4"})
+            {
+                leader.on_report(vm, 1, now);
+                held = rate_of(leader.allocate(vm, {{"gate", 30, held}}, now));
+            }
+        return 4 * held;
+    };
+    const auto all = one_account()["gate"].rate * shared_rate_fraction;
+    cr_assert(operations_of(start + seconds(10)) > 0);
+    cr_assert(held_by_others(start + seconds(10)) < 0.85 * all);
+    operations_of(start + seconds(20));
+    cr_assert(operations_of(start + seconds(24)) == 0);
+    cr_assert(held_by_others(start + seconds(24)) < 0.85 * all);
+    cr_assert(held_by_others(start + seconds(26)) > 0.95 * all);
+    // It begins anew: the store acknowledges its registration first.
+    leader.on_registered("vm-5", start + seconds(40));
+    silent.on_registered(start + seconds(40));
+    cr_assert(held_by_others(start + seconds(44)) < 0.85 * all);
+}
+
 // Guards against a second allocation of a share: a VM that has not reported to
 // a new leader may use its share of the previous one for 12 s.
 Test(limit_shares, a_new_leader_leaves_unreported_shares_alone)
