Take nothing from a limit for what reaches no target, and tell where time went

Cause: a try that was refused because its primary was being replaced, or because no session was free, had taken an operation from the account's limit.

Change: a statement whose primary is known to be replaced for too long is refused before it is counted, and an admitted operation that has certainly not reached a target is given back, within the burst and the validity of the loan that it came from. Answers later than the route's objective are counted by the stage that took most of the time, and logged with the time of each stage.

--- a/include/oleandergrade/process/failover/primary_wait_estimator.hpp
+++ b/include/oleandergrade/process/failover/primary_wait_estimator.hpp
@@ -45,6 +45,10 @@
     /// zero if nothing that prevents its use has been observed. An estimate
     /// that has already elapsed yields a short minimum wait instead.
     milliseconds expected_wait(const std::string& group, time_point now) const;
+    /// The same for what all VMs know: the replacement of the primary. Other
+    /// VMs may use it while this one has no grant or does not reach it.
+    milliseconds expected_replacement_wait(const std::string& group,
+                                           time_point now) const;
 
 private:
     struct group_state
--- a/include/oleandergrade/process/limits/operation_limiter.hpp
+++ b/include/oleandergrade/process/limits/operation_limiter.hpp
@@ -89,6 +89,9 @@
     /// Takes one operation out of the account's bucket. Refuses accounts that
     /// are not configured.
     admission admit(const std::string& account, time_point now);
+    /// Gives back an admitted operation that has not run. It may run again
+    /// while this VM has a share or a loan, as long as that is valid.
+    void refund(const std::string& account, time_point now);
     /// Records that the leader's reserve has no operation left for the account.
     /// Nothing is borrowed for it until `retry_after` has passed.
     void on_reserve_empty(const std::string& account, milliseconds retry_after,
@@ -150,15 +153,15 @@
     /// fleets that lasts as long as a share: until then, VMs that do not reach
     /// the leader borrow from the lenders.
     bool is_connected(time_point now) const;
-    /// Adds the tokens that have accumulated since the last call.
-    void refill(token_bucket& state, time_point now) const;
-    /// Adds this VM's part of the initial tokens, once the number of VMs is
     /// Whether the VM may use its equal fraction.
     bool has_equal_fraction(time_point now) const
     {
         return knows_members() && !is_connected(now) &&
                now < equal_fraction_until_;
     }
+    /// Adds the tokens that have accumulated since the last call.
+    void refill(token_bucket& state, time_point now) const;
+    /// Adds this VM's part of the initial tokens, once the number of VMs is
     /// known.
     void take_initial_tokens(token_bucket& state) const;
     /// Brings the decaying demand up to date.
@@ -173,12 +176,12 @@
     time_point reporting_until_;
     /// The same in large fleets.
     time_point connected_until_;
-    bool starts_full_;
-    /// 0 while it is unknown.
-    std::uint32_t member_count_ = 0;
     /// From then on another leader may have given this VM's equal fraction to
     /// other VMs.
     time_point equal_fraction_until_;
+    bool starts_full_;
+    /// 0 while it is unknown.
+    std::uint32_t member_count_ = 0;
     std::map<std::string, token_bucket> buckets_;
 };
 
--- a/include/oleandergrade/process/serving/serving_metrics.hpp
+++ b/include/oleandergrade/process/serving/serving_metrics.hpp
@@ -3,6 +3,7 @@
 
 #include <oleandergrade/clock.hpp>
 #include <oleandergrade/connection/session_message.hpp>
+#include <oleandergrade/process/serving/statement_stages.hpp>
 #include <oleandergrade/version/route_table.hpp>
 
 #include <array>
@@ -38,6 +39,12 @@
                               const std::string& reason);
     /// Counts another attempt to run a statement.
     void record_retry() { ++retries_; }
+    /// Counts an answer that was later than the route's latency objective, by
+    /// the stage that took most of the time.
+    void record_late_answer(statement_stage stage)
+    {
+        ++late_by_stage_[static_cast<std::size_t>(stage)];
+    }
     /// Counts a successful read, by the role of the target that served it.
     void record_read(bool at_primary)
     {
@@ -71,6 +78,7 @@
     counts_by_name by_target_;
     counts_by_name by_reason_;
     std::uint64_t retries_ = 0;
+    std::array<std::uint64_t, statement_stage_count> late_by_stage_{};
     std::uint64_t replica_reads_ = 0;
     std::uint64_t primary_reads_ = 0;
     std::unique_ptr<histograms> histograms_;
--- a/include/oleandergrade/process/serving/statement_runner.hpp
+++ b/include/oleandergrade/process/serving/statement_runner.hpp
@@ -52,6 +52,9 @@
     bool occupies_target() const { return pinned_placement || forwarded; }
     /// A write of the open transaction has been sent to the target.
     bool has_written = false;
+    /// The operation under way has been counted against the account's limit,
+    /// and none of its statements has reached a target.
+    bool has_unused_admission = false;
     /// The route and the account under which the open transaction began; both
     /// stay in force until it ends.
     route transaction_route;
@@ -201,9 +204,27 @@
     /// Answers the first statement after the VM has ended the caller's
     /// transaction.
     void report_failed_transaction(run_state& run);
-    /// Applies the account's rate limit. If the operation is over the limit, it
-    /// answers the statement and returns false.
-    boost::asio::awaitable<bool> admit(run_state& run);
+    /// Answers the statement and returns true if it needs a primary that is
+    /// being replaced for too long.
+    bool refuse_without_primary(run_state& run, bool needs_primary);
+    /// Until when the statement may wait for a new primary.
+    static time_point primary_deadline_of(const run_state& run);
+    /// Applies the account's rate limit. If the operation is over the limit, or
+    /// its primary is being replaced, it answers the statement and returns
+    /// false.
+    boost::asio::awaitable<bool> admit(run_state& run, bool needs_primary);
+    /// Sends a statement of the caller to a target.
+    static boost::asio::awaitable<result<std::vector<target_answer>>>
+    exchange(run_state& run, target_session& session, std::string bytes);
+    /// Sends the statement to another VM.
+    boost::asio::awaitable<forwarding_outcome>
+    forward(run_state& run, const std::string& address,
+            forwarded_statement message);
+    /// Records which stage made an answer later than the route's objective.
+    void explain_latency(const run_state& run, duration latency);
+    /// Gives an operation back to the limiter that was admitted and has not
+    /// run.
+    void settle_admission(run_state& run);
     /// Determines the route and the account. If one is missing, it answers the
     /// statement and returns false.
     bool resolve_route_and_account(run_state& run);
--- a/src/process/failover/primary_wait_estimator.cpp
+++ b/src/process/failover/primary_wait_estimator.cpp
@@ -79,7 +79,7 @@
         return milliseconds(0);
     const auto& state = found->second;
     if (state.closed_at)
-        return remaining_wait(*state.closed_at, expected_unavailability_, now);
+        return expected_replacement_wait(group, now);
     if (state.unreachable_since)
         return remaining_wait(
             *state.unreachable_since,
@@ -87,4 +87,15 @@
     return milliseconds(0);
 }
 
+milliseconds
+primary_wait_estimator::expected_replacement_wait(const std::string& group,
+                                                  time_point now) const
+{
+    const auto found = groups_.find(group);
+    if (found == groups_.end() || !found->second.closed_at)
+        return milliseconds(0);
+    return remaining_wait(*found->second.closed_at, expected_unavailability_,
+                          now);
+}
+
 } // namespace oleandergrade
--- a/src/process/serving/serving_metrics.cpp
+++ b/src/process/serving/serving_metrics.cpp
@@ -137,7 +137,13 @@
         << "# TYPE oleander_reads_total counter\n"
         << "oleander_reads_total{at=\"replica\"} " << replica_reads_ << "\n"
         << "oleander_reads_total{at=\"primary\"} " << primary_reads_ << "\n"
-        << "# TYPE oleander_latency_seconds histogram\n";
+        << "# TYPE oleander_late_answers_total counter\n";
+    for (std::size_t stage = 0; stage < statement_stage_count; ++stage)
+        if (late_by_stage_[stage] > 0)
+            out << "oleander_late_answers_total{stage=\""
+                << to_string(static_cast<statement_stage>(stage)) << "\"} "
+                << late_by_stage_[stage] << "\n";
+    out << "# TYPE oleander_latency_seconds histogram\n";
     for (std::size_t kind = 0; kind < consistency_count; ++kind)
     {
         const std::string label =
--- a/src/process/serving/statement_forwarding.cpp
+++ b/src/process/serving/statement_forwarding.cpp
@@ -90,6 +90,15 @@
         run.session.caller_state.record_commit(*answer.commit_position);
 }
 
+asio::awaitable<forwarding_outcome>
+statement_runner::forward(run_state& run, const std::string& address,
+                          forwarded_statement message)
+{
+    const stage_stopwatch stopwatch(run.stages, statement_stage::forwarding);
+    co_return co_await forwarder_->forward(address, std::move(message),
+                                           run.deadline);
+}
+
 // A statement is sent to another VM again only if it has certainly not run, or
 // if it is a read.
 asio::awaitable<bool>
@@ -106,8 +115,8 @@
             co_return false;
         auto message = make_forwarded_statement(run);
         message.session = forwarder_->make_session_id();
-        const auto outcome = co_await forwarder_->forward(
-            destination.address, std::move(message), run.deadline);
+        const auto outcome =
+            co_await forward(run, destination.address, std::move(message));
         run.outcome.forwarded_to = destination.address;
         if (outcome.result == forwarding_result::answered)
         {
@@ -117,6 +126,7 @@
         run.outcome.reason = outcome.reason;
         if (outcome.result == forwarding_result::lost)
         {
+            run.may_have_run_elsewhere = true;
             if (run.writes)
             {
                 fail(run, session_error::in_doubt, outcome.reason);
@@ -160,8 +170,8 @@
         auto message = make_forwarded_statement(run);
         message.session = transaction.id;
         message.begins_transaction = begins;
-        outcome = co_await forwarder_->forward(
-            transaction.address, std::move(message), run.deadline);
+        outcome =
+            co_await forward(run, transaction.address, std::move(message));
         run.outcome.forwarded_to = transaction.address;
         if (!begins || outcome.result != forwarding_result::not_run)
             break;
@@ -173,6 +183,7 @@
     session.has_written = session.has_written || run.writes;
     if (outcome.result != forwarding_result::answered)
     {
+        run.may_have_run_elsewhere = outcome.result == forwarding_result::lost;
         // The holder may still have the transaction open.
         session.forwarded = std::move(transaction);
         release_pinned_session(session);
--- a/src/process/serving/statement_run_state.hpp
+++ b/src/process/serving/statement_run_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <oleandergrade/process/serving/statement_runner.hpp>
+#include <oleandergrade/process/serving/statement_stages.hpp>
 
 #include <algorithm>
 #include <set>
@@ -47,6 +48,8 @@
     const prepared_statement* prepared = nullptr;
     /// Another VM has forwarded the statement to this one.
     bool is_from_other_vm = false;
+    /// Another VM may have run the statement, although its answer was lost.
+    bool may_have_run_elsewhere = false;
     /// The statement may write.
     bool writes = false;
     /// Identifiers of targets that further attempts must not use.
@@ -54,6 +57,7 @@
     /// The encoded answer to the caller, as far as it is complete.
     std::string reply;
     statement_outcome outcome;
+    stage_times stages;
     /// The outcome is final; no further attempt follows.
     bool answered = false;
 };
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -201,19 +201,46 @@
     return false;
 }
 
-asio::awaitable<bool> statement_runner::admit(run_state& run)
+// An operation that cannot run takes nothing from the account's limit: its
+// caller comes again, and the account's other operations would be refused.
+bool statement_runner::refuse_without_primary(run_state& run,
+                                              bool needs_primary)
 {
+    const auto wait = view_.wait_estimator.expected_replacement_wait(
+        run.matched_route->group, current_time());
+    if (!needs_primary || current_time() + wait <= primary_deadline_of(run))
+        return false;
+    fail(run, session_error::busy, "the primary is being replaced",
+         pool_.spread_retry(wait));
+    return true;
+}
+
+time_point statement_runner::primary_deadline_of(const run_state& run)
+{
+    return std::min(run.deadline,
+                    run.arrived_at +
+                        fraction_of(run.matched_route->statement_timeout,
+                                    primary_wait_fraction));
+}
+
+asio::awaitable<bool> statement_runner::admit(run_state& run,
+                                              bool needs_primary)
+{
+    if (refuse_without_primary(run, needs_primary))
+        co_return false;
     if (run.account == anonymous_account)
         co_return true;
     auto decision = limiter_.admit(run.account, run.arrived_at);
     if (decision.may_borrow && borrow_operation)
     {
         auto account = run.account;
+        const stage_stopwatch stopwatch(run.stages, statement_stage::limit);
         decision = co_await borrow_operation(std::move(account));
         if (!decision.admitted)
             limiter_.on_reserve_empty(run.account, decision.retry_after,
                                       current_time());
     }
+    run.session.has_unused_admission = decision.admitted;
     if (decision.admitted)
         co_return true;
     fail(run, session_error::busy,
@@ -272,10 +299,7 @@
     // latency objective, because a late answer is better than an error. They
     // receive an error at once if the wait would take most of the statement
     // timeout.
-    const auto primary_deadline = std::min(
-        run.deadline,
-        run.arrived_at + fraction_of(run.matched_route->statement_timeout,
-                                     primary_wait_fraction));
+    const auto primary_deadline = primary_deadline_of(run);
     if (needs_primary && view_.wait_estimator.is_isolated())
     {
         fail(run, session_error::busy, "this VM is cut off from the others",
@@ -290,6 +314,7 @@
              pool_.spread_retry(expected_wait));
         co_return false;
     }
+    const stage_stopwatch stopwatch(run.stages, statement_stage::queue);
     auto outcome = co_await pool_.acquire(
         std::move(request), {run.arrived_at, run.arrived_at + latency_objective,
                              run.deadline, primary_deadline});
@@ -402,6 +427,7 @@
     if (count == 0)
         co_return true;
     const auto sent_at = current_time();
+    const stage_stopwatch stopwatch(run.stages, statement_stage::preparing);
     auto outcome = co_await acquired_session.exchange(
         std::move(bytes), count, exchange_timeout_until(run.deadline));
     if (!succeeded(outcome))
@@ -453,7 +479,9 @@
                                          : run.call.verb == session_verb::write;
     if (!run.is_from_other_vm)
     {
-        const bool is_admitted = co_await admit(run);
+        const bool is_admitted =
+            co_await admit(run, run.writes || run.matched_route->consistency ==
+                                                  read_consistency::current);
         if (!is_admitted)
             co_return;
     }
@@ -488,8 +516,8 @@
             continue;
         }
         auto bytes = encode_statement(run, target_placement->minimum_position);
-        auto outcome = co_await acquired_session.exchange(
-            std::move(bytes), 1, exchange_timeout_until(run.deadline));
+        auto outcome =
+            co_await exchange(run, acquired_session, std::move(bytes));
         if (succeeded(outcome))
         {
             view_.record_target_result(target, true, current_time());
@@ -521,6 +549,15 @@
     }
 }
 
+asio::awaitable<result<std::vector<target_answer>>>
+statement_runner::exchange(run_state& run, target_session& session,
+                           std::string bytes)
+{
+    const stage_stopwatch stopwatch(run.stages, statement_stage::target);
+    co_return co_await session.exchange(std::move(bytes), 1,
+                                        exchange_timeout_until(run.deadline));
+}
+
 attempt_facts
 statement_runner::make_attempt_facts(const run_state& run,
                                      bool primary_remained_usable) const
@@ -630,8 +667,26 @@
         run.reply.append(answer.failure_line).append(session_line_end);
 }
 
+// Returns what an operation took from the account's limit if it has certainly
+// not reached a target.
+void statement_runner::settle_admission(run_state& run)
+{
+    auto& session = run.session;
+    if (!session.has_unused_admission)
+        return;
+    const bool may_have_run = run.outcome.attempts > 0 ||
+                              run.may_have_run_elsewhere ||
+                              !run.outcome.target.empty();
+    const bool is_refused = run.outcome.failure == session_error::busy;
+    if (!may_have_run && is_refused)
+        limiter_.refund(run.account, current_time());
+    if (may_have_run || is_refused)
+        session.has_unused_admission = false;
+}
+
 void statement_runner::finish(run_state& run)
 {
+    settle_admission(run);
     codec_.append_readiness(run.reply, run.session.caller_state.transaction());
     run.session.caller_state.on_state_told();
     const auto latency = current_time() - run.arrived_at;
@@ -641,6 +696,7 @@
     metrics_.record_answer(consistency, run.outcome.failure, latency);
     metrics_.record_answer_labels(run.account, run.outcome.target,
                                   run.outcome.failure, run.outcome.reason);
+    explain_latency(run, latency);
     if (run.outcome.failure == session_error::none)
         return;
     const auto* record = run.matched_route == nullptr
@@ -661,6 +717,30 @@
                {"record", record == nullptr ? 0 : record->revision}});
 }
 
+void statement_runner::explain_latency(const run_state& run, duration latency)
+{
+    if (run.matched_route == nullptr ||
+        run.matched_route->latency_objective.count() == 0 ||
+        latency <= run.matched_route->latency_objective)
+        return;
+    const auto& stages = run.stages;
+    metrics_.record_late_answer(stages.longest());
+    log_event(event_level::info, statement_part, "late",
+              {{"request", run.call.id},
+               {"outcome", to_string(run.outcome.failure)},
+               {"database", run.session.database},
+               {"account", run.account},
+               {"target", run.outcome.target},
+               {"forwarded_to", run.outcome.forwarded_to},
+               {"attempts", run.outcome.attempts},
+               {"took", std::chrono::duration_cast<milliseconds>(latency)},
+               {"limit", stages.time_in(statement_stage::limit)},
+               {"queue", stages.time_in(statement_stage::queue)},
+               {"preparing", stages.time_in(statement_stage::preparing)},
+               {"forwarding", stages.time_in(statement_stage::forwarding)},
+               {"at_target", stages.time_in(statement_stage::target)}});
+}
+
 void statement_runner::release_pinned_session(served_session& session)
 {
     if (session.forwarded)
--- a/src/process/serving/statement_transactions.cpp
+++ b/src/process/serving/statement_transactions.cpp
@@ -11,11 +11,13 @@
     if (session.caller_state.transaction() != transaction_state::none)
         co_return fail(run, session_error::malformed,
                        "a transaction is open already");
-    const bool is_admitted = co_await admit(run);
+    const bool is_read_only = run.call.verb == session_verb::begin_read_only;
+    const bool is_admitted =
+        co_await admit(run, !is_read_only || run.matched_route->consistency ==
+                                                 read_consistency::current);
     if (!is_admitted)
         co_return;
-    session.caller_state.begin_transaction(run.call.verb ==
-                                           session_verb::begin_read_only);
+    session.caller_state.begin_transaction(is_read_only);
     session.has_written = false;
     session.transaction_route = *run.matched_route;
     session.transaction_account = run.account;
@@ -108,8 +110,7 @@
     }
     session.has_written = session.has_written || run.writes;
     auto bytes = encode_statement(run, std::nullopt);
-    auto outcome = co_await acquired_session.exchange(
-        std::move(bytes), 1, exchange_timeout_until(run.deadline));
+    auto outcome = co_await exchange(run, acquired_session, std::move(bytes));
     // Until the transaction's next statement, its slot may be used by others.
     pool_.serve_waiting(run.matched_route->group);
     if (!succeeded(outcome))
@@ -177,8 +178,7 @@
     }
     const bool has_written = session.has_written;
     auto bytes = encode_statement(run, std::nullopt);
-    auto outcome = co_await acquired_session.exchange(
-        std::move(bytes), 1, exchange_timeout_until(run.deadline));
+    auto outcome = co_await exchange(run, acquired_session, std::move(bytes));
     session.caller_state.end_transaction();
     if (!succeeded(outcome))
     {
--- a/tests/test_statement_runner.cpp
+++ b/tests/test_statement_runner.cpp
@@ -132,3 +132,40 @@
     vm.runner.fail_transaction(vm.session);
     cr_assert(vm.run(session_verb::commit).failure == session_error::aborted);
 }
+
+// The load: a primary is lost, and its callers come again at once. Their tries
+// used up the account's limit, so that its work at other groups was refused.
+Test(statement_runner, tries_that_reach_no_target_leave_the_limit_alone)
+{
+    runner_fixture vm;
+    const auto expected = vm.operations_left();
+    cr_assert(expected > 10);
+    runner_fixture other;
+    other.put_record(1, true);
+    other.put_record(2, false);
+    for (int i = 0; i < 50; ++i)
+    {
+        const auto verb =
+            i % 2 == 0 ? session_verb::write : session_verb::begin;
+        const auto outcome = other.run(verb);
+        cr_assert(outcome.failure == session_error::busy);
+        cr_assert(outcome.retry_after.count() > 0);
+    }
+    const auto left = other.operations_left();
+    cr_assert(left >= expected, "%d of %d", left, expected);
+}
+
+// The load: the account's group has no session free for a while.
+Test(statement_runner, operations_refused_in_the_queue_are_given_back)
+{
+    runner_fixture vm;
+    const auto expected = vm.operations_left();
+    cr_assert(expected > 10);
+    runner_fixture other;
+    other.put_record(1, true);
+    for (int i = 0; i < 5; ++i)
+        cr_assert(other.run(session_verb::write).failure ==
+                  session_error::busy);
+    const auto left = other.operations_left();
+    cr_assert(left >= expected, "%d of %d", left, expected);
+}
