Probe every failure domain, and keep the choice while there is no leader

Cause: a VM without a leader probed eight others and replaced those that were silent, so that after a second all eight were of its own domain.

Change: the probed VMs are of all domains in turn and stay the same until the VM has a leader.

--- a/include/oleandergrade/process/membership/isolation_monitor.hpp
+++ b/include/oleandergrade/process/membership/isolation_monitor.hpp
@@ -4,7 +4,7 @@
 #include <oleandergrade/process/fleet_state.hpp>
 #include <oleandergrade/process/membership/leader_tracker.hpp>
 #include <oleandergrade/process/membership/peer_client.hpp>
-#include <oleandergrade/process/membership/peer_sample.hpp>
+#include <oleandergrade/process/membership/probe_selection.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -16,7 +16,7 @@
 namespace oleandergrade
 {
 
-/// Probes a random selection of the other VMs while the leader does not answer.
+/// Probes a selection of the other VMs while the leader does not answer.
 /// The VM is isolated if fewer than half of them answer. All members must be
 /// called on one executor.
 class isolation_monitor
@@ -38,7 +38,7 @@
     /// Starts to probe if the VM's grant is overdue and no probe is under way.
     void check(time_point now);
     /// The VM has received a grant, or is the leader.
-    void on_grant() { set_isolated(false, 1, 1); }
+    void on_grant();
 
     bool is_isolated() const { return isolated_; }
 
@@ -59,9 +59,7 @@
     std::function<fleet_report()> make_probe_;
     bool isolated_ = false;
     bool is_probing_ = false;
-    std::minstd_rand random_;
-    /// The VMs that are probed in a large fleet.
-    peer_sample sample_;
+    probe_selection selection_;
 };
 
 } // namespace oleandergrade
--- a/src/process/membership/isolation_monitor.cpp
+++ b/src/process/membership/isolation_monitor.cpp
@@ -17,8 +17,6 @@
 namespace
 {
 
-/// Number of VMs that are probed to find out whether this one is isolated.
-constexpr std::size_t max_probed_vms = 8;
 /// Probes are counted this long after their timeout.
 constexpr auto probe_count_delay = milliseconds(50);
 
@@ -31,9 +29,7 @@
                                      std::function<fleet_report()> make_probe)
     : executor_(std::move(executor)), state_(state), leader_(leader),
       peers_(peers), make_probe_(std::move(make_probe)),
-      random_(static_cast<std::minstd_rand::result_type>(state.incarnation)),
-      sample_(max_probed_vms,
-              static_cast<std::minstd_rand::result_type>(state.incarnation))
+      selection_(static_cast<std::minstd_rand::result_type>(state.incarnation))
 {
 }
 
@@ -46,15 +42,8 @@
 asio::awaitable<void> isolation_monitor::probe_peers()
 {
     is_probing_ = true;
-    std::vector<std::string> addresses;
-    for (const auto& [name, member] : state_.members.all())
-        if (name != state_.settings.name)
-            addresses.push_back(member.address);
-    if (addresses.size() + 1 >= large_fleet_size)
-        addresses = sample_.choose(addresses);
-    else
-        std::shuffle(addresses.begin(), addresses.end(), random_);
-    addresses.resize(std::min(addresses.size(), max_probed_vms));
+    const auto addresses =
+        selection_.addresses(state_.members, state_.settings.name);
     const auto answer_count = std::make_shared<std::size_t>(0);
     for (const auto& address : addresses)
         asio::co_spawn(executor_, probe_peer(address, answer_count),
@@ -75,8 +64,12 @@
         co_await peers_.call(address, std::move(body), probe_timeout);
     if (succeeded(outcome))
         ++*answer_count;
-    else
-        sample_.replace(address);
+}
+
+void isolation_monitor::on_grant()
+{
+    selection_.discard();
+    set_isolated(false, 1, 1);
 }
 
 void isolation_monitor::set_isolated(bool isolated, std::size_t probed_vms,
--- a/tests/test_store_pacing.cpp
+++ b/tests/test_store_pacing.cpp
@@ -6,6 +6,7 @@
 #include <oleandergrade/process/configuration/store_follower.hpp>
 #include <oleandergrade/process/membership/member_registration.hpp>
 #include <oleandergrade/process/membership/peer_sample.hpp>
+#include <oleandergrade/process/membership/probe_selection.hpp>
 #include <oleandergrade/process/membership/store_pacing.hpp>
 #include <oleandergrade/process/store_layout.hpp>
 
@@ -450,3 +451,33 @@
     small_sample.replace("a");
     cr_assert(small_sample.choose(two).size() == 2);
 }
+
+// The load: a failure domain of 22 VMs is cut off for seconds, and callers
+// reach it. Its VMs found each other, took themselves for connected again and
+// kept their callers' sessions until the end of the cut.
+Test(store_pacing, vms_of_a_domain_that_is_cut_off_do_not_find_each_other)
+{
+    member_list members;
+    const std::vector<std::string> domains{"east", "north", "south", "west"};
+    for (int i = 0; i < 87; ++i)
+        members.put({"vm-" + std::to_string(i), "address-" + std::to_string(i),
+                     1, domains[static_cast<std::size_t>(i) % 4]});
+    std::map<std::string, std::string> domain_of;
+    for (const auto& [name, member] : members.all())
+        domain_of[member.address] = member.failure_domain;
+    for (const auto& [name, member] : members.all())
+        for (unsigned seed = 1; seed <= 20; ++seed)
+        {
+            const bool is_cut_off = member.failure_domain == "west";
+            probe_selection selection(seed);
+            const auto first = selection.addresses(members, name);
+            cr_assert(first.size() == probe_selection::max_vms);
+            const auto answers = std::count_if(
+                first.begin(), first.end(),
+                [&](const std::string& address)
+                { return (domain_of.at(address) == "west") == is_cut_off; });
+            cr_assert((static_cast<std::size_t>(answers) * 2 < first.size()) ==
+                      is_cut_off);
+            cr_assert(selection.addresses(members, name) == first);
+        }
+}
