Name the lenders of one account apart from those that are listed

Cause: the setting for how many VMs of a domain are listed and the field for how many of them lend for one account had the same name.

Change: the field is lenders_per_account.

--- a/include/oleandergrade/connection/lender_table.hpp
+++ b/include/oleandergrade/connection/lender_table.hpp
@@ -29,8 +29,8 @@
     /// table. A table with a higher version replaces one with a lower version.
     std::uint64_t version = 0;
     /// Number of the listed VMs of each failure domain that lend operations of
-    /// the same account; 0 stands for all of them.
-    std::uint32_t lenders_per_domain = 0;
+    /// one account; 0 stands for all of them.
+    std::uint32_t lenders_per_account = 0;
     /// In the order of their failure domains and names.
     std::vector<lender> lenders;
     /// Names of VMs that are no longer lenders but may still hold a lender's
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -112,6 +112,10 @@
     std::uint64_t reports_relayed() const { return relay_.relayed_count(); }
     std::uint64_t snapshots_fetched() const { return copies_.fetched_count(); }
     const fleet_counts& counts() const { return counts_; }
+    std::uint64_t lender_table_version() const
+    {
+        return lending_.table_version();
+    }
     const struct lending_counts& lending_counts() const
     {
         return lending_.counts();
--- a/programs/oleander_vm.cpp
+++ b/programs/oleander_vm.cpp
@@ -3,6 +3,7 @@
 #include "../platform/platform_parts.hpp"
 #include "../platform/settings_file.hpp"
 
+#include <oleandergrade/connection/protocol_level.hpp>
 #include <oleandergrade/process/event_log.hpp>
 #include <oleandergrade/process/vm_daemon.hpp>
 
@@ -13,6 +14,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <string>
 
 DEFINE_string(settings, "",
               "the platform's settings file; by default the path in the "
@@ -88,7 +90,8 @@
 {
     gflags::SetUsageMessage(
         "oleander-vm [--settings FILE] [--own_settings FILE] [--check]");
-    gflags::SetVersionString("0.3.0");
+    gflags::SetVersionString("0.3.0, protocol level " +
+                             std::to_string(oleandergrade::protocol_level));
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto settings = read_settings();
     if (!succeeded(settings))
--- a/programs/oleanderctl.cpp
+++ b/programs/oleanderctl.cpp
@@ -144,6 +144,7 @@
               << (grant == nullptr ? "?" : json::serialize(*grant))
               << " ms, configuration " << unsigned_field(state, "configuration")
               << ", members " << unsigned_field(state, "members")
+              << ", protocol level " << unsigned_field(state, "protocol_level")
               << ", sessions " << unsigned_field(state, "sessions")
               << ", primaries " << open << " open " << closed << " closed";
     if (unsigned_field(state, "holder_table") > 0)
--- a/src/connection/fleet_message_codec.cpp
+++ b/src/connection/fleet_message_codec.cpp
@@ -101,7 +101,7 @@
 void write(wire::LenderTable::Builder out, const lender_table& in)
 {
     out.setVersion(in.version);
-    out.setLendersPerDomain(in.lenders_per_domain);
+    out.setLendersPerAccount(in.lenders_per_account);
     auto lenders = out.initLenders(size_of(in.lenders));
     for (unsigned i = 0; i < in.lenders.size(); ++i)
     {
@@ -118,7 +118,7 @@
 {
     lender_table out;
     out.version = in.getVersion();
-    out.lenders_per_domain = in.getLendersPerDomain();
+    out.lenders_per_account = in.getLendersPerAccount();
     for (const auto listed : in.getLenders())
         out.lenders.push_back({string_from_wire(listed.getVm()),
                                string_from_wire(listed.getAddress()),
--- a/src/connection/lender_table.cpp
+++ b/src/connection/lender_table.cpp
@@ -26,9 +26,9 @@
     for (const auto& listed : table_.lenders)
         ++sizes[listed.failure_domain];
     for (const auto& [domain, size] : sizes)
-        count_ += table_.lenders_per_domain == 0
+        count_ += table_.lenders_per_account == 0
                       ? size
-                      : std::min<std::size_t>(size, table_.lenders_per_domain);
+                      : std::min<std::size_t>(size, table_.lenders_per_account);
 }
 
 bool account_lenders::contains(const std::string& vm) const
@@ -55,7 +55,7 @@
 
 std::vector<lender> account_lenders::choose(const std::string& account) const
 {
-    if (table_.lenders_per_domain == 0)
+    if (table_.lenders_per_account == 0)
         return table_.lenders;
     std::map<std::string, std::vector<std::pair<std::uint64_t, lender>>>
         domains;
@@ -67,7 +67,7 @@
     {
         std::sort(candidates.rbegin(), candidates.rend());
         candidates.resize(std::min<std::size_t>(candidates.size(),
-                                                table_.lenders_per_domain));
+                                                table_.lenders_per_account));
         for (auto& candidate : candidates)
             chosen.push_back(std::move(candidate.second));
     }
--- a/src/connection/peer_message.capnp
+++ b/src/connection/peer_message.capnp
@@ -133,7 +133,7 @@
 # Which VMs lend operations of the client accounts' limits.
 struct LenderTable {
   version @0 :UInt64;
-  lendersPerDomain @1 :UInt32;
+  lendersPerAccount @1 :UInt32;
   lenders @2 :List(Lender);
   formerLenders @3 :List(Text);
 }
--- a/src/connection/peer_message.capnp.h
+++ b/src/connection/peer_message.capnp.h
@@ -1445,7 +1445,7 @@
 
   inline  ::uint64_t getVersion() const;
 
-  inline  ::uint32_t getLendersPerDomain() const;
+  inline  ::uint32_t getLendersPerAccount() const;
 
   inline bool hasLenders() const;
   inline  ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>::Reader getLenders() const;
@@ -1484,8 +1484,8 @@
   inline  ::uint64_t getVersion();
   inline void setVersion( ::uint64_t value);
 
-  inline  ::uint32_t getLendersPerDomain();
-  inline void setLendersPerDomain( ::uint32_t value);
+  inline  ::uint32_t getLendersPerAccount();
+  inline void setLendersPerAccount( ::uint32_t value);
 
   inline bool hasLenders();
   inline  ::capnp::List< ::oleandergrade::wire::Lender,  ::capnp::Kind::STRUCT>::Builder getLenders();
@@ -5087,16 +5087,16 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t LenderTable::Reader::getLendersPerDomain() const {
+inline  ::uint32_t LenderTable::Reader::getLendersPerAccount() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t LenderTable::Builder::getLendersPerDomain() {
+inline  ::uint32_t LenderTable::Builder::getLendersPerAccount() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void LenderTable::Builder::setLendersPerDomain( ::uint32_t value) {
+inline void LenderTable::Builder::setLendersPerAccount( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
--- a/src/process/limits/lender_assigner.cpp
+++ b/src/process/limits/lender_assigner.cpp
@@ -31,7 +31,7 @@
 }
 
 /// Returns how many VMs of a failure domain lend operations of one account.
-std::size_t lenders_per_domain(std::size_t domains, std::size_t domain_size)
+std::size_t lenders_per_account(std::size_t domains, std::size_t domain_size)
 {
     return std::max((lender_assigner::min_lenders + domains - 1) / domains,
                     domain_size / lender_assigner::vms_per_lender);
@@ -44,7 +44,7 @@
 
 bool is_same_choice(const lender_table& left, const lender_table& right)
 {
-    return left.lenders_per_domain == right.lenders_per_domain &&
+    return left.lenders_per_account == right.lenders_per_account &&
            left.lenders == right.lenders &&
            left.former_lenders == right.former_lenders;
 }
@@ -61,7 +61,7 @@
     json::array former(table.former_lenders.begin(),
                        table.former_lenders.end());
     return json::serialize(
-        json::object{{"lenders_per_domain", table.lenders_per_domain},
+        json::object{{"lenders_per_account", table.lenders_per_account},
                      {"lenders", std::move(lenders)},
                      {"former", std::move(former)}});
 }
@@ -78,8 +78,8 @@
     const auto& fields = value_of(parsed);
     lender_table table;
     table.version = revision;
-    table.lenders_per_domain = static_cast<std::uint32_t>(
-        unsigned_field(fields, "lenders_per_domain"));
+    table.lenders_per_account = static_cast<std::uint32_t>(
+        unsigned_field(fields, "lenders_per_account"));
     if (const auto* lenders = fields.if_contains("lenders");
         lenders != nullptr && lenders->is_array())
         for (const auto& entry : lenders->as_array())
@@ -111,8 +111,9 @@
     for (const auto& [domain, vms] : domains)
     {
         const std::size_t first = vms.size() > 1 ? 1 : 0;
-        const auto count = std::min(
-            vms.size() - first, lenders_per_domain(domains.size(), vms.size()));
+        const auto count =
+            std::min(vms.size() - first,
+                     lenders_per_account(domains.size(), vms.size()));
         for (std::size_t i = first; i < first + count; ++i)
             table.lenders.push_back(as_lender(*vms[i]));
     }
@@ -184,8 +185,9 @@
     std::size_t largest_domain = 0;
     for (const auto& [domain, vms] : domains)
         largest_domain = std::max(largest_domain, vms.size());
-    const auto per_account = lenders_per_domain(domains.size(), largest_domain);
-    next.lenders_per_domain = static_cast<std::uint32_t>(per_account);
+    const auto per_account =
+        lenders_per_account(domains.size(), largest_domain);
+    next.lenders_per_account = static_cast<std::uint32_t>(per_account);
     for (const auto& [domain, vms] : domains)
     {
         // If all VMs of a domain are silent, it is cut off and its lenders
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -371,6 +371,8 @@
         {"sessions", session_server_.session_count()},
         {"primaries", std::move(primaries)},
         {"targets", std::move(targets)},
+        {"protocol_level", state_.members.lowest_level()},
+        {"lender_table", fleet_service_.lender_table_version()},
         {"holder_table", state_.holders.table().version},
         {"shared_groups", std::move(shared_groups)},
         {"slices_held", slices_held},
