Do not give operations back that reached no target

Rules come first.

Change: taken back; a statement whose primary is known to be replaced for too long is still refused before it is counted.

--- a/include/oleandergrade/process/limits/operation_limiter.hpp
+++ b/include/oleandergrade/process/limits/operation_limiter.hpp
@@ -89,9 +89,6 @@
     /// Takes one operation out of the account's bucket. Refuses accounts that
     /// are not configured.
     admission admit(const std::string& account, time_point now);
-    /// Gives back an admitted operation that has not run. It may run again
-    /// while this VM has a share or a loan, as long as that is valid.
-    void refund(const std::string& account, time_point now);
     /// Records that the leader's reserve has no operation left for the account.
     /// Nothing is borrowed for it until `retry_after` has passed.
     void on_reserve_empty(const std::string& account, milliseconds retry_after,
--- a/include/oleandergrade/process/serving/statement_runner.hpp
+++ b/include/oleandergrade/process/serving/statement_runner.hpp
@@ -52,9 +52,6 @@
     bool occupies_target() const { return pinned_placement || forwarded; }
     /// A write of the open transaction has been sent to the target.
     bool has_written = false;
-    /// The operation under way has been counted against the account's limit,
-    /// and none of its statements has reached a target.
-    bool has_unused_admission = false;
     /// The route and the account under which the open transaction began; both
     /// stay in force until it ends.
     route transaction_route;
@@ -222,9 +219,6 @@
             forwarded_statement message);
     /// Records which stage made an answer later than the route's objective.
     void explain_latency(const run_state& run, duration latency);
-    /// Gives an operation back to the limiter that was admitted and has not
-    /// run.
-    void settle_admission(run_state& run);
     /// Determines the route and the account. If one is missing, it answers the
     /// statement and returns false.
     bool resolve_route_and_account(run_state& run);
--- a/src/process/limits/operation_limiter.cpp
+++ b/src/process/limits/operation_limiter.cpp
@@ -150,21 +150,6 @@
             may_borrow};
 }
 
-// What is given back counts as if it had never been taken, so that it neither
-// exceeds the burst nor prolongs a loan.
-void operation_limiter::refund(const std::string& account, time_point now)
-{
-    const auto found = buckets_.find(account);
-    if (found == buckets_.end())
-        return;
-    auto& state = found->second;
-    refill(state, now);
-    if (now < state.loan_valid_until)
-        ++state.lent_operations;
-    else
-        state.tokens = std::min(state.tokens + 1, current_burst(state, now));
-}
-
 void operation_limiter::on_reserve_empty(const std::string& account,
                                          milliseconds retry_after,
                                          time_point now)
@@ -194,7 +179,7 @@
                                 time_point valid_until, time_point now)
 {
     const auto found = buckets_.find(account);
-    if (found == buckets_.end() || operations == 0 || now >= valid_until)
+    if (found == buckets_.end() || operations <= 1 || now >= valid_until)
         return;
     auto& state = found->second;
     const bool has_loan =
--- a/src/process/serving/statement_forwarding.cpp
+++ b/src/process/serving/statement_forwarding.cpp
@@ -126,7 +126,6 @@
         run.outcome.reason = outcome.reason;
         if (outcome.result == forwarding_result::lost)
         {
-            run.may_have_run_elsewhere = true;
             if (run.writes)
             {
                 fail(run, session_error::in_doubt, outcome.reason);
@@ -183,7 +182,6 @@
     session.has_written = session.has_written || run.writes;
     if (outcome.result != forwarding_result::answered)
     {
-        run.may_have_run_elsewhere = outcome.result == forwarding_result::lost;
         // The holder may still have the transaction open.
         session.forwarded = std::move(transaction);
         release_pinned_session(session);
--- a/src/process/serving/statement_run_state.hpp
+++ b/src/process/serving/statement_run_state.hpp
@@ -48,8 +48,6 @@
     const prepared_statement* prepared = nullptr;
     /// Another VM has forwarded the statement to this one.
     bool is_from_other_vm = false;
-    /// Another VM may have run the statement, although its answer was lost.
-    bool may_have_run_elsewhere = false;
     /// The statement may write.
     bool writes = false;
     /// Identifiers of targets that further attempts must not use.
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -240,7 +240,6 @@
             limiter_.on_reserve_empty(run.account, decision.retry_after,
                                       current_time());
     }
-    run.session.has_unused_admission = decision.admitted;
     if (decision.admitted)
         co_return true;
     fail(run, session_error::busy,
@@ -667,26 +666,8 @@
         run.reply.append(answer.failure_line).append(session_line_end);
 }
 
-// Returns what an operation took from the account's limit if it has certainly
-// not reached a target.
-void statement_runner::settle_admission(run_state& run)
-{
-    auto& session = run.session;
-    if (!session.has_unused_admission)
-        return;
-    const bool may_have_run = run.outcome.attempts > 0 ||
-                              run.may_have_run_elsewhere ||
-                              !run.outcome.target.empty();
-    const bool is_refused = run.outcome.failure == session_error::busy;
-    if (!may_have_run && is_refused)
-        limiter_.refund(run.account, current_time());
-    if (may_have_run || is_refused)
-        session.has_unused_admission = false;
-}
-
 void statement_runner::finish(run_state& run)
 {
-    settle_admission(run);
     codec_.append_readiness(run.reply, run.session.caller_state.transaction());
     run.session.caller_state.on_state_told();
     const auto latency = current_time() - run.arrived_at;
