Let a VM that leads for the first time know of its predecessors

Cause: a share_allocator of a fleet that had started for the first time took its own first election for the first of the fleet, had no earlier shares to leave alone and kept a full reserve, however many leaders there had been; a VM that was re-elected kept the reserve of its earlier term.

Change: only a leader that has seen neither another leader's token nor keys that a leader writes is the first; all others begin with the reserve after an election. Lenders that have not reported since the election are kept for as long as their shares may be valid. The room for operations in queues is taken back: queues were not the cause, and requests that are sent before a window do not count in it.

--- a/include/oleandergrade/process/limits/account_budget.hpp
+++ b/include/oleandergrade/process/limits/account_budget.hpp
@@ -5,7 +5,6 @@
 #include <oleandergrade/clock.hpp>
 #include <oleandergrade/version/route_table.hpp>
 
-#include <algorithm>
 #include <cstdint>
 
 namespace oleandergrade
@@ -33,9 +32,6 @@
 /// operations lost while shares are moved: an account whose demand exceeds its
 /// rate must get all of its rate.
 inline constexpr double rate_overshoot_fraction = 0.4;
-/// Operations that were admitted before a window and wait for this long reach
-/// their targets within it; of the tolerance they need this part of the rate.
-inline constexpr double queue_seconds = 0.35;
 /// Fractions of the rate and the burst that the VMs hold as shares. The rest is
 /// the leader's reserve, from which VMs borrow single operations.
 inline constexpr double shared_rate_fraction = 0.6;
@@ -111,21 +107,14 @@
 {
     const auto window_seconds =
         std::chrono::duration<double>(tolerance.window).count();
-    const auto tolerated_operations =
-        tolerance.overshoot_fraction *
-            (window_seconds * account.rate + account.burst) +
-        tolerance.slack_operations;
-    const auto extra_rate =
-        account.rate * rate_overshoot_fraction * tolerance.overshoot_fraction;
-    const auto extra_burst = burst_tolerance_fraction * tolerated_operations;
-    const auto extra_operations = window_seconds * extra_rate + extra_burst;
-    const auto free_operations =
-        std::max(0.0, tolerated_operations - queue_seconds * account.rate);
-    const auto usable_fraction = extra_operations > free_operations
-                                     ? free_operations / extra_operations
-                                     : 1.0;
-    return {account.rate + usable_fraction * extra_rate,
-            account.burst + usable_fraction * extra_burst};
+    const auto allowed_operations =
+        window_seconds * account.rate + account.burst;
+    return {account.rate *
+                (1 + rate_overshoot_fraction * tolerance.overshoot_fraction),
+            account.burst +
+                burst_tolerance_fraction *
+                    (tolerance.overshoot_fraction * allowed_operations +
+                     tolerance.slack_operations)};
 }
 
 } // namespace oleandergrade
--- a/include/oleandergrade/process/limits/lender_assigner.hpp
+++ b/include/oleandergrade/process/limits/lender_assigner.hpp
@@ -56,7 +56,8 @@
     static constexpr std::size_t vms_per_lender = 60;
     /// A lender that has not been present for this long is replaced.
     static constexpr milliseconds max_absence{2000};
-    /// How long a former lender may hold a lender's share.
+    /// How long a former lender may hold a lender's share. A lender that has
+    /// not been present since the election is kept for this long.
     static constexpr milliseconds former_lender_time{14'000};
 
     /// `listed_per_domain`: how many VMs of each failure domain share the work
@@ -87,7 +88,7 @@
                      time_point now);
 
     std::size_t listed_per_domain_;
-    /// When each lender was last present.
+    /// When each lender was last present since the election.
     std::map<std::string, time_point> present_at_;
     /// When former lenders were replaced; those of an earlier leader when this
     /// VM was elected.
--- a/include/oleandergrade/process/limits/share_allocator.hpp
+++ b/include/oleandergrade/process/limits/share_allocator.hpp
@@ -63,8 +63,9 @@
     /// table must be in the store already.
     void set_lenders(const lender_table& table);
     /// This VM was elected leader. The shares that VMs hold are reconstructed
-    /// from their reports.
-    void on_elected(time_point now);
+    /// from their reports. `is_first_leader`: no VM has been the leader since
+    /// the fleet started for the first time, so that there are none.
+    void on_elected(bool is_first_leader, time_point now);
 
     /// Records that a VM has reported, with or without its demands. If it has
     /// restarted, its shares are void. Returns false, and records nothing, if
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -208,6 +208,9 @@
     /// Reads the evacuated domains again if they have differed from those of
     /// the leader for some time.
     void compare_evacuations(const fleet_grant& grant, time_point now);
+    /// Whether the store, as far as it has been read, has keys that only a
+    /// leader writes.
+    bool store_shows_earlier_leader() const;
     /// Renews this leader's own grant and its own shares of the limits.
     void grant_to_self(time_point now);
     boost::asio::awaitable<void> accept_loop();
@@ -246,6 +249,8 @@
     bool registered_ = false;
     /// Whether this VM was the leader after the previous election event.
     bool was_leader_ = false;
+    /// At the last election of this VM there was no sign of an earlier leader.
+    bool is_first_leader_ = false;
     /// Whether this VM held a valid grant at the previous report.
     bool had_grant_ = false;
     std::minstd_rand random_;
--- a/include/oleandergrade/process/membership/grant_issuer.hpp
+++ b/include/oleandergrade/process/membership/grant_issuer.hpp
@@ -38,8 +38,15 @@
     /// than this VM has.
     std::function<void(std::string address)> on_newer_configuration;
 
-    /// This VM was elected leader.
-    void on_elected(time_point now);
+    /// This VM was elected leader. `is_first_leader`: there is no sign of an
+    /// earlier leader, so that no VM holds a share.
+    void on_elected(bool is_first_leader, time_point now);
+    /// The complete view shows that there was an earlier leader after all. To
+    /// be called before the first grant.
+    void on_predecessor_found(time_point now)
+    {
+        share_allocator_.on_elected(false, now);
+    }
     /// To be called after each change of the registered VMs.
     void on_members_changed(time_point now);
     /// A VM has registered with a new incarnation.
--- a/src/process/limits/lender_assigner.cpp
+++ b/src/process/limits/lender_assigner.cpp
@@ -153,7 +153,7 @@
                                        time_point now)
 {
     for (const auto& listed : current.lenders)
-        if (input.is_present(listed.vm) || !present_at_.contains(listed.vm))
+        if (input.is_present(listed.vm))
             present_at_[listed.vm] = now;
     std::erase_if(present_at_,
                   [&](const auto& entry)
@@ -170,10 +170,17 @@
                                   time_point now) const
 {
     const auto* member = input.members->find(listed.vm);
+    if (member == nullptr || as_lender(*member) != listed ||
+        listed.vm == input.leader)
+        return false;
     const auto present_at = present_at_.find(listed.vm);
-    return member != nullptr && as_lender(*member) == listed &&
-           listed.vm != input.leader && present_at != present_at_.end() &&
-           now - present_at->second < max_absence;
+    const auto absent_since =
+        present_at == present_at_.end() ? elected_at_ : present_at->second;
+    // What a lender may hold that has not reported since the election is kept
+    // free for it; until then nobody else would get it.
+    const auto is_unreported = present_at == present_at_.end();
+    return now - absent_since <
+           (is_unreported ? former_lender_time : max_absence);
 }
 
 lender_table lender_assigner::choose_present(const lender_table& current,
@@ -209,7 +216,10 @@
                 input.is_present(member.name) &&
                 std::find(listed.begin(), listed.end(), candidate) ==
                     listed.end())
+            {
                 listed.push_back(candidate);
+                present_at_[candidate.vm] = now;
+            }
         };
         // The strongest VM of a domain is the next one to become the leader.
         for (std::size_t i = 1; i < vms.size(); ++i)
--- a/src/process/limits/share_allocator.cpp
+++ b/src/process/limits/share_allocator.cpp
@@ -108,11 +108,11 @@
     return has_lenders() && lenders_.contains(account, vm);
 }
 
-void share_allocator::on_elected(time_point now)
+void share_allocator::on_elected(bool is_first_leader, time_point now)
 {
     elected_at_ = now;
-    // The first leader of a new fleet has no earlier shares to reconstruct.
-    has_earlier_shares_ = !starts_full_;
+    const bool keeps_reserve = starts_full_ && is_first_leader;
+    has_earlier_shares_ = !keeps_reserve;
     starts_full_ = false;
     reported_vms_.clear();
     vms_with_demands_ = 0;
@@ -128,8 +128,8 @@
         add_possible_lenders(account);
         // There is no record of how much the previous leader left in the
         // reserve.
-        account.reserve =
-            std::max(account.reserve, account.reserve_after_election);
+        if (!keeps_reserve)
+            account.reserve = account.reserve_after_election;
     }
 }
 
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -191,10 +191,19 @@
               {{"token", election_.token()},
                {"revision", store_revision},
                {"members", state_.members.size()}});
+    if (is_first_leader_ && store_shows_earlier_leader())
+        grants_.on_predecessor_found(current_time());
     grant_to_self(current_time());
     failover_.wake();
 }
 
+// Only leaders write these keys, and they do so soon after their first grants.
+bool fleet_service::store_shows_earlier_leader() const
+{
+    return !state_.view.authority.records().empty() ||
+           lending_.table_version() != 0;
+}
+
 void fleet_service::apply_own_key(const stored_change& change)
 {
     const auto now = current_time();
@@ -379,6 +388,7 @@
 {
     const auto now = current_time();
     const bool is_leader = election_.is_leader();
+    const auto earlier_token = state_.view.authority.highest_token();
     if (election_.known_leader_revision() != 0)
         state_.view.authority.on_token(election_.known_leader_revision());
     election_wake_timer_.cancel();
@@ -394,7 +404,10 @@
     if (is_leader)
     {
         ++counts_.elections_won;
-        grants_.on_elected(now);
+        is_first_leader_ =
+            (earlier_token == 0 || earlier_token == election_.token()) &&
+            !store_shows_earlier_leader();
+        grants_.on_elected(is_first_leader_, now);
         lending_.on_elected(now);
         state_.view.authority.on_token(election_.token());
         grant_to_self(now);
--- a/src/process/membership/grant_issuer.cpp
+++ b/src/process/membership/grant_issuer.cpp
@@ -33,11 +33,11 @@
 {
 }
 
-void grant_issuer::on_elected(time_point now)
+void grant_issuer::on_elected(bool is_first_leader, time_point now)
 {
     grant_tracker_.on_elected(leader_.last_granted_at(), now);
     grant_tracker_.update_members(state_.members.names());
-    share_allocator_.on_elected(now);
+    share_allocator_.on_elected(is_first_leader, now);
     relay_chooser_.clear();
     holder_assigner_.adopt(state_.holders.table());
     stopping_vms_.clear();
--- a/tests/fakes/limit_fleet.cpp
+++ b/tests/fakes/limit_fleet.cpp
@@ -54,15 +54,15 @@
         vm.limiter = std::make_unique<operation_limiter>(tolerance, true);
         vm.limiter->set_limits(limits_, member_count(), now_);
         vm.limiter->on_registered(now_);
+        vm.allocator = std::make_unique<share_allocator>(tolerance, true);
+        vm.allocator->set_limits(limits_, now_);
     }
-    allocator_ = std::make_unique<share_allocator>(tolerance, true);
-    allocator_->set_limits(limits_, now_);
-    allocator_->set_member_counts(member_count(), 1);
+    leader_allocator().set_member_counts(member_count(), 1);
     // The fleet has run before the accounts' callers come.
     for (auto& vm : vms_)
         vm.reported_at = now_;
     review_lenders();
-    allocator_->on_elected(now_);
+    leader_allocator().on_elected(true, now_);
     assigner_.on_elected(now_);
     next_limit_change_at_ = now_ + seconds(4);
 }
@@ -142,7 +142,8 @@
     for (auto& vm : vms_)
         if (vm.is_running)
             vm.limiter->set_limits(limits_, member_count(), now_);
-    allocator_->set_limits(limits_, now_);
+    for (auto& vm : vms_)
+        vm.allocator->set_limits(limits_, now_);
 }
 
 limit_fleet_outcome limit_fleet::run(milliseconds length)
@@ -267,10 +268,12 @@
         vm.earlier_limiter = std::move(vm.limiter);
     vm.limiter = std::make_unique<operation_limiter>(tolerance, false);
     vm.limiter->set_limits(limits_, member_count(), now_);
+    vm.allocator = std::make_unique<share_allocator>(tolerance, false);
+    vm.allocator->set_limits(limits_, now_);
     if (now_ < store_unavailable_until_)
         return;
     vm.limiter->on_registered(now_);
-    allocator_->on_registered(vm.name, now_);
+    leader_allocator().on_registered(vm.name, now_);
 }
 
 void limit_fleet::replace_vm()
@@ -316,12 +319,16 @@
         candidates[random_() % std::min<std::size_t>(candidates.size(), 3)];
     for (auto& vm : vms_)
         vm.reported_at = {};
-    allocator_ = std::make_unique<share_allocator>(
-        tolerance, settings_.defect == limit_defect::shares_allocated_twice);
-    allocator_->set_limits(limits_, now_);
-    allocator_->set_member_counts(member_count(), 1);
-    allocator_->set_lenders(lender_table_);
-    allocator_->on_elected(now_);
+    if (settings_.defect == limit_defect::shares_allocated_twice)
+    {
+        vms_[leader_].allocator =
+            std::make_unique<share_allocator>(tolerance, true);
+        leader_allocator().set_limits(limits_, now_);
+    }
+    leader_allocator().set_member_counts(member_count(), 1);
+    leader_allocator().set_lenders(lender_table_);
+    leader_allocator().on_elected(
+        settings_.defect == limit_defect::shares_allocated_twice, now_);
     assigner_.on_elected(now_);
 }
 
@@ -351,7 +358,7 @@
     lender_table_ = std::move(*table);
     ++lender_table_.version;
     lenders_ = account_lenders(lender_table_);
-    allocator_->set_lenders(lender_table_);
+    leader_allocator().set_lenders(lender_table_);
 }
 
 limit_fleet::vm_state* limit_fleet::find_running(const std::string& name)
@@ -396,16 +403,17 @@
             continue;
         vm.next_report_at = now_ + report_interval;
         vm.reported_at = now_;
-        allocator_->set_member_counts(member_count(),
-                                      std::max(reporting_count(), 1U));
-        allocator_->set_fractions_lapse(now_ >= store_unavailable_until_);
-        allocator_->on_report(vm.name, vm.incarnation, now_);
+        leader_allocator().set_member_counts(member_count(),
+                                             std::max(reporting_count(), 1U));
+        leader_allocator().set_fractions_lapse(now_ >=
+                                               store_unavailable_until_);
+        leader_allocator().on_report(vm.name, vm.incarnation, now_);
         std::vector<account_share> shares;
         if (now_ >= vm.next_demand_report_at)
         {
             vm.next_demand_report_at = now_ + demand_interval;
-            shares =
-                allocator_->allocate(vm.name, vm.limiter->demands(now_), now_);
+            shares = leader_allocator().allocate(
+                vm.name, vm.limiter->demands(now_), now_);
         }
         if (!is_answer_lost())
             vm.limiter->set_shares(shares, now_, now_);
@@ -478,7 +486,7 @@
     if (!decision.admitted && reaches_leader(vm))
     {
         ++outcome_.loan_requests;
-        decision = allocator_->borrow(account, now_, operations);
+        decision = leader_allocator().borrow(account, now_, operations);
         if (is_answer_lost())
             decision = {false, milliseconds(20), false};
     }
--- a/tests/fakes/limit_fleet.hpp
+++ b/tests/fakes/limit_fleet.hpp
@@ -121,6 +121,8 @@
         std::size_t domain = 0;
         std::uint64_t incarnation = 1;
         std::unique_ptr<operation_limiter> limiter;
+        /// Used while the VM is the leader; it lives as long as the process.
+        std::unique_ptr<share_allocator> allocator;
         /// That of the earlier incarnation, if the VM wrongly keeps it.
         std::unique_ptr<operation_limiter> earlier_limiter;
         bool is_running = true;
@@ -173,6 +175,7 @@
     std::uint32_t member_count() const { return members_.size(); }
     bool are_linked(const vm_state& first, const vm_state& second) const;
     bool has_leader() const { return now_ >= leaderless_until_; }
+    share_allocator& leader_allocator() { return *vms_[leader_].allocator; }
     bool reaches_leader(const vm_state& vm) const;
     std::uint32_t reporting_count() const;
     void report();
@@ -193,7 +196,6 @@
     std::vector<vm_state> vms_;
     std::vector<account_state> accounts_;
     std::map<std::string, client_account> limits_;
-    std::unique_ptr<share_allocator> allocator_;
     member_list members_;
     lender_assigner assigner_;
     /// The table in the store.
--- a/tests/test_limit_shares.cpp
+++ b/tests/test_limit_shares.cpp
@@ -95,7 +95,7 @@
         allocator_->set_limits(accounts_, now_);
         allocator_->set_member_counts(static_cast<std::uint32_t>(vms_.size()),
                                       1);
-        allocator_->on_elected(now_);
+        allocator_->on_elected(is_first, now_);
         leader_unavailable_until_ = is_first ? now_ : now_ + milliseconds(1200);
     }
 
@@ -284,7 +284,7 @@
     share_allocator allocator(tolerance, false);
     allocator.set_limits(two_accounts(), time_point(seconds(5)));
     allocator.set_member_counts(9, 6);
-    allocator.on_elected(time_point(seconds(5)));
+    allocator.on_elected(false, time_point(seconds(5)));
     unsigned admitted = 0;
     for (int i = 0; i < 10; ++i)
         admitted += allocator
@@ -601,7 +601,7 @@
     allocator.set_limits(one_account(), now);
     allocator.set_member_counts(30, 30);
     allocator.set_lenders({1, 0, {{"vm-1", "address-1", "domain"}}, {}});
-    allocator.on_elected(now);
+    allocator.on_elected(false, now);
     return allocator;
 }
 
@@ -612,6 +612,30 @@
 
 } // namespace
 
+// Guards against a second allocation of all shares: a VM that has never led
+// took itself for the first leader of a fleet that had started for the first
+// time, however many leaders there had been, and kept a full reserve.
+Test(limit_shares,
+     a_vm_that_leads_for_the_first_time_leaves_earlier_shares_alone)
+{
+    const auto start = time_point(seconds(100));
+    share_allocator leader(tolerance, true);
+    leader.set_limits(one_account(), start);
+    leader.set_member_counts(30, 1);
+    leader.set_lenders(
+        {1, 0, {{"vm-1", "address-1", "domain"}}, {"vm-2", "vm-3"}});
+    leader.on_elected(false, start + seconds(20));
+    const auto now = start + seconds(21);
+    leader.on_report("vm-4", 1, now);
+    const auto demands = std::vector<account_demand>{{"gate", 50, 0}};
+    cr_assert(rate_of(leader.allocate("vm-4", demands, now)) == 0);
+    unsigned lent = 0;
+    while (leader.borrow("gate", now).admitted)
+        ++lent;
+    cr_assert(lent <= restart_burst(one_account()["gate"], tolerance), "%u",
+              lent);
+}
+
 // Guards against a part of every limit that is never used again after a VM of a
 // small fleet is gone for good, and against a VM that was only silent and goes
 // on using it.
@@ -621,7 +645,7 @@
     share_allocator leader(tolerance, false);
     leader.set_limits(one_account(), start);
     leader.set_fractions_lapse(true);
-    leader.on_elected(start);
+    leader.on_elected(false, start);
     operation_limiter silent(tolerance, false);
     silent.set_limits(one_account(), 5, start);
     silent.on_registered(start);
