--- a/review/tools/review_stand.cpp
+++ b/review/tools/review_stand.cpp
@@ -543,6 +543,41 @@
     co_return trouble ? judge_drain(deployment, "i-0-0", reported_at) : held;
 }
 
+/// ONE: the leader is stopped while its connection for an order is still being
+/// opened.
+asio::awaitable<verdict> run_late_order_case(asio::io_context& context,
+                                             small_deployment& deployment,
+                                             bool trouble)
+{
+    steady_clients clients(context, deployment);
+    for (unsigned i = 0; i < 6; ++i)
+        clients.add("c" + std::to_string(i), "strict-0",
+                    i % 2 == 0 ? "key-u1" : "key-u2", i, milliseconds(100));
+    co_await sleep_for(seconds(5));
+    const auto leader = deployment.leader_vm();
+    if (!leader)
+        co_return not_run;
+    if (trouble)
+        co_await deployment.set_promotions_slow(true);
+    asio::co_spawn(context,
+                   deployment.release_server("i-0-0", milliseconds(8000)),
+                   asio::detached);
+    const auto deadline = current_time() + seconds(5);
+    while (!deployment.has_candidate("survey-0") && current_time() < deadline)
+        co_await sleep_for(milliseconds(2));
+    co_await sleep_for(milliseconds(20));
+    asio::co_spawn(context,
+                   deployment.restart_vm(*leader, SIGTERM, milliseconds(500)),
+                   asio::detached);
+    co_await sleep_for(milliseconds(30));
+    if (trouble)
+        co_await deployment.set_promotions_slow(false);
+    co_await sleep_for(seconds(6));
+    co_await clients.stop();
+    co_return deployment.promotions().empty() ? not_run
+                                              : judge_fences(deployment);
+}
+
 /// PINNED: two clients of one tenant prepare statements of different shapes,
 /// whose names at the servers are the same.
 asio::awaitable<verdict> run_prepared_case(asio::io_context& context,
@@ -610,7 +645,7 @@
     {"fence", run_fence_case},       {"old-primary", run_old_primary_case},
     {"drain", run_drain_case},       {"sync", run_sync_case},
     {"leaving", run_leaving_case},   {"sync-drain", run_sync_drain_case},
-    {"prepared", run_prepared_case},
+    {"prepared", run_prepared_case}, {"late-order", run_late_order_case},
 };
 
 asio::awaitable<void> run_case(asio::io_context& context,
--- a/review/tools/small_deployment.cpp
+++ b/review/tools/small_deployment.cpp
@@ -41,6 +41,8 @@
 /// An old primary gives up this long after it can reach a new one.
 constexpr auto old_primary_time = milliseconds(1000);
 constexpr auto store_latency = milliseconds(4);
+/// Length of the queue of new connections at the interface for promotions.
+constexpr int promotion_backlog = 2;
 constexpr unsigned group_count = 3;
 constexpr unsigned servers_per_group = 3;
 
@@ -187,7 +189,8 @@
         acceptor->open(tcp::v4());
         acceptor->set_option(tcp::acceptor::reuse_address(true));
         acceptor->bind(at(base_port_ + (acceptor == &store_acceptor_ ? 0 : 1)));
-        acceptor->listen();
+        acceptor->listen(acceptor == &promotion_acceptor_ ? promotion_backlog
+                                                          : 128);
     }
     asio::co_spawn(context,
                    accept_http(
@@ -420,6 +423,8 @@
             asio::redirect_error(asio::use_awaitable, failure));
         if (failure)
             co_return;
+        while (&acceptor == &promotion_acceptor_ && promotions_slow_)
+            co_await sleep_for(milliseconds(1));
         asio::co_spawn(context_,
                        serve_http(std::move(socket), handler, shows_era),
                        asio::detached);
@@ -644,6 +649,34 @@
 
 // Promotions.
 
+asio::awaitable<void> small_deployment::set_promotions_slow(bool slow)
+{
+    promotions_slow_ = slow;
+    record_.add(slow ? "promotions: no connection is accepted for now"
+                     : "promotions: connections are accepted again");
+    if (!slow)
+    {
+        queue_fillers_.clear();
+        co_return;
+    }
+    // One is accepted, the others fill the queue, and further ones are dropped.
+    for (int i = 0; i < promotion_backlog + 2; ++i)
+    {
+        queue_fillers_.push_back(std::make_unique<tcp::socket>(context_));
+        error_code ignored;
+        co_await queue_fillers_.back()->async_connect(
+            at(base_port_ + 1),
+            asio::redirect_error(asio::use_awaitable, ignored));
+        co_await sleep_for(milliseconds(5));
+    }
+}
+
+bool small_deployment::has_candidate(const std::string& group) const
+{
+    const auto entry = emulator_->store().read("oleander/primary/" + group);
+    return entry.value.find("\"candidate\":\"i-") != std::string::npos;
+}
+
 asio::awaitable<small_deployment::http_reply>
 small_deployment::serve_promotion(http_call call)
 {
--- a/review/tools/small_deployment.hpp
+++ b/review/tools/small_deployment.hpp
@@ -131,6 +131,12 @@
     unsigned short front_port(unsigned vm) const { return vm_port(vm); }
     unsigned vm_count() const { return settings_.vms; }
 
+    /// Lets the interface for promotions accept no connection, with its queue
+    /// of new connections full, or accept them again.
+    asio::awaitable<void> set_promotions_slow(bool slow);
+    /// Whether the stored record of a group names a server to be promoted.
+    bool has_candidate(const std::string& group) const;
+
     /// Takes the copy that the store comes back from.
     void copy_store();
     /// The store is away for `away`, then comes back from the copy. What the
@@ -226,6 +232,8 @@
     std::map<std::string, std::uint64_t> newest_terms_;
     std::map<std::string, time_point> superseded_since_;
     std::uint64_t next_sequence_ = 2;
+    bool promotions_slow_ = false;
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> queue_fillers_;
     std::set<unsigned> restarted_;
     bool watches_ = true;
     std::map<unsigned, unsigned> own_ends_;
