Log failed calls of the store, their delays, and who has a newer configuration

New log events: "call failed" and "read" (part store), "behind another VM" and "copy not received" (part configuration); "lost" and "call failed" tell when the next call is sent, "in force" the size of the record. New metrics oleander_store_failed_calls_total, oleander_store_retry_delay_seconds and oleander_configuration_newest_known_version; the first two also in /state. No logic changes.

--- a/include/oleandergrade/process/configuration/store_follower.hpp
+++ b/include/oleandergrade/process/configuration/store_follower.hpp
@@ -26,6 +26,10 @@
     /// Time since the store last answered a call for the prefix, or since the
     /// follower was started if it has not answered any.
     milliseconds unanswered_for{0};
+    /// Calls for the prefix that have failed since the process started.
+    std::uint64_t failed_calls = 0;
+    /// The delay after the last failed call; 0 if the last call has succeeded.
+    milliseconds retry_delay{0};
 
     bool operator==(const followed_prefix&) const = default;
 };
@@ -149,6 +153,7 @@
     /// Waits for `delay`, or until refresh() or set_mode() requires a call.
     boost::asio::awaitable<void> wait_before_call(duration delay);
     boost::asio::awaitable<void> on_failure(const error& failure);
+    void log_failure(const error& failure, duration delay);
     void on_answer();
     void give_up_watch();
 
@@ -161,6 +166,7 @@
     std::uint64_t store_revision_ = 0;
     /// The delay after the last failed call; 0 if the last call has succeeded.
     milliseconds retry_delay_{0};
+    std::uint64_t failed_calls_ = 0;
     /// The shortest and longest delay between failed calls, unless the limit is
     /// 0.
     milliseconds initial_retry_delay_{0};
--- a/include/oleandergrade/process/membership/copy_fetcher.hpp
+++ b/include/oleandergrade/process/membership/copy_fetcher.hpp
@@ -50,6 +50,9 @@
     void fetch_from(const std::string& address);
 
     std::uint64_t fetched_count() const { return fetched_count_; }
+    /// The newest version of the configuration that another VM has named; 0 if
+    /// none has.
+    std::uint64_t newest_known_version() const { return newest_known_version_; }
 
 private:
     boost::asio::awaitable<void> fetch(std::string address);
@@ -74,6 +77,7 @@
     /// VM.
     std::optional<time_point> targets_behind_since_;
     std::uint64_t fetched_count_ = 0;
+    std::uint64_t newest_known_version_ = 0;
 };
 
 } // namespace oleandergrade
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -111,6 +111,11 @@
     const std::string& relay_address() const { return relay_address_; }
     std::uint64_t reports_relayed() const { return relay_.relayed_count(); }
     std::uint64_t snapshots_fetched() const { return copies_.fetched_count(); }
+    /// The newest version of the configuration that another VM has named.
+    std::uint64_t newest_known_version() const
+    {
+        return copies_.newest_known_version();
+    }
     const fleet_counts& counts() const { return counts_; }
     std::uint64_t lender_table_version() const
     {
--- a/src/process/configuration/store_follower.cpp
+++ b/src/process/configuration/store_follower.cpp
@@ -34,6 +34,25 @@
     bool is_given_up = false;
 };
 
+namespace
+{
+
+void log_read(const std::string& prefix, const stored_range& range,
+              duration took)
+{
+    std::uint64_t byte_count = 0;
+    for (const auto& item : range.items)
+        byte_count += item.value.size();
+    log_event(event_level::info, "store", "read",
+              {{"prefix", prefix},
+               {"revision", range.store_revision},
+               {"items", range.items.size()},
+               {"bytes", byte_count},
+               {"took", std::chrono::duration_cast<milliseconds>(took)}});
+}
+
+} // namespace
+
 store_follower::store_follower(asio::any_io_executor executor,
                                metadata_store& store, std::string prefix,
                                milliseconds confirmation_interval,
@@ -146,6 +165,7 @@
 asio::awaitable<bool> store_follower::read_all()
 {
     call_is_urgent_ = false;
+    const auto sent_at = current_time();
     auto outcome = co_await store_.read_all(prefix_);
     if (!succeeded(outcome))
     {
@@ -155,6 +175,7 @@
     store_revision_ = value_of(outcome).store_revision;
     on_answer();
     has_read_ = true;
+    log_read(prefix_, value_of(outcome), current_time() - sent_at);
     handlers_.on_full_read(value_of(outcome));
     co_return true;
 }
@@ -216,7 +237,8 @@
 followed_prefix store_follower::status(time_point now) const
 {
     return {prefix_, store_revision_,
-            std::chrono::duration_cast<milliseconds>(now - last_answer_at_)};
+            std::chrono::duration_cast<milliseconds>(now - last_answer_at_),
+            failed_calls_, retry_delay_};
 }
 
 void store_follower::on_answer()
@@ -238,12 +260,7 @@
 asio::awaitable<void> store_follower::on_failure(const error& failure)
 {
     is_confirmed_ = false;
-    if (std::exchange(connected_, false))
-        log_event(event_level::warning, "store", "lost",
-                  {{"prefix", prefix_},
-                   {"revision", store_revision_},
-                   {"unanswered", status(current_time()).unanswered_for},
-                   {"error", to_string(failure)}});
+    ++failed_calls_;
     const bool follows_mode = retry_delay_limit_.count() == 0;
     const auto mode_limit = mode_ == follow_mode::confirming
                                 ? max_retry_delay
@@ -254,7 +271,9 @@
     retry_delay_ =
         std::min(std::max(retry_delay_ * 2, initial_delay), max_delay);
     not_before_ = current_time() + failure.retry_after;
-    co_await wait_before_call(with_jitter(retry_delay_));
+    const auto delay = with_jitter(retry_delay_);
+    log_failure(failure, std::max<duration>(delay, failure.retry_after));
+    co_await wait_before_call(delay);
     // Neither a change of mode nor refresh() shortens the time that the store
     // asked for.
     for (auto now = current_time(); now < not_before_; now = current_time())
@@ -266,6 +285,22 @@
     }
 }
 
+void store_follower::log_failure(const error& failure, duration delay)
+{
+    const auto next_call_in = std::chrono::duration_cast<milliseconds>(delay);
+    if (!std::exchange(connected_, false))
+        return log_event(event_level::info, "store", "call failed",
+                         {{"prefix", prefix_},
+                          {"error", to_string(failure)},
+                          {"next_call_in", next_call_in}});
+    log_event(event_level::warning, "store", "lost",
+              {{"prefix", prefix_},
+               {"revision", store_revision_},
+               {"unanswered", status(current_time()).unanswered_for},
+               {"error", to_string(failure)},
+               {"next_call_in", next_call_in}});
+}
+
 duration store_follower::with_jitter(milliseconds delay)
 {
     const auto jitter = std::uniform_real_distribution<>(0.75, 1)(random_);
--- a/src/process/configuration/store_mirror.cpp
+++ b/src/process/configuration/store_mirror.cpp
@@ -127,7 +127,8 @@
     log_event(event_level::info, "configuration", "in force",
               {{"version", state_.configuration.version()},
                {"before", previous_version},
-               {"source", source}});
+               {"source", source},
+               {"bytes", record.size()}});
 }
 
 void store_mirror::apply_target_range(const stored_range& range)
--- a/src/process/membership/copy_fetcher.cpp
+++ b/src/process/membership/copy_fetcher.cpp
@@ -1,8 +1,11 @@
 #include <oleandergrade/process/membership/copy_fetcher.hpp>
 
+#include <oleandergrade/process/event_log.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -57,6 +60,12 @@
 {
     if (version <= state_.configuration.version())
         return configuration_behind_since_.reset();
+    if (version > newest_known_version_)
+        log_event(event_level::info, "configuration", "behind another VM",
+                  {{"version", state_.configuration.version()},
+                   {"newer", version},
+                   {"address", sender_address}});
+    newest_known_version_ = std::max(newest_known_version_, version);
     if (!configuration_behind_since_)
     {
         configuration_behind_since_ = now;
@@ -92,7 +101,9 @@
         co_await peers_.call(std::move(address), std::move(body), copy_timeout);
     is_fetching_ = false;
     if (!succeeded(outcome))
-        co_return;
+        co_return log_event(event_level::info, "configuration",
+                            "copy not received",
+                            {{"error", to_string(error_of(outcome))}});
     const auto* snapshot = std::get_if<fleet_snapshot>(&value_of(outcome));
     if (snapshot == nullptr)
         co_return;
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -201,6 +201,9 @@
     add_metric("statements_refused_in_queue_total", "counter", pool.refused);
     add_metric("configuration_version", "gauge",
                state_.configuration.version());
+    add_metric("configuration_newest_known_version", "gauge",
+               std::max(state_.configuration.version(),
+                        fleet_service_.newest_known_version()));
     add_metric("members", "gauge", state_.members.size());
     add_metric("duty_held", "gauge",
                fleet_service_.election().is_leader() ? 1 : 0);
@@ -238,6 +241,16 @@
             << "\"} "
             << std::chrono::duration<double>(followed.unanswered_for).count()
             << "\n";
+    out << "# TYPE oleander_store_failed_calls_total counter\n";
+    for (const auto& followed : prefixes)
+        out << "oleander_store_failed_calls_total{prefix=\"" << followed.prefix
+            << "\"} " << followed.failed_calls << "\n";
+    out << "# TYPE oleander_store_retry_delay_seconds gauge\n";
+    for (const auto& followed : prefixes)
+        out << "oleander_store_retry_delay_seconds{prefix=\"" << followed.prefix
+            << "\"} "
+            << std::chrono::duration<double>(followed.retry_delay).count()
+            << "\n";
     add_metric("log_lines_left_out_total", "counter", dropped_event_lines());
     add_metric("invariant_failures_total", "counter",
                invariant_failure_count());
@@ -329,7 +342,9 @@
         followed_prefixes.push_back(
             {{"prefix", followed.prefix},
              {"revision", followed.revision},
-             {"unanswered_ms", followed.unanswered_for.count()}});
+             {"unanswered_ms", followed.unanswered_for.count()},
+             {"failed_calls", followed.failed_calls},
+             {"retry_delay_ms", followed.retry_delay.count()}});
     json::array targets;
     for (const auto& [id, target] : state_.view.registry.all())
         targets.push_back({{"id", id},
