--- a/tests/soak/loopback_proxy.cpp
+++ b/tests/soak/loopback_proxy.cpp
@@ -37,6 +37,7 @@
     tcp::socket client_socket;
     /// Connection to the server.
     tcp::socket server_socket;
+    bool is_silent = false;
 };
 
 loopback_proxy::loopback_proxy(asio::io_context& context,
@@ -57,6 +58,12 @@
         connection->close();
 }
 
+void loopback_proxy::silence_connections()
+{
+    for (const auto& connection : connections_)
+        connection->is_silent = true;
+}
+
 asio::awaitable<void> loopback_proxy::accept_loop()
 {
     for (;;)
@@ -113,7 +120,8 @@
             asio::redirect_error(asio::use_awaitable, failure));
         if (failure)
             break;
-        has_lost_data = has_lost_data || faults_.*drop_flag;
+        has_lost_data =
+            has_lost_data || faults_.*drop_flag || connection->is_silent;
         if (has_lost_data)
             continue;
         if (faults_.delay.count() > 0)
--- a/tests/soak/loopback_proxy.hpp
+++ b/tests/soak/loopback_proxy.hpp
@@ -45,6 +45,9 @@
     void set_faults(const link_faults& faults) { faults_ = faults; }
     /// Closes both sides of all open connections. New ones are still accepted.
     void close_connections();
+    /// All open connections forward nothing more, without being closed. New
+    /// ones work.
+    void silence_connections();
 
 private:
     struct proxied_connection;
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -6,6 +6,7 @@
 /// Each scenario is a function outside its test, because GCC 12 cannot compile
 /// coroutines inside Criterion's test functions.
 #include "../platform/platform_parts.hpp"
+#include "fakes/selective_store.hpp"
 #include "platform_emulator.hpp"
 #include "soak/loopback_proxy.hpp"
 
@@ -140,6 +141,8 @@
     /// The VMs share the sessions at all targets and are equally strong. Their
     /// connections to each other lead through proxies.
     bool shares_sessions = false;
+    /// The VMs reach the store through one proxy.
+    bool has_store_proxy = false;
     /// Failure domains of the VMs, assigned in turn.
     std::vector<std::string> vm_domains{"a"};
     /// Failure domains of the servers of each group.
@@ -170,6 +173,9 @@
             std::make_unique<standins::platform_emulator>(context, settings);
         emulator->put_configuration(1, {{"shore", "key-1"}, {"reef", "key-2"}},
                                     200);
+        if (options.has_store_proxy)
+            store_proxy = std::make_unique<soak::loopback_proxy>(
+                context, store_proxy_port(), base_port_);
         for (unsigned i = 0; i < options.vm_count; ++i)
             create_vm(i);
     }
@@ -235,8 +241,17 @@
     /// The proxies in front of the VMs' peer addresses; empty unless the VMs
     /// share sessions.
     std::vector<std::unique_ptr<soak::loopback_proxy>> proxies;
+    /// The proxy in front of the store, or null.
+    std::unique_ptr<soak::loopback_proxy> store_proxy;
+    /// The store as each VM sees it; calls for the configuration can fail.
+    std::vector<fakes::selective_store*> stores;
 
 private:
+    unsigned short store_proxy_port() const
+    {
+        return static_cast<unsigned short>(base_port_ + 19);
+    }
+
     /// Creates a VM; run() starts it.
     void create_vm(unsigned index)
     {
@@ -251,7 +266,8 @@
             static_cast<unsigned short>(session_port(index) + 2));
         settings.metrics_address = loopback_address(
             static_cast<unsigned short>(session_port(index) + 3));
-        settings.store_address = loopback_address(base_port_);
+        settings.store_address = loopback_address(
+            options_.has_store_proxy ? store_proxy_port() : base_port_);
         settings.promotion_address =
             loopback_address(static_cast<unsigned short>(base_port_ + 1));
         settings.limit_overshoot_fraction = 0.1;
@@ -274,6 +290,12 @@
         }
         platforms.push_back(std::make_unique<platform_parts>(
             platform::make_platform_parts(context.get_executor(), settings)));
+        auto& parts = *platforms.back();
+        auto store = std::make_unique<fakes::selective_store>(
+            context.get_executor(), std::move(parts.store),
+            parts.layout.configuration_prefix);
+        stores.push_back(store.get());
+        parts.store = std::move(store);
         daemons.push_back(std::make_unique<vm_daemon>(
             context, settings, own, *platforms.back(),
             [settings] { return result<vm_settings>(settings); }));
@@ -742,6 +764,90 @@
               outdated_vms.size());
 }
 
+/// Puts a configuration with a new key into the store and returns how many VMs
+/// do not accept this key after `timeout`.
+static asio::awaitable<std::size_t>
+count_vms_without_new_key(test_fleet& fleet, std::uint64_t version,
+                          milliseconds timeout)
+{
+    const auto key = "key-of-" + std::to_string(version);
+    put_configuration_with_key(fleet, version, key.c_str());
+    co_await sleep_for(timeout);
+    std::size_t count = 0;
+    for (unsigned vm = 0; vm < fleet.daemons.size(); ++vm)
+    {
+        auto caller = fleet.make_caller(vm);
+        const auto reply = co_await caller.open_session("own-0", key);
+        count += contains(reply, "READY") ? 0 : 1;
+    }
+    co_return count;
+}
+
+static asio::awaitable<void>
+scenario_calls_for_the_configuration_are_refused(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    std::uint64_t version = 1;
+    for (const unsigned refused_calls : {1U, 3U})
+    {
+        // The VMs of a large fleet learn who leads and who follows the store.
+        co_await sleep_for(milliseconds(1500));
+        for (auto* store : fleet.stores)
+        {
+            store->refuse_calls(refused_calls);
+            store->cut_watches();
+        }
+        const auto late_vms = co_await count_vms_without_new_key(
+            fleet, ++version, configuration_apply_timeout);
+        cr_assert(late_vms == 0, "%u refused calls: %zu VMs are late",
+                  refused_calls, late_vms);
+    }
+}
+
+// Guards against delays after failed calls for the configuration that are
+// longer than the time within which it must be in force, while the store
+// answers all other calls.
+Test(fleet, a_configuration_is_in_force_in_time_after_refused_calls)
+{
+    // Uses the ports of the next test number too.
+    test_fleet fleet(30, {.vm_count = 14, .vm_domains = {"a", "b", "c"}});
+    fleet.run(scenario_calls_for_the_configuration_are_refused);
+}
+
+/// Time after a failure of all connections within which a VM must be up to date
+/// again; the deployments that allow 3 s for a configuration allow 4 s for
+/// this.
+constexpr auto reconnection_time = milliseconds(4000);
+
+static asio::awaitable<void>
+scenario_the_connections_to_the_store_fall_silent(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    std::uint64_t version = 1;
+    for (int repetition = 0; repetition < 3; ++repetition)
+    {
+        // The connections fall silent at different moments of the watches.
+        co_await sleep_for(milliseconds(1300));
+        fleet.store_proxy->silence_connections();
+        const auto late_vms = co_await count_vms_without_new_key(
+            fleet, ++version, reconnection_time);
+        cr_assert(late_vms == 0, "repetition %d: %zu VMs are late", repetition,
+                  late_vms);
+    }
+}
+
+// Guards against an outdated configuration after all connections to the store
+// have fallen silent: new calls must not be sent over them, and what they
+// carried must not be waited for.
+Test(fleet, a_configuration_is_in_force_in_time_after_silent_connections)
+{
+    // Uses the ports of the next test number too.
+    test_fleet fleet(32, {.vm_count = 14,
+                          .has_store_proxy = true,
+                          .vm_domains = {"a", "b", "c"}});
+    fleet.run(scenario_the_connections_to_the_store_fall_silent);
+}
+
 /// Waits, and returns how often the record of the first group's primary has
 /// changed meanwhile.
 static asio::awaitable<std::size_t> count_record_changes(test_fleet& fleet,
--- a/tests/test_store_following.cpp
+++ b/tests/test_store_following.cpp
@@ -4,6 +4,7 @@
 #include "../platform/store_client.hpp"
 #include "silent_store.hpp"
 
+#include <oleandergrade/connection/async_event.hpp>
 #include <oleandergrade/process/configuration/store_mirror.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -270,3 +271,65 @@
     cr_assert(error_of(outcome).kind == error_kind::refused);
     cr_assert(error_of(outcome).retry_after == seconds(3));
 }
+
+/// Serves one read of a store. Sends the answer in `part_count` parts, one each
+/// `interval`, but only the first `sent_parts` of them.
+static asio::awaitable<void> serve_slowly(asio::ip::tcp::acceptor& acceptor,
+                                          std::size_t part_count,
+                                          std::size_t sent_parts,
+                                          milliseconds interval)
+{
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    std::array<char, 4096> chunk{};
+    co_await socket.async_read_some(asio::buffer(chunk), asio::use_awaitable);
+    const auto body = R"({"Key":"key","Value":")" + std::string(40'000, 'A') +
+                      R"(","Revision":7})";
+    const auto response =
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        "Content-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body;
+    const auto part_size = response.size() / part_count + 1;
+    for (std::size_t part = 0; part < sent_parts; ++part)
+    {
+        co_await sleep_for(interval);
+        co_await asio::async_write(
+            socket, asio::buffer(response.substr(part * part_size, part_size)),
+            asio::use_awaitable);
+    }
+    co_await socket.async_read_some(asio::buffer(chunk), asio::use_awaitable);
+}
+
+/// Reads a key whose value arrives in 10 parts, of which `sent_parts` are sent.
+static result<stored_item> read_slow_value(std::size_t sent_parts)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context,
+                                     {asio::ip::address_v4::loopback(), 0});
+    asio::co_spawn(context,
+                   serve_slowly(acceptor, 10, sent_parts, milliseconds(250)),
+                   asio::detached);
+    const auto store = platform::make_store_client(
+        context.get_executor(),
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    result<stored_item> outcome;
+    asio::co_spawn(context, read_once(*store, outcome), asio::detached);
+    context.run_for(milliseconds(250 * 10 + 1500));
+    return outcome;
+}
+
+// Guards against a VM that never receives a large configuration over a slow
+// link, because the whole answer does not arrive within the timeout of a call.
+Test(store_following, a_slow_answer_is_received)
+{
+    const auto outcome = read_slow_value(10);
+    cr_assert(succeeded(outcome), "%s", to_string(error_of(outcome)).c_str());
+    cr_assert(value_of(outcome).revision == 7);
+}
+
+// An answer that stops to arrive must not be waited for either.
+Test(store_following, an_answer_that_stops_to_arrive_is_given_up)
+{
+    const auto outcome = read_slow_value(5);
+    cr_assert(!succeeded(outcome));
+    cr_assert(error_of(outcome).kind == error_kind::timeout);
+}
