Retry calls for the configuration within its deadline while the store answers

Cause: from twelve VMs on, a failed call for the configuration was followed by a delay of 2 s doubling to 8 s, or of 30 s at a VM that confirms the state of the store, the leader too. Only one thing ended it sooner: that the calls for the fleet's own keys were answered again, after they had failed, noticed by a sample in the report loop, and not while a call was under way. If all VMs failed at one instant and these keys were answered all along, no VM had the version and none asked for it.

Change: each answered or failed call chooses the delays anew. While the store has answered the calls for the fleet's own keys within a second, those for other prefixes are repeated after 250 ms doubling to a quarter of the shorter deadline, and a longer delay that is under way ends. A VM that knows of a newer version and whose last call failed fetches a copy after 300 ms, without waiting for a quarter of the deadline. The sample in the report loop is gone. While nothing answers, the delays are as before, so that an unavailable store gets no more calls.

test_store_pacing, which rebuilds this wiring, follows the product; its bounds are unchanged.

--- a/include/oleandergrade/process/configuration/store_follower.hpp
+++ b/include/oleandergrade/process/configuration/store_follower.hpp
@@ -82,6 +82,9 @@
         std::function<void(const stored_range&)> on_full_read;
         /// Called with each change that a watch returns.
         std::function<void(const stored_change&)> on_change;
+        /// Called when a call has ended, before the delay after a failed call
+        /// is chosen. May be empty.
+        std::function<void()> on_call_ended = {};
     };
 
     /// `confirmation_interval` is the duration of a watch in the mode
@@ -102,27 +105,22 @@
         confirmation_interval_ = interval;
     }
     /// Replaces the delays after the first and after further failed calls that
-    /// apply in each mode; with a limit of 0 those of the mode apply again.
-    void set_retry_delays(milliseconds initial, milliseconds limit)
-    {
-        initial_retry_delay_ = initial;
-        retry_delay_limit_ = limit;
-    }
+    /// apply in each mode; with a limit of 0 those of the mode apply again. A
+    /// longer delay that is under way ends, unless the store asked for it.
+    void set_retry_delays(milliseconds initial, milliseconds limit);
     /// To be called while changes are being applied: the watch after them is
     /// sent after at least this pause, less a quarter at random.
     void delay_next_watch(milliseconds pause)
     {
         watch_pause_ = std::max(watch_pause_, pause);
     }
-    /// Ends the delay after a failed call, but not a time that the store asked
-    /// to wait.
-    void retry();
     /// Gives up the watch that is waiting, if any, and sends the next one at
     /// once. `reason` is written to the log.
     void refresh(const char* reason);
 
     /// Returns whether the store has answered the last call.
     bool is_connected() const { return connected_; }
+    follow_mode mode() const { return mode_; }
     bool is_paused() const { return mode_ == follow_mode::paused; }
     /// Returns whether this VM receives all changes from the store without the
     /// help of another one: the mode is `confirming`, and the store has
@@ -147,14 +145,17 @@
     /// Watches once. Returns false if all keys must be read again.
     boost::asio::awaitable<bool> watch_once();
     milliseconds next_watch_duration() const;
+    /// The longest delay after a failed call that applies now.
+    milliseconds retry_delay_limit() const;
     /// Returns a random duration of 0.75 to 1 times `delay`.
     duration with_jitter(milliseconds delay);
     boost::asio::awaitable<void> wait_while_paused();
     /// Waits for `delay`, or until refresh() or set_mode() requires a call.
     boost::asio::awaitable<void> wait_before_call(duration delay);
     boost::asio::awaitable<void> on_failure(const error& failure);
-    void log_failure(const error& failure, duration delay);
+    void log_failure(const error& failure, bool was_connected, duration delay);
     void on_answer();
+    void on_call_ended();
     void give_up_watch();
 
     boost::asio::any_io_executor executor_;
--- a/include/oleandergrade/process/configuration/store_mirror.hpp
+++ b/include/oleandergrade/process/configuration/store_mirror.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,6 +26,10 @@
     store_mirror(const boost::asio::any_io_executor& executor,
                  fleet_state& state);
 
+    /// Called when a call to the store has ended, before the delay after a
+    /// failed one is chosen. May be empty.
+    std::function<void()> on_call_ended;
+
     /// Starts to watch the store.
     void start();
     /// Returns how often a VM that no other VM assists confirms what it has
@@ -34,6 +39,11 @@
     /// of the configuration and for draining targets.
     static milliseconds confirmation_interval(const vm_settings& settings);
 
+    /// Returns the longest delay between failed calls of a VM that the store
+    /// answers otherwise. Several of them fit into the shorter of the two times
+    /// that the settings allow for changes.
+    static milliseconds max_retry_delay(const vm_settings& settings);
+
     /// Returns whether the list of targets has been received, from the store or
     /// from another VM.
     bool has_target_list() const { return has_target_list_; }
@@ -64,11 +74,11 @@
         configuration_follower_.set_retry_delays(initial, limit);
         target_follower_.set_retry_delays(initial, limit);
     }
-    /// The store answers again: ends the delays after failed calls.
-    void retry()
+    /// Returns whether the store has answered the last call for the
+    /// configuration.
+    bool is_configuration_connected() const
     {
-        configuration_follower_.retry();
-        target_follower_.retry();
+        return configuration_follower_.is_connected();
     }
     /// Removes targets whose registration lapsed more than
     /// `target_registry::lapsed_retention` ago.
@@ -106,6 +116,7 @@
     void apply_target(const std::string& key,
                       const std::optional<std::string>& value);
     void on_targets_changed();
+    void report_call_ended();
 
     fleet_state& state_;
     store_follower configuration_follower_;
--- a/include/oleandergrade/process/membership/copy_fetcher.hpp
+++ b/include/oleandergrade/process/membership/copy_fetcher.hpp
@@ -24,7 +24,8 @@
 public:
     /// When another VM has a newer configuration, this VM waits this long to
     /// receive it from the store before it fetches it from that VM. In a large
-    /// fleet it waits longer, because all VMs read from the store at once.
+    /// fleet it waits longer, because all VMs read from the store at once,
+    /// unless its last call for the configuration has failed.
     static constexpr milliseconds configuration_fetch_delay{300};
 
     /// The references must outlive the object. `leader_address` returns the
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -169,7 +169,7 @@
     /// that not all of them call the store when a leader is lost.
     void update_follow_mode(time_point now);
     /// Sets the delays between failed calls of the store by the size of the
-    /// fleet.
+    /// fleet, and by whether the store answers the calls for its own keys.
     void update_retry_delays(follow_mode mode);
     /// Returns whether this VM receives all changes from the store itself.
     bool is_current() const
@@ -273,9 +273,6 @@
     /// Since when the store has shown this VM other evacuated domains than the
     /// leader's grants.
     std::optional<time_point> evacuations_differ_since_;
-    /// Whether the store answered the calls for the fleet's own keys at the
-    /// previous report.
-    bool was_store_answering_ = false;
     /// Time since the store last answered the leader, according to the leader.
     milliseconds leader_store_age_{grant_tracker::store_outage_tolerance};
     time_point started_at_;
--- a/include/oleandergrade/process/membership/store_pacing.hpp
+++ b/include/oleandergrade/process/membership/store_pacing.hpp
@@ -42,6 +42,9 @@
     /// The first delay while there is a leader, which follows the store for the
     /// other VMs.
     static constexpr milliseconds initial_assisted_retry_delay{2000};
+    /// The first delay for a prefix while the store answers the calls for the
+    /// fleet's own keys.
+    static constexpr milliseconds initial_answered_retry_delay{250};
     /// Difference between the delays after which two VMs of neighbouring ranks
     /// follow the store without a leader, and the longest such delay.
     static constexpr milliseconds follow_delay_per_rank{100};
--- a/src/process/configuration/store_follower.cpp
+++ b/src/process/configuration/store_follower.cpp
@@ -122,11 +122,13 @@
     give_up_watch();
 }
 
-void store_follower::retry()
+void store_follower::set_retry_delays(milliseconds initial, milliseconds limit)
 {
-    if (connected_ || is_paused() || pending_watch_ != nullptr)
+    initial_retry_delay_ = initial;
+    retry_delay_limit_ = limit;
+    if (retry_delay_ <= retry_delay_limit())
         return;
-    call_is_urgent_ = true;
+    retry_delay_ = milliseconds(0);
     wake_timer_.cancel();
 }
 
@@ -249,30 +251,43 @@
     last_answer_at_ = now;
     retry_delay_ = milliseconds(0);
     is_confirmed_ = mode_ == follow_mode::confirming;
-    if (std::exchange(connected_, true))
-        return;
-    log_event(event_level::info, "store", "regained",
-              {{"prefix", prefix_},
-               {"revision", store_revision_},
-               {"unanswered", unanswered_for}});
+    if (!std::exchange(connected_, true))
+        log_event(event_level::info, "store", "regained",
+                  {{"prefix", prefix_},
+                   {"revision", store_revision_},
+                   {"unanswered", unanswered_for}});
+    on_call_ended();
+}
+
+void store_follower::on_call_ended()
+{
+    if (handlers_.on_call_ended)
+        handlers_.on_call_ended();
+}
+
+milliseconds store_follower::retry_delay_limit() const
+{
+    if (retry_delay_limit_.count() != 0)
+        return retry_delay_limit_;
+    return mode_ == follow_mode::confirming ? max_retry_delay
+                                            : max_assisted_retry_delay;
 }
 
 asio::awaitable<void> store_follower::on_failure(const error& failure)
 {
+    const bool was_connected = std::exchange(connected_, false);
     is_confirmed_ = false;
     ++failed_calls_;
-    const bool follows_mode = retry_delay_limit_.count() == 0;
-    const auto mode_limit = mode_ == follow_mode::confirming
-                                ? max_retry_delay
-                                : max_assisted_retry_delay;
-    const auto initial_delay =
-        follows_mode ? initial_retry_delay : initial_retry_delay_;
-    const auto max_delay = follows_mode ? mode_limit : retry_delay_limit_;
-    retry_delay_ =
-        std::min(std::max(retry_delay_ * 2, initial_delay), max_delay);
+    on_call_ended();
+    const auto initial_delay = retry_delay_limit_.count() == 0
+                                   ? initial_retry_delay
+                                   : initial_retry_delay_;
+    retry_delay_ = std::min(std::max(retry_delay_ * 2, initial_delay),
+                            retry_delay_limit());
     not_before_ = current_time() + failure.retry_after;
     const auto delay = with_jitter(retry_delay_);
-    log_failure(failure, std::max<duration>(delay, failure.retry_after));
+    log_failure(failure, was_connected,
+                std::max<duration>(delay, failure.retry_after));
     co_await wait_before_call(delay);
     // Neither a change of mode nor refresh() shortens the time that the store
     // asked for.
@@ -285,10 +300,11 @@
     }
 }
 
-void store_follower::log_failure(const error& failure, duration delay)
+void store_follower::log_failure(const error& failure, bool was_connected,
+                                 duration delay)
 {
     const auto next_call_in = std::chrono::duration_cast<milliseconds>(delay);
-    if (!std::exchange(connected_, false))
+    if (!was_connected)
         return log_event(event_level::info, "store", "call failed",
                          {{"prefix", prefix_},
                           {"error", to_string(failure)},
--- a/src/process/configuration/store_mirror.cpp
+++ b/src/process/configuration/store_mirror.cpp
@@ -17,6 +17,14 @@
 constexpr int intervals_per_deadline = 3;
 constexpr auto min_confirmation_interval = milliseconds(250);
 constexpr auto max_confirmation_interval = milliseconds(1000);
+/// Two failed calls and the copies of the other VMs fit into a deadline.
+constexpr int retry_delays_per_deadline = 4;
+
+milliseconds shortest_deadline(const vm_settings& settings)
+{
+    return std::min(settings.configuration_apply_timeout,
+                    settings.drain_timeout);
+}
 
 } // namespace
 
@@ -27,8 +35,8 @@
           executor, state.store, state.platform.layout.configuration_prefix,
           confirmation_interval(state.settings),
           {[this](const stored_range& range) { apply_operator_range(range); },
-           [this](const stored_change& change)
-           { apply_operator_key(change); }}),
+           [this](const stored_change& change) { apply_operator_key(change); },
+           [this] { report_call_ended(); }}),
       target_follower_(
           executor, state.store, state.platform.layout.targets_prefix,
           confirmation_interval(state.settings),
@@ -37,7 +45,8 @@
            {
                apply_target(change.key, change.value);
                on_targets_changed();
-           }})
+           },
+           [this] { report_call_ended(); }})
 {
 }
 
@@ -47,12 +56,22 @@
     target_follower_.start();
 }
 
+void store_mirror::report_call_ended()
+{
+    if (on_call_ended)
+        on_call_ended();
+}
+
 milliseconds store_mirror::confirmation_interval(const vm_settings& settings)
 {
-    return std::clamp(
-        std::min(settings.configuration_apply_timeout, settings.drain_timeout) /
-            intervals_per_deadline,
-        min_confirmation_interval, max_confirmation_interval);
+    return std::clamp(shortest_deadline(settings) / intervals_per_deadline,
+                      min_confirmation_interval, max_confirmation_interval);
+}
+
+milliseconds store_mirror::max_retry_delay(const vm_settings& settings)
+{
+    return std::max(shortest_deadline(settings) / retry_delays_per_deadline,
+                    store_follower::max_retry_delay);
 }
 
 void store_mirror::set_follow_mode(follow_mode mode)
--- a/src/process/membership/copy_fetcher.cpp
+++ b/src/process/membership/copy_fetcher.cpp
@@ -38,7 +38,8 @@
 
 milliseconds copy_fetcher::configuration_delay() const
 {
-    return state_.members.size() < large_fleet_size
+    return state_.members.size() < large_fleet_size ||
+                   !mirror_.is_configuration_connected()
                ? configuration_fetch_delay
                : state_.settings.configuration_apply_timeout /
                      fetch_delay_divisor;
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -47,6 +47,10 @@
 /// If the store last answered the leader longer ago than this, VMs confirm the
 /// state of the store themselves instead of relying on the leader.
 constexpr auto max_leader_store_age = milliseconds(2000);
+/// The store counts as available for this long after an answer. Not longer than
+/// the timeout of a call, so that calls which get no answer because the store
+/// is unavailable do not find it available when they fail.
+constexpr auto max_answer_age = milliseconds(1000);
 /// A VM whose store shows other evacuated domains than the leader's for longer
 /// than this reads them again.
 constexpr auto max_evacuation_difference = milliseconds(1000);
@@ -72,15 +76,16 @@
       relay_(context.get_executor(), [this](relayed_reports reports)
              { return send_relayed_reports(std::move(reports)); }),
       store_mirror_(context.get_executor(), state),
-      own_keys_follower_(context.get_executor(), state.store, own_prefix,
-                         store_mirror::confirmation_interval(state.settings),
-                         {[this](const stored_range& range)
-                          { apply_all_own_keys(range); },
-                          [this](const stored_change& change)
-                          {
-                              apply_own_key(change);
-                              on_changes_applied(change.revision);
-                          }}),
+      own_keys_follower_(
+          context.get_executor(), state.store, own_prefix,
+          store_mirror::confirmation_interval(state.settings),
+          {[this](const stored_range& range) { apply_all_own_keys(range); },
+           [this](const stored_change& change)
+           {
+               apply_own_key(change);
+               on_changes_applied(change.revision);
+           },
+           [this] { update_retry_delays(own_keys_follower_.mode()); }}),
       copies_(context.get_executor(), state, store_mirror_, own_keys_follower_,
               peers_, [this] { return leader_address(); }),
       acceptor_(context), election_wake_timer_(context),
@@ -102,6 +107,8 @@
     grants_.on_newer_configuration = [this](const std::string& address)
     { copies_.fetch_from(address); };
     copies_.on_members_applied = [this] { on_members_changed(); };
+    store_mirror_.on_call_ended = [this]
+    { update_retry_delays(own_keys_follower_.mode()); };
 }
 
 fleet_service::~fleet_service() = default;
@@ -455,10 +462,6 @@
             state_.view.evacuations.set_granted({}, now))
             store_mirror_.on_evacuations_changed();
         update_follow_mode(now);
-        const bool is_store_answering = own_keys_follower_.is_connected();
-        if (!std::exchange(was_store_answering_, is_store_answering) &&
-            is_store_answering)
-            store_mirror_.retry();
         if (pacing().is_large_fleet())
             peers_.close_idle(now, max_link_idle_time);
         if (!election_.is_leader())
@@ -518,26 +521,36 @@
 {
     const auto pace = pacing();
     const milliseconds none(0);
+    const bool is_confirming = mode == follow_mode::confirming;
+    // The calls for the fleet's own keys show whether the store is available.
+    // If it is, no deadline for changes may pass in a delay after failed calls
+    // for other prefixes.
+    const bool must_retry_soon =
+        own_keys_follower_.is_connected() && mode != follow_mode::paused &&
+        own_keys_follower_.status(current_time()).unanswered_for <=
+            max_answer_age;
+    const auto max_delay = store_mirror::max_retry_delay(state_.settings);
     if (!pace.is_large_fleet())
     {
         own_keys_follower_.set_retry_delays(none, none);
+        if (must_retry_soon && !is_confirming)
+            return store_mirror_.set_retry_delays(
+                store_follower::initial_retry_delay, max_delay);
         return store_mirror_.set_retry_delays(none, none);
     }
-    if (mode != follow_mode::confirming)
+    auto initial_delay = store_pacing::initial_assisted_retry_delay;
+    auto delay_limit = store_pacing::max_retry_delay;
+    own_keys_follower_.set_retry_delays(
+        is_confirming ? store_pacing::initial_retry_delay : initial_delay,
+        is_confirming ? pace.retry_delay_limit() : delay_limit);
+    if (must_retry_soon)
     {
-        own_keys_follower_.set_retry_delays(
-            store_pacing::initial_assisted_retry_delay,
-            store_pacing::max_retry_delay);
-        return store_mirror_.set_retry_delays(
-            store_pacing::initial_assisted_retry_delay,
-            store_pacing::max_retry_delay);
+        initial_delay = store_pacing::initial_answered_retry_delay;
+        delay_limit = max_delay;
     }
-    own_keys_follower_.set_retry_delays(store_pacing::initial_retry_delay,
-                                        pace.retry_delay_limit());
-    // The calls for the fleet's own keys show whether the store is available
-    // again.
-    store_mirror_.set_retry_delays(store_pacing::max_dependent_retry_delay,
-                                   store_pacing::max_dependent_retry_delay);
+    else if (is_confirming)
+        initial_delay = delay_limit = store_pacing::max_dependent_retry_delay;
+    store_mirror_.set_retry_delays(initial_delay, delay_limit);
 }
 
 std::size_t fleet_service::known_fleet_size() const
--- a/tests/test_store_pacing.cpp
+++ b/tests/test_store_pacing.cpp
@@ -3,7 +3,7 @@
 #include "loaded_store.hpp"
 
 #include <oleandergrade/connection/async_event.hpp>
-#include <oleandergrade/process/configuration/store_follower.hpp>
+#include <oleandergrade/process/configuration/store_mirror.hpp>
 #include <oleandergrade/process/membership/member_registration.hpp>
 #include <oleandergrade/process/membership/peer_sample.hpp>
 #include <oleandergrade/process/membership/probe_selection.hpp>
@@ -104,7 +104,8 @@
                      {
                          add_member(change.value.value_or(""));
                          own_keys_.delay_next_watch(pacing().watch_pause());
-                     }}),
+                     },
+                     [this] { update_retry_delays(); }}),
           configuration_(
               context.get_executor(), store, "op/", seconds(1),
               {[](const stored_range&) {}, [](const stored_change&) {}}),
@@ -157,13 +158,9 @@
     /// delay. The leader's grants need no call of the store.
     asio::awaitable<void> update()
     {
-        for (bool was_connected = false;;)
+        for (;;)
         {
             update_modes();
-            if (!was_connected && own_keys_.is_connected())
-                for (auto* follower : {&configuration_, &targets_})
-                    follower->retry();
-            was_connected = own_keys_.is_connected();
             co_await sleep_for(milliseconds(250));
         }
     }
@@ -182,16 +179,8 @@
         if (!is_follower && (has_grant || current_time() - started_at_ < delay))
             mode = follow_mode::paused;
         const bool is_confirming = mode == follow_mode::confirming;
-        const milliseconds none(0);
-        const bool is_paced = pacing().is_large_fleet();
-        const auto dependent = store_pacing::max_dependent_retry_delay;
-        own_keys_.set_retry_delays(is_paced ? store_pacing::initial_retry_delay
-                                            : none,
-                                   pacing().retry_delay_limit());
-        for (auto* follower : {&configuration_, &targets_})
-            follower->set_retry_delays(is_paced ? dependent : none,
-                                       is_paced ? dependent : none);
         own_keys_.set_mode(mode);
+        update_retry_delays();
         if (!own_keys_.has_read())
             return;
         configuration_.set_mode(is_confirming ? mode : follow_mode::assisted);
@@ -199,6 +188,28 @@
     }
 
     fleet_member self_;
+    void update_retry_delays()
+    {
+        const milliseconds none(0);
+        const bool is_paced = pacing().is_large_fleet();
+        own_keys_.set_retry_delays(is_paced ? store_pacing::initial_retry_delay
+                                            : none,
+                                   pacing().retry_delay_limit());
+        auto initial_delay = none;
+        auto delay_limit = none;
+        if (is_paced && own_keys_.is_connected() && !own_keys_.is_paused() &&
+            own_keys_.status(current_time()).unanswered_for <= seconds(1))
+        {
+            initial_delay = store_pacing::initial_answered_retry_delay;
+            delay_limit = store_mirror::max_retry_delay(vm_settings{});
+        }
+        else if (is_paced)
+            initial_delay = delay_limit =
+                store_pacing::max_dependent_retry_delay;
+        for (auto* follower : {&configuration_, &targets_})
+            follower->set_retry_delays(initial_delay, delay_limit);
+    }
+
     std::size_t seed_count_;
     fleet_options options_;
     member_list members_;
