Receive answers of the store that take longer than a call's timeout to arrive

Cause: the timeout of a call, 1 s, covered the transfer of the whole answer and did not grow with the record. A record of 388 KB takes 2 s at 2 Mbit/s, so each call failed, and each retry as well; a store that all VMs of a large fleet read from at once makes every link slow.

Change: the timeout is for the beginning of the answer; each further part must follow within the same time, and the whole body within 20 s.

--- a/include/oleandergrade/connection/http_client.hpp
+++ b/include/oleandergrade/connection/http_client.hpp
@@ -20,18 +20,24 @@
 class http_client
 {
 public:
+    /// The longest time for receiving a body that arrives in parts.
+    static constexpr seconds max_body_duration{20};
+
     /// Does not connect yet. `address` is an IP address with a port.
     http_client(const boost::asio::any_io_executor& executor,
                 std::string address);
     ~http_client();
 
     /// Sends a request and reads the response; connects first if the connection
-    /// is not open. `timeout` covers all of this. The error is of kind
-    /// `unreachable` only if nothing was sent; after `broken` and `timeout` the
-    /// server may have processed the request. After any error the connection is
-    /// closed.
-    boost::asio::awaitable<result<http_response>> exchange(http_request request,
-                                                           duration timeout);
+    /// is not open. `timeout` covers all of this, or, if `part_timeout` is not
+    /// 0, all up to the header of the response: each part of the body must then
+    /// follow within `part_timeout`, and the whole body within
+    /// `max_body_duration`. The error is of kind `unreachable` only if nothing
+    /// was sent; after `broken` and `timeout` the server may have processed the
+    /// request. After any error the connection is closed.
+    boost::asio::awaitable<result<http_response>>
+    exchange(http_request request, duration timeout,
+             duration part_timeout = duration(0));
 
     /// Opens a new connection, after closing the current one, and sends
     /// nothing.
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -62,6 +62,29 @@
     bool is_open = false;
 };
 
+/// Reads one response. The header must arrive before the stream's timeout, and
+/// the body as well if `part_timeout` is 0.
+static asio::awaitable<error_code>
+read_response(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+              http::response_parser<http::string_body>& parser,
+              duration part_timeout)
+{
+    error_code failure;
+    co_await http::async_read_header(
+        stream, buffer, parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+    const auto deadline = clock::now() + http_client::max_body_duration;
+    while (!failure && !parser.is_done())
+    {
+        if (part_timeout > duration(0))
+            stream.expires_at(std::min(deadline, clock::now() + part_timeout));
+        co_await http::async_read_some(
+            stream, buffer, parser,
+            asio::redirect_error(asio::use_awaitable, failure));
+    }
+    co_return failure;
+}
+
 http_client::http_client(const asio::any_io_executor& executor,
                          std::string address)
     : address_(std::move(address)), state_(std::make_unique<state>(executor))
@@ -116,7 +139,8 @@
 }
 
 asio::awaitable<result<http_response>>
-http_client::exchange(http_request request, duration timeout)
+http_client::exchange(http_request request, duration timeout,
+                      duration part_timeout)
 {
     const auto deadline = clock::now() + timeout;
     if (!state_->is_open)
@@ -145,9 +169,8 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_response_body_bytes);
     if (!failure)
-        co_await http::async_read(
-            stream, state_->buffer, parser,
-            asio::redirect_error(asio::use_awaitable, failure));
+        failure = co_await read_response(stream, state_->buffer, parser,
+                                         part_timeout);
     if (failure)
     {
         close();
