--- a/tests/test_store_following.cpp
+++ b/tests/test_store_following.cpp
@@ -333,3 +333,82 @@
     cr_assert(!succeeded(outcome));
     cr_assert(error_of(outcome).kind == error_kind::timeout);
 }
+
+namespace
+{
+
+/// A store whose connections can fall silent: each answers only the requests
+/// that arrive before silence() is called after its opening.
+struct falling_silent_store
+{
+    explicit falling_silent_store(asio::io_context& io_context)
+        : context(io_context),
+          acceptor(context, {asio::ip::address_v4::loopback(), 0})
+    {
+        asio::co_spawn(context, accept_loop(), asio::detached);
+    }
+
+    void silence() { ++generation; }
+
+    asio::awaitable<void> accept_loop()
+    {
+        for (;;)
+            asio::co_spawn(
+                context,
+                serve(co_await acceptor.async_accept(asio::use_awaitable)),
+                asio::detached);
+    }
+
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket)
+    {
+        const auto own_generation = generation;
+        std::array<char, 4096> chunk{};
+        boost::system::error_code failure;
+        for (;;)
+        {
+            co_await socket.async_read_some(
+                asio::buffer(chunk),
+                asio::redirect_error(asio::use_awaitable, failure));
+            if (failure)
+                co_return;
+            // Requests that overlap use connections of their own.
+            co_await sleep_for(milliseconds(20));
+            const std::string response = "HTTP/1.1 404 Not Found\r\n"
+                                         "Content-Length: 0\r\n\r\n";
+            if (own_generation == generation)
+                co_await asio::async_write(socket, asio::buffer(response),
+                                           asio::use_awaitable);
+        }
+    }
+
+    asio::io_context& context;
+    asio::ip::tcp::acceptor acceptor;
+    unsigned generation = 0;
+};
+
+} // namespace
+
+// Guards against a call that waits for an answer over an idle connection when
+// another connection has just been found to be silent.
+Test(store_following, idle_connections_are_not_used_after_a_failed_call)
+{
+    asio::io_context context;
+    falling_silent_store server(context);
+    const auto store = platform::make_store_client(
+        context.get_executor(),
+        "127.0.0.1:" + std::to_string(server.acceptor.local_endpoint().port()));
+    std::array<result<stored_item>, 2> outcomes;
+    for (auto& outcome : outcomes)
+        asio::co_spawn(context, read_once(*store, outcome), asio::detached);
+    context.run_for(milliseconds(200));
+    for (const auto& outcome : outcomes)
+        cr_assert(succeeded(outcome));
+    server.silence();
+    asio::co_spawn(context, read_once(*store, outcomes[0]), asio::detached);
+    context.run_for(milliseconds(1200));
+    cr_assert(!succeeded(outcomes[0]));
+    asio::co_spawn(context, read_once(*store, outcomes[0]), asio::detached);
+    context.run_for(milliseconds(1200));
+    cr_assert(succeeded(outcomes[0]), "%s",
+              to_string(error_of(outcomes[0])).c_str());
+}
