Fetch a copy of the configuration although other VMs are behind as well

A VM that the store turns away, and that has no leader, could keep an old configuration although a VM that it asks had the new one.

Cause: without a leader a VM reports to others in turn. Each answer that named no newer version made it forget that another VM had one, and the time after which it fetches a copy began anew.

Change: the VM counts as behind until it has the newest version that it knows of; it fetches the copy from a VM that has a newer one than itself.

--- a/src/process/membership/copy_fetcher.cpp
+++ b/src/process/membership/copy_fetcher.cpp
@@ -59,20 +59,23 @@
                                          const std::string& sender_address,
                                          time_point now)
 {
-    if (version <= state_.configuration.version())
-        return configuration_behind_since_.reset();
-    if (version > newest_known_version_)
+    if (version >
+        std::max(newest_known_version_, state_.configuration.version()))
         log_event(event_level::info, "configuration", "behind another VM",
                   {{"version", state_.configuration.version()},
                    {"newer", version},
                    {"address", sender_address}});
     newest_known_version_ = std::max(newest_known_version_, version);
+    if (newest_known_version_ <= state_.configuration.version())
+        return configuration_behind_since_.reset();
     if (!configuration_behind_since_)
     {
         configuration_behind_since_ = now;
         mirror_.refresh_configuration();
     }
-    if (now - *configuration_behind_since_ >= configuration_delay())
+    const bool is_sender_newer = version > state_.configuration.version();
+    if (is_sender_newer &&
+        now - *configuration_behind_since_ >= configuration_delay())
         fetch_from(
             source_address(sender_address, *configuration_behind_since_, now));
 }
--- a/tests/test_store_following.cpp
+++ b/tests/test_store_following.cpp
@@ -5,7 +5,9 @@
 #include "silent_store.hpp"
 
 #include <oleandergrade/connection/async_event.hpp>
+#include <oleandergrade/connection/peer_link.hpp>
 #include <oleandergrade/process/configuration/store_mirror.hpp>
+#include <oleandergrade/process/membership/copy_fetcher.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -412,3 +414,75 @@
     cr_assert(succeeded(outcomes[0]), "%s",
               to_string(error_of(outcomes[0])).c_str());
 }
+
+namespace
+{
+
+/// Another VM, which has a configuration of this version and answers one other
+/// VM's requests for copies of it.
+struct copy_source
+{
+    copy_source(asio::io_context& context, std::uint64_t known_version)
+        : version(known_version),
+          acceptor(context, {asio::ip::address_v4::loopback(), 0})
+    {
+        asio::co_spawn(context, serve(), asio::detached);
+    }
+
+    asio::awaitable<void> serve()
+    {
+        link = std::make_shared<peer_link>(
+            co_await acceptor.async_accept(asio::use_awaitable),
+            [this](peer_body)
+            { return answer(configuration_record(version), version); });
+        link->start();
+    }
+
+    static asio::awaitable<peer_body> answer(std::string record,
+                                             std::uint64_t version)
+    {
+        fleet_snapshot snapshot;
+        snapshot.configuration_version = version;
+        snapshot.configuration = std::move(record);
+        co_return peer_body(std::move(snapshot));
+    }
+
+    std::uint64_t version;
+    asio::ip::tcp::acceptor acceptor;
+    std::shared_ptr<peer_link> link;
+};
+
+} // namespace
+
+// Guards against a VM without the store and without a leader that fetches no
+// copy of the configuration, because the other VMs that it asks in turn have
+// different versions.
+Test(store_following, a_copy_is_fetched_although_other_vms_are_behind)
+{
+    following_vm vm;
+    vm.put_configuration(1);
+    vm.mirror->start();
+    cr_assert(vm.run_until(
+        [&] { return vm.state->configuration.version() == 1; }, seconds(1)));
+    store_follower own_keys(
+        vm.context.get_executor(), *vm.store, "own/", seconds(1),
+        {[](const stored_range&) {}, [](const stored_change&) {}});
+    peer_client peers(vm.context.get_executor());
+    copy_fetcher copies(vm.context.get_executor(), *vm.state, *vm.mirror,
+                        own_keys, peers, [] { return std::string(); });
+    copies.on_members_applied = [] {};
+    copy_source source(vm.context, 2);
+    const auto address =
+        "127.0.0.1:" + std::to_string(source.acceptor.local_endpoint().port());
+    const auto deadline = copy_fetcher::configuration_fetch_delay + seconds(1);
+    const auto start = current_time();
+    while (vm.state->configuration.version() == 1 &&
+           current_time() - start < deadline)
+    {
+        copies.compare_configuration(2, address, current_time());
+        vm.context.run_for(milliseconds(50));
+        copies.compare_configuration(1, "127.0.0.1:1", current_time());
+        vm.context.run_for(milliseconds(50));
+    }
+    cr_assert(vm.state->configuration.version() == 2);
+}
