Soak: interrupt the configuration at all VMs at once, and close what children hold

Change: before the last change of the configuration, the store connections of all VMs are closed or fall silent at the same moment, or the store refuses the calls for the configuration, and no others, for 1 to 3 s. Every other large fleet has two VMs a domain, so that all follow the store. Children no longer inherit the soak's sockets: a connection that the soak closed stayed open as long as a VM that had been started after it.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,8 +2,8 @@
 # Runs the soak test with COUNT seeds from FIRST on, AT-A-TIME of them in
 # parallel, each with SECONDS of fault injection (defaults: 1, 50, 4 and 12).
 # Even seeds run a large fleet, whose reports are relayed and whose VMs share
-# sessions at targets. Keeps the logs of seeds
-# that failed and deletes the others.
+# sessions at targets; in every other one of them all VMs follow the store. Keeps
+# the logs of seeds that failed and deletes the others.
 #
 #   scripts/soak.sh [FIRST [COUNT [SECONDS [AT-A-TIME]]]]
 set -uo pipefail
@@ -18,6 +18,7 @@
     local fleet=(--vms=6 --domains=a,b,c)
     if ((seed % 2 == 0)); then
         fleet=(--vms=12 --domains=a,b)
+        ((seed % 4 == 2)) && fleet=(--vms=12 --domains=a,b,c,d,e,f)
     fi
     if [ -n "${EARLIER_PROGRAMS:-}" ]; then
         fleet+=(--earlier_programs="$EARLIER_PROGRAMS")
--- a/standins/platform_emulator.cpp
+++ b/standins/platform_emulator.cpp
@@ -27,6 +27,7 @@
 
 /// How long the store keeps changes for watches.
 constexpr auto store_history_retention = seconds(20);
+constexpr auto configuration_prefix = "op/";
 /// How long the connection of a call that is never answered is kept. Longer
 /// than any client waits.
 constexpr auto silent_call_duration = seconds(60);
@@ -256,6 +257,9 @@
 platform_emulator::serve_store_call(http_request request)
 {
     ++counters_.store_calls;
+    if (configuration_refused_ &&
+        query_field(request.path, "Prefix") == configuration_prefix)
+        co_return make_response(503);
     if (store_silent_)
         co_await sleep_for(silent_call_duration);
     else if (!store_unavailable_)
--- a/standins/platform_emulator.hpp
+++ b/standins/platform_emulator.hpp
@@ -120,6 +120,12 @@
     /// them. Such a call gets no answer later either, and its connection stays
     /// open. Watches that are already waiting are answered as usual.
     void set_store_silent(bool silent) { store_silent_ = silent; }
+    /// Sets whether calls for the prefix of the configuration fail at once with
+    /// status 503 and have no effect.
+    void set_configuration_refused(bool refused)
+    {
+        configuration_refused_ = refused;
+    }
     /// Sets the delay before the store executes each call.
     void set_store_delay(oleandergrade::milliseconds delay)
     {
@@ -227,6 +233,7 @@
     store_model store_;
     bool store_unavailable_ = false;
     bool store_silent_ = false;
+    bool configuration_refused_ = false;
     oleandergrade::milliseconds store_delay_{0};
     double store_loss_fraction_ = 0;
     bool promotion_answers_lost_ = false;
--- a/standins/platform_emulator_faults.cpp
+++ b/standins/platform_emulator_faults.cpp
@@ -73,6 +73,10 @@
         {"store-answering", [](self& p, text) { p.set_store_silent(false); }},
         {"store-slow", [](self& p, text ms)
          { p.set_store_delay(milliseconds(argument_as_number(ms))); }},
+        {"store-refuses",
+         [](self& p, text) { p.set_configuration_refused(true); }},
+        {"store-accepts",
+         [](self& p, text) { p.set_configuration_refused(false); }},
         {"store-loses",
          [](self& p, text percent)
          {
--- a/tests/soak/child_process.cpp
+++ b/tests/soak/child_process.cpp
@@ -43,6 +43,8 @@
                                      output_file_.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A socket that a child inherits stays open after this process closes it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     pid_t pid = 0;
     const int spawn_error = ::posix_spawn(&pid, arguments[0], &actions, nullptr,
                                           arguments.data(), environ);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -257,6 +257,7 @@
             co_await sleep_for(milliseconds(200 + random_below(1200)));
         }
         co_await end_all_faults();
+        co_await interrupt_configuration_calls();
         co_await send_fault_command("reconfigure");
         const auto configured_at = current_time();
         const auto is_serving_again =
@@ -516,6 +517,28 @@
                   [this] { request_fault("store-answering"); });
     }
 
+    /// Interrupts what all VMs follow in the store at the same moment: not at
+    /// all, or by connections that are closed or fall silent, or by closed
+    /// connections and a time in which only calls for the configuration are
+    /// refused.
+    asio::awaitable<void> interrupt_configuration_calls()
+    {
+        const auto kind = random_below(4);
+        log_to_stderr("interruption of the configuration, kind " +
+                      std::to_string(kind));
+        if (kind == 3)
+            co_await send_fault_command("store-refuses");
+        for (const auto& proxy : store_proxies_)
+            if (kind == 2)
+                proxy->silence_connections();
+            else if (kind != 0)
+                proxy->close_connections();
+        if (kind != 3)
+            co_return;
+        co_await sleep_for(milliseconds(1000 + random_below(2000)));
+        co_await send_fault_command("store-accepts");
+    }
+
     /// Checks that the configuration that was put at `configured_at` is in
     /// force at every VM in time.
     asio::awaitable<void> check_configuration(time_point configured_at)
