Let the leader ask for the configuration whether or not its own keys are answered

Cause: a VM repeats calls for the configuration soon only while the calls for the fleet's own keys are answered. Without them every VM waited, and the leader too, from which the others learn of changes.

Change: the leader repeats them within a quarter of the deadline in any case; it is one VM.

The fake store of these tests now fails calls by prefix.

--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -524,11 +524,13 @@
     const bool is_confirming = mode == follow_mode::confirming;
     // The calls for the fleet's own keys show whether the store is available.
     // If it is, no deadline for changes may pass in a delay after failed calls
-    // for other prefixes.
-    const bool must_retry_soon =
+    // for other prefixes. The leader does not rely on them, since the others
+    // learn of changes from it.
+    const bool is_store_available =
         own_keys_follower_.is_connected() && mode != follow_mode::paused &&
         own_keys_follower_.status(current_time()).unanswered_for <=
             max_answer_age;
+    const bool must_retry_soon = is_store_available || election_.is_leader();
     const auto max_delay = store_mirror::max_retry_delay(state_.settings);
     if (!pace.is_large_fleet())
     {
--- a/tests/fakes/selective_store.cpp
+++ b/tests/fakes/selective_store.cpp
@@ -11,24 +11,23 @@
 using namespace oleandergrade;
 
 selective_store::selective_store(asio::any_io_executor executor,
-                                 std::unique_ptr<metadata_store> store,
-                                 std::string failing_prefix)
-    : executor_(std::move(executor)), store_(std::move(store)),
-      failing_prefix_(std::move(failing_prefix))
+                                 std::unique_ptr<metadata_store> store)
+    : executor_(std::move(executor)), store_(std::move(store))
 {
 }
 
-void selective_store::cut_watches()
+void selective_store::cut_watches(const std::string& prefix)
 {
-    for (const auto& cut : std::exchange(cuts_, {}))
+    for (const auto& cut : std::exchange(cuts_[prefix], {}))
         cut->signal();
 }
 
 bool selective_store::is_refused(const std::string& prefix)
 {
-    if (prefix != failing_prefix_ || refusals_left_ == 0)
+    auto& refusals_left = refusals_left_[prefix];
+    if (refusals_left == 0)
         return false;
-    --refusals_left_;
+    --refusals_left;
     return true;
 }
 
@@ -53,18 +52,11 @@
     using namespace asio::experimental::awaitable_operators;
     if (is_refused(prefix))
         co_return error{error_kind::refused, "watch", "store", "refused"};
-    if (prefix != failing_prefix_)
-    {
-        auto changes =
-            co_await store_->watch(std::move(prefix), after_revision, timeout);
-        co_return changes;
-    }
     const auto cut = std::make_shared<async_event>(executor_);
-    cuts_.insert(cut);
-    auto outcome =
-        co_await (store_->watch(std::move(prefix), after_revision, timeout) ||
-                  cut->wait_until(time_point::max()));
-    cuts_.erase(cut);
+    cuts_[prefix].insert(cut);
+    auto outcome = co_await (store_->watch(prefix, after_revision, timeout) ||
+                             cut->wait_until(time_point::max()));
+    cuts_[prefix].erase(cut);
     if (auto* changes = std::get_if<0>(&outcome))
         co_return std::move(*changes);
     co_return error{error_kind::broken, "watch", "store", "end of stream"};
--- a/tests/fakes/selective_store.hpp
+++ b/tests/fakes/selective_store.hpp
@@ -1,4 +1,4 @@
-/// A metadata store that fails calls for one prefix and serves all others.
+/// A metadata store that fails calls for some prefixes and serves all others.
 #pragma once
 
 #include <oleandergrade/connection/async_event.hpp>
@@ -6,6 +6,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -18,16 +19,17 @@
 class selective_store : public oleandergrade::metadata_store
 {
 public:
-    /// Only calls for `failing_prefix` fail.
     selective_store(boost::asio::any_io_executor executor,
-                    std::unique_ptr<oleandergrade::metadata_store> store,
-                    std::string failing_prefix);
+                    std::unique_ptr<oleandergrade::metadata_store> store);
 
     /// Ends the watches of the prefix that are waiting, as if their connections
     /// were closed.
-    void cut_watches();
+    void cut_watches(const std::string& prefix);
     /// The next `count` reads and watches of the prefix are refused.
-    void refuse_calls(unsigned count) { refusals_left_ = count; }
+    void refuse_calls(const std::string& prefix, unsigned count)
+    {
+        refusals_left_[prefix] = count;
+    }
 
     boost::asio::awaitable<oleandergrade::result<oleandergrade::stored_item>>
     read(std::string key) override;
@@ -51,10 +53,11 @@
 
     boost::asio::any_io_executor executor_;
     std::unique_ptr<oleandergrade::metadata_store> store_;
-    std::string failing_prefix_;
-    unsigned refusals_left_ = 0;
-    /// Signalled to end the watches of the prefix that are waiting.
-    std::set<std::shared_ptr<oleandergrade::async_event>> cuts_;
+    /// How many more calls are refused, by prefix.
+    std::map<std::string, unsigned> refusals_left_;
+    /// Signalled to end the watches that are waiting, by prefix.
+    std::map<std::string, std::set<std::shared_ptr<oleandergrade::async_event>>>
+        cuts_;
 };
 
 } // namespace fakes
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -15,6 +15,7 @@
 #include <oleandergrade/connection/json_fields.hpp>
 #include <oleandergrade/connection/peer_link.hpp>
 #include <oleandergrade/process/configuration/store_follower.hpp>
+#include <oleandergrade/process/store_layout.hpp>
 #include <oleandergrade/process/vm_daemon.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,6 +27,7 @@
 #include <criterion/criterion.h>
 
 #include <array>
+#include <limits>
 #include <map>
 #include <set>
 #include <sstream>
@@ -292,8 +294,7 @@
             platform::make_platform_parts(context.get_executor(), settings)));
         auto& parts = *platforms.back();
         auto store = std::make_unique<fakes::selective_store>(
-            context.get_executor(), std::move(parts.store),
-            parts.layout.configuration_prefix);
+            context.get_executor(), std::move(parts.store));
         stores.push_back(store.get());
         parts.store = std::move(store);
         daemons.push_back(std::make_unique<vm_daemon>(
@@ -764,6 +765,9 @@
               outdated_vms.size());
 }
 
+/// Prefix of the configuration on the platform.
+static const std::string configuration_prefix = "op/";
+
 /// Puts a configuration with a new key into the store and returns how many VMs
 /// do not accept this key after `timeout`.
 static asio::awaitable<std::size_t>
@@ -794,8 +798,8 @@
         co_await sleep_for(milliseconds(1500));
         for (auto* store : fleet.stores)
         {
-            store->refuse_calls(refused_calls);
-            store->cut_watches();
+            store->refuse_calls(configuration_prefix, refused_calls);
+            store->cut_watches(configuration_prefix);
         }
         const auto late_vms = co_await count_vms_without_new_key(
             fleet, ++version, configuration_apply_timeout);
@@ -814,6 +818,32 @@
     fleet.run(scenario_calls_for_the_configuration_are_refused);
 }
 
+static asio::awaitable<void>
+scenario_only_calls_for_the_configuration_are_answered(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    co_await sleep_for(milliseconds(1500));
+    for (auto* store : fleet.stores)
+    {
+        store->refuse_calls(own_prefix, std::numeric_limits<unsigned>::max());
+        store->cut_watches(own_prefix);
+        store->refuse_calls(configuration_prefix, 1);
+        store->cut_watches(configuration_prefix);
+    }
+    const auto late_vms = co_await count_vms_without_new_key(
+        fleet, 2, configuration_apply_timeout);
+    cr_assert(late_vms == 0, "%zu VMs are late", late_vms);
+}
+
+// Guards against a leader that waits for the calls for the fleet's own keys
+// before it asks for the configuration again, while the other VMs wait for it.
+Test(fleet, a_configuration_is_in_force_in_time_without_the_own_keys)
+{
+    // Uses the ports of the next test number too.
+    test_fleet fleet(34, {.vm_count = 14, .vm_domains = {"a", "b", "c"}});
+    fleet.run(scenario_only_calls_for_the_configuration_are_answered);
+}
+
 /// Time after a failure of all connections within which a VM must be up to date
 /// again; the deployments that allow 3 s for a configuration allow 4 s for
 /// this.
