Receive copies of a large configuration over slow links beside reports

A VM on a slow link that gets the configuration from another VM, because the store turns it away, never received a large one.

Cause: the copy had 1.5 s for the whole reply, and went over the link that carries the reports. Behind 390 KB at 2 Mbit/s a report is not answered within its 0.4 s, and the failed call closes the link, the copy with it.

Change: copies of a newer configuration have links of their own, closed when idle, and a copy that is arriving is waited for: 1.5 s for its first part, 1 s for each further one, 20 s in all. A VM without any configuration fetches it over the common link as before, so that a fleet that starts opens no more links.

--- a/include/oleandergrade/connection/peer_link.hpp
+++ b/include/oleandergrade/connection/peer_link.hpp
@@ -40,11 +40,16 @@
     /// Calls `handler` each time that the connection is closed.
     void on_closed(std::function<void()> handler);
 
+    /// The longest wait for a reply that arrives in parts.
+    static constexpr seconds max_reply_duration{20};
+
     /// Sends a request and waits for its reply, for at most `timeout`; opening
-    /// the connection has a limit of its own, the connect timeout. The error
-    /// is of kind `unreachable` only if the request was not sent.
-    boost::asio::awaitable<result<peer_body>> call(peer_body body,
-                                                   duration timeout);
+    /// the connection has a limit of its own, the connect timeout. If
+    /// `part_timeout` is not 0, the wait goes on, up to `max_reply_duration`,
+    /// while something arrives at least this often. The error is of kind
+    /// `unreachable` only if the request was not sent.
+    boost::asio::awaitable<result<peer_body>>
+    call(peer_body body, duration timeout, duration part_timeout = duration(0));
     /// Closes the connection. Calls that wait for a reply fail.
     void close();
     bool is_open() const;
--- a/include/oleandergrade/process/membership/copy_fetcher.hpp
+++ b/include/oleandergrade/process/membership/copy_fetcher.hpp
@@ -49,6 +49,11 @@
                            const std::string& sender_address, time_point now);
     /// Fetches a copy from this VM unless one is being fetched.
     void fetch_from(const std::string& address);
+    /// Closes the links that no copy has used for at least `idle_time`.
+    void close_idle_links(time_point now, duration idle_time)
+    {
+        configuration_peers_.close_idle(now, idle_time);
+    }
 
     std::uint64_t fetched_count() const { return fetched_count_; }
     /// The newest version of the configuration that another VM has named; 0 if
@@ -70,6 +75,9 @@
     store_mirror& mirror_;
     const store_follower& own_keys_;
     peer_client& peers_;
+    /// Links for copies of newer configurations. A large one would delay the
+    /// reports, whose timeout closes their link.
+    peer_client configuration_peers_;
     std::function<std::string()> leader_address_;
     bool is_fetching_ = false;
     /// Since when other VMs have had a newer configuration than this VM.
--- a/include/oleandergrade/process/membership/peer_client.hpp
+++ b/include/oleandergrade/process/membership/peer_client.hpp
@@ -23,7 +23,8 @@
     /// Sends a message to `address` and returns the reply. Fails like
     /// `peer_link::call`.
     boost::asio::awaitable<result<peer_body>>
-    call(std::string address, peer_body body, duration timeout);
+    call(std::string address, peer_body body, duration timeout,
+         duration part_timeout = duration(0));
     /// Closes the links that no call has used for at least `idle_time`.
     void close_idle(time_point now, duration idle_time);
 
--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -90,6 +90,8 @@
     std::function<void()> closed_handler;
     /// When the last message arrived.
     time_point last_received_at;
+    /// When the last part of a message arrived, a time of `clock`.
+    time_point last_part_at;
     bool is_open = false;
     bool is_connecting = false;
     /// The write loop is running.
@@ -172,9 +174,13 @@
     if (size > max_peer_frame_bytes)
         co_return false;
     frame.resize(size);
-    co_await asio::async_read(
-        socket, asio::buffer(frame),
-        asio::redirect_error(asio::use_awaitable, failure));
+    for (std::size_t received = 0; received < size && !failure;)
+    {
+        received += co_await socket.async_read_some(
+            asio::buffer(frame) + received,
+            asio::redirect_error(asio::use_awaitable, failure));
+        last_part_at = clock::now();
+    }
     co_return !failure;
 }
 
@@ -302,11 +308,11 @@
                    asio::detached);
 }
 
-asio::awaitable<result<peer_body>> peer_link::call(peer_body body,
-                                                   duration timeout)
+asio::awaitable<result<peer_body>>
+peer_link::call(peer_body body, duration timeout, duration part_timeout)
 {
     const auto state = state_;
-    const auto deadline = clock::now() + timeout;
+    const auto started_at = clock::now();
     const auto opened = co_await state->open();
     if (!succeeded(opened))
         co_return error_of(opened);
@@ -314,10 +320,20 @@
     auto pending = std::make_shared<pending_call>(state->socket.get_executor());
     state->pending_calls[id] = pending;
     state->send({id, std::move(body)});
-    pending->timer.expires_at(deadline);
-    error_code ignored;
-    co_await pending->timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
+    const auto latest_deadline = started_at + max_reply_duration;
+    auto deadline = started_at + timeout;
+    while (!pending->reply && !pending->connection_closed &&
+           clock::now() < deadline)
+    {
+        pending->timer.expires_at(deadline);
+        error_code ignored;
+        co_await pending->timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+        if (part_timeout > duration(0))
+            deadline =
+                std::max(deadline, std::min(state->last_part_at + part_timeout,
+                                            latest_deadline));
+    }
     if (pending->reply)
         co_return std::move(*pending->reply);
     state->pending_calls.erase(id);
--- a/src/process/membership/copy_fetcher.cpp
+++ b/src/process/membership/copy_fetcher.cpp
@@ -23,6 +23,8 @@
 /// copies from the leader.
 constexpr auto relay_copy_timeout = milliseconds(1000);
 constexpr auto copy_timeout = milliseconds(1500);
+/// How long a copy may pause while it arrives.
+constexpr auto copy_part_timeout = milliseconds(1000);
 
 } // namespace
 
@@ -31,7 +33,7 @@
                            peer_client& peers,
                            std::function<std::string()> leader_address)
     : executor_(std::move(executor)), state_(state), mirror_(mirror),
-      own_keys_(own_keys), peers_(peers),
+      own_keys_(own_keys), peers_(peers), configuration_peers_(executor_),
       leader_address_(std::move(leader_address))
 {
 }
@@ -101,8 +103,12 @@
 {
     is_fetching_ = true;
     peer_body body = snapshot_request{state_.configuration.version()};
-    auto outcome =
-        co_await peers_.call(std::move(address), std::move(body), copy_timeout);
+    const bool lacks_newer_configuration =
+        state_.configuration.version() != 0 &&
+        state_.configuration.version() < newest_known_version_;
+    auto& peers = lacks_newer_configuration ? configuration_peers_ : peers_;
+    auto outcome = co_await peers.call(std::move(address), std::move(body),
+                                       copy_timeout, copy_part_timeout);
     is_fetching_ = false;
     if (!succeeded(outcome))
         co_return log_event(event_level::info, "configuration",
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -463,7 +463,10 @@
             store_mirror_.on_evacuations_changed();
         update_follow_mode(now);
         if (pacing().is_large_fleet())
+        {
             peers_.close_idle(now, max_link_idle_time);
+            copies_.close_idle_links(now, max_link_idle_time);
+        }
         if (!election_.is_leader())
             co_await send_report();
         else if (grants_.may_issue(now))
--- a/src/process/membership/peer_client.cpp
+++ b/src/process/membership/peer_client.cpp
@@ -9,15 +9,17 @@
 {
 }
 
-asio::awaitable<result<peer_body>>
-peer_client::call(std::string address, peer_body body, duration timeout)
+asio::awaitable<result<peer_body>> peer_client::call(std::string address,
+                                                     peer_body body,
+                                                     duration timeout,
+                                                     duration part_timeout)
 {
     auto& cached = links_[address];
     if (cached.link == nullptr)
         cached.link = std::make_shared<peer_link>(executor_, address);
     const auto link = cached.link;
     ++cached.calls_in_progress;
-    auto outcome = co_await link->call(std::move(body), timeout);
+    auto outcome = co_await link->call(std::move(body), timeout, part_timeout);
     const auto found = links_.find(address);
     const bool is_cached = found != links_.end() && found->second.link == link;
     if (is_cached)
--- a/tests/test_store_following.cpp
+++ b/tests/test_store_following.cpp
@@ -3,11 +3,13 @@
 #include "../platform/platform_parts.hpp"
 #include "../platform/store_client.hpp"
 #include "silent_store.hpp"
+#include "soak/loopback_proxy.hpp"
 
 #include <oleandergrade/connection/async_event.hpp>
 #include <oleandergrade/connection/peer_link.hpp>
 #include <oleandergrade/process/configuration/store_mirror.hpp>
 #include <oleandergrade/process/membership/copy_fetcher.hpp>
+#include <oleandergrade/process/membership/fleet_service.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -418,40 +420,75 @@
 namespace
 {
 
-/// Another VM, which has a configuration of this version and answers one other
-/// VM's requests for copies of it.
+/// Another VM, which has a configuration of this version and answers requests
+/// for copies of it.
 struct copy_source
 {
-    copy_source(asio::io_context& context, std::uint64_t known_version)
-        : version(known_version),
+    copy_source(asio::io_context& context, std::uint64_t known_version,
+                std::size_t record_padding = 0)
+        : version(known_version), record(configuration_record(version) +
+                                         std::string(record_padding, ' ')),
           acceptor(context, {asio::ip::address_v4::loopback(), 0})
     {
         asio::co_spawn(context, serve(), asio::detached);
     }
 
+    unsigned short port() const { return acceptor.local_endpoint().port(); }
+
     asio::awaitable<void> serve()
     {
-        link = std::make_shared<peer_link>(
-            co_await acceptor.async_accept(asio::use_awaitable),
-            [this](peer_body)
-            { return answer(configuration_record(version), version); });
-        link->start();
+        for (;;)
+        {
+            links.push_back(std::make_shared<peer_link>(
+                co_await acceptor.async_accept(asio::use_awaitable),
+                [this](peer_body request) { return answer(request); }));
+            links.back()->start();
+        }
     }
 
-    static asio::awaitable<peer_body> answer(std::string record,
-                                             std::uint64_t version)
+    asio::awaitable<peer_body> answer(peer_body request)
     {
+        if (std::holds_alternative<liveness_probe>(request))
+            co_return peer_body(liveness_reply{});
         fleet_snapshot snapshot;
         snapshot.configuration_version = version;
-        snapshot.configuration = std::move(record);
+        snapshot.configuration = record;
         co_return peer_body(std::move(snapshot));
     }
 
     std::uint64_t version;
+    std::string record;
     asio::ip::tcp::acceptor acceptor;
-    std::shared_ptr<peer_link> link;
+    std::vector<std::shared_ptr<peer_link>> links;
+};
+
+/// A VM that has version 1 of the configuration and can fetch copies.
+struct copying_vm : following_vm
+{
+    copying_vm()
+        : own_keys(context.get_executor(), *store, "own/", seconds(1),
+                   {[](const stored_range&) {}, [](const stored_change&) {}}),
+          peers(context.get_executor()),
+          copies(context.get_executor(), *state, *mirror, own_keys, peers,
+                 [] { return std::string(); })
+    {
+        copies.on_members_applied = [] {};
+        put_configuration(1);
+        mirror->start();
+        cr_assert(run_until([&] { return state->configuration.version() == 1; },
+                            seconds(1)));
+    }
+
+    store_follower own_keys;
+    peer_client peers;
+    copy_fetcher copies;
 };
 
+std::string loopback_address(unsigned short port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
 } // namespace
 
 // Guards against a VM without the store and without a leader that fetches no
@@ -459,30 +496,60 @@
 // different versions.
 Test(store_following, a_copy_is_fetched_although_other_vms_are_behind)
 {
-    following_vm vm;
-    vm.put_configuration(1);
-    vm.mirror->start();
-    cr_assert(vm.run_until(
-        [&] { return vm.state->configuration.version() == 1; }, seconds(1)));
-    store_follower own_keys(
-        vm.context.get_executor(), *vm.store, "own/", seconds(1),
-        {[](const stored_range&) {}, [](const stored_change&) {}});
-    peer_client peers(vm.context.get_executor());
-    copy_fetcher copies(vm.context.get_executor(), *vm.state, *vm.mirror,
-                        own_keys, peers, [] { return std::string(); });
-    copies.on_members_applied = [] {};
+    copying_vm vm;
     copy_source source(vm.context, 2);
-    const auto address =
-        "127.0.0.1:" + std::to_string(source.acceptor.local_endpoint().port());
+    const auto address = loopback_address(source.port());
     const auto deadline = copy_fetcher::configuration_fetch_delay + seconds(1);
     const auto start = current_time();
     while (vm.state->configuration.version() == 1 &&
            current_time() - start < deadline)
     {
-        copies.compare_configuration(2, address, current_time());
+        vm.copies.compare_configuration(2, address, current_time());
         vm.context.run_for(milliseconds(50));
-        copies.compare_configuration(1, "127.0.0.1:1", current_time());
+        vm.copies.compare_configuration(1, "127.0.0.1:1", current_time());
         vm.context.run_for(milliseconds(50));
     }
     cr_assert(vm.state->configuration.version() == 2);
 }
+
+static asio::awaitable<void>
+report_repeatedly(peer_client& peers, std::string address, unsigned& unanswered)
+{
+    for (;;)
+    {
+        peer_body body = liveness_probe{};
+        const auto outcome = co_await peers.call(address, std::move(body),
+                                                 fleet_service::call_timeout);
+        unanswered += succeeded(outcome) ? 0 : 1;
+        co_await sleep_for(fleet_service::report_interval);
+    }
+}
+
+// Guards against a copy of a large configuration that delays the reports over a
+// slow link until they end the link, and the copy with it.
+Test(store_following, a_copy_over_a_slow_link_is_received_beside_reports)
+{
+    constexpr std::size_t record_bytes = 390'000;
+    // The proxy forwards 8 KB at a time, hence 2 Mbit/s for each connection.
+    constexpr auto delay_per_chunk = milliseconds(32);
+    constexpr unsigned short proxy_port = 20'950;
+    copying_vm vm;
+    copy_source source(vm.context, 2, record_bytes);
+    soak::loopback_proxy proxy(vm.context, proxy_port, source.port());
+    proxy.set_faults({.delay = delay_per_chunk});
+    unsigned unanswered = 0;
+    asio::co_spawn(
+        vm.context,
+        report_repeatedly(vm.peers, loopback_address(proxy_port), unanswered),
+        asio::detached);
+    vm.context.run_for(milliseconds(300));
+    const auto is_received = [&]
+    {
+        vm.copies.compare_configuration(2, loopback_address(proxy_port),
+                                        current_time());
+        return vm.state->configuration.version() == 2;
+    };
+    cr_assert(vm.run_until(is_received,
+                           vm.state->settings.configuration_apply_timeout));
+    cr_assert(unanswered == 0, "%u", unanswered);
+}
