--- a/src/process/configuration/store_mirror.cpp
+++ b/src/process/configuration/store_mirror.cpp
@@ -17,7 +17,7 @@
 constexpr int intervals_per_deadline = 3;
 constexpr auto min_confirmation_interval = milliseconds(250);
 constexpr auto max_confirmation_interval = milliseconds(1000);
-/// Two failed calls and the copies of the other VMs fit into a deadline.
+/// How many of the longest delays between failed calls fit into a deadline.
 constexpr int retry_delays_per_deadline = 4;
 
 milliseconds shortest_deadline(const vm_settings& settings)
