--- a/include/oleandergrade/connection/fleet_message.hpp
+++ b/include/oleandergrade/connection/fleet_message.hpp
@@ -7,6 +7,7 @@
 #include <oleandergrade/process/failover/primary_record.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -184,12 +185,15 @@
     /// The leader's address.
     std::string leader_address;
     std::vector<primary_state> primaries;
+    /// Groups of which the leader only asks what the VM holds.
+    std::vector<std::string> inquired_groups = {};
 
     bool operator==(const primary_notice&) const = default;
 };
 
 /// A VM's acknowledgement of a notification. If it was accepted, the VM acts on
-/// it from now on; if not, the VM has observed a higher token.
+/// the records that it holds from now on; if not, the VM has observed a higher
+/// token.
 struct notice_receipt
 {
     std::string vm;
@@ -198,6 +202,10 @@
     bool accepted = false;
     /// Time since the VM last received a grant of another leader.
     milliseconds other_leader_grant_age{0};
+    /// The records that the VM holds of the groups that the notification names;
+    /// a group is missing if it holds none. Not set by VMs of earlier versions,
+    /// which hold what the notification says.
+    std::optional<std::vector<primary_record>> held_records = {};
 
     bool operator==(const notice_receipt&) const = default;
 };
--- a/include/oleandergrade/connection/http_message.hpp
+++ b/include/oleandergrade/connection/http_message.hpp
@@ -4,6 +4,7 @@
 #include <oleandergrade/clock.hpp>
 
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -38,6 +39,14 @@
     /// Value of the Retry-After header; 0 if there is none. Servers send it in
     /// whole seconds, rounded up.
     milliseconds retry_after{0};
+    /// Names and values of all headers that a client has received. Not used by
+    /// servers.
+    std::vector<std::pair<std::string, std::string>> headers;
 };
 
+/// Returns the value of the first header with this name, or null. Upper and
+/// lower case letters are not distinguished.
+const std::string* find_header(const http_response& response,
+                               std::string_view name);
+
 } // namespace oleandergrade
--- a/include/oleandergrade/process/configuration/metered_store.hpp
+++ b/include/oleandergrade/process/configuration/metered_store.hpp
@@ -17,6 +17,7 @@
 public:
     explicit metered_store(metadata_store& store) : store_(store) {}
 
+    std::uint64_t generation() const override { return store_.generation(); }
     boost::asio::awaitable<result<stored_item>> read(std::string key) override;
     boost::asio::awaitable<result<stored_range>>
     read_all(std::string prefix) override;
--- a/include/oleandergrade/process/configuration/store_mirror.hpp
+++ b/include/oleandergrade/process/configuration/store_mirror.hpp
@@ -67,6 +67,12 @@
     {
         configuration_follower_.refresh("another VM has a newer one");
     }
+    /// Gives up the watches that are waiting and sends the next ones at once.
+    void refresh(const char* reason)
+    {
+        configuration_follower_.refresh(reason);
+        target_follower_.refresh(reason);
+    }
     /// Sets the delays between failed calls for one prefix; with a limit of 0
     /// those of the mode apply.
     void set_retry_delays(milliseconds initial, milliseconds limit)
--- a/include/oleandergrade/process/failover/failover_driver.hpp
+++ b/include/oleandergrade/process/failover/failover_driver.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,7 +50,11 @@
     /// Records the report of another VM.
     void on_report(const fleet_report& report, time_point now);
     /// Applies a primary record that was observed in the store.
-    void on_record(const primary_record& record);
+    void on_stored_record(const stored_primary_record& stored);
+    /// All records have been read: the store contains those of these groups.
+    void on_store_read(const std::set<std::string>& listed_groups);
+    /// The store was restored from a copy.
+    void on_store_restored();
 
     /// Returns all records with the newest known log position of each primary,
     /// for grants.
@@ -58,6 +63,8 @@
     /// `start`.
     std::function<boost::asio::awaitable<notice_receipt>(primary_notice)>
         on_local_notice;
+    /// Called with a fencing token above this leader's that a VM has observed.
+    std::function<void(std::uint64_t)> on_higher_token;
     /// Number of promotions ordered since the process started.
     std::uint64_t promotions_ordered() const { return promotions_ordered_; }
     /// The reports and confirmations of the other VMs.
@@ -92,6 +99,10 @@
     /// Notifies every VM that has not confirmed the newest records.
     void notify_unconfirmed_vms(time_point now);
     boost::asio::awaitable<void> notify_vm(std::string vm, std::string address);
+    /// Records what the VM holds, and uses records of it that are newer than
+    /// the known ones.
+    void apply_receipt(const std::string& vm, const primary_notice& notice,
+                       const notice_receipt& receipt);
     boost::asio::awaitable<void> write_record(std::string group,
                                               write_primary_record order);
     boost::asio::awaitable<void> order_promotion(std::string group,
--- a/include/oleandergrade/process/failover/grant_tracker.hpp
+++ b/include/oleandergrade/process/failover/grant_tracker.hpp
@@ -79,6 +79,12 @@
     /// Returns the latest time at which a VM that does not confirm a record
     /// may still hold a valid grant.
     time_point latest_grant_end(const std::string& vm) const;
+    /// Returns the latest time at which a VM that is not listed as a member may
+    /// still hold a valid grant of a previous leader.
+    time_point predecessor_grant_end() const
+    {
+        return latest_predecessor_grant_end_;
+    }
 
 private:
     time_point elected_at_;
--- a/include/oleandergrade/process/failover/group_failover.hpp
+++ b/include/oleandergrade/process/failover/group_failover.hpp
@@ -19,11 +19,12 @@
 {
 
 /// Write the group's record to the store, provided that the stored record
-/// still has the revision `expected_revision` (0: no record exists).
+/// still has the store's revision `expected_revision` (0: no record exists).
 struct write_primary_record
 {
     primary_record record;
     std::uint64_t expected_revision = 0;
+    record_origin origin = {};
 
     bool operator==(const write_primary_record&) const = default;
 };
@@ -102,6 +103,11 @@
     /// The furthest position that this VM has seen the primary reach; the
     /// default if it has seen none.
     log_position primary_position;
+    /// Generation of the store; 0 if it is not known.
+    std::uint64_t store_generation = 0;
+    /// Whether each VM that may hold a valid grant has told which record of the
+    /// group it holds.
+    bool is_inquiry_complete = false;
 };
 
 /// Replaces a primary in these steps:
@@ -124,8 +130,10 @@
 /// A primary that returns, possibly under another identifier, continues its
 /// term as long as no promotion can have been ordered.
 ///
-/// Another leader can repeat each step, for which it needs only the record. Not
-/// thread-safe.
+/// Another leader can repeat each step, for which it needs only the record. If
+/// the store was restored after the record was written, a newer one may have
+/// been lost: the leader first asks the VMs and the targets, and writes the
+/// newest record that one of them holds to the store again. Not thread-safe.
 class group_failover
 {
 public:
@@ -158,7 +166,12 @@
 
     explicit group_failover(std::string group);
 
-    /// Applies a record from the store unless a newer one is known.
+    /// Applies the record that the store contains, and uses it unless a newer
+    /// one is known.
+    void on_stored_record(const stored_primary_record& stored);
+    /// The store contains no record of the group.
+    void on_record_missing() { stored_ = {}; }
+    /// Applies a record that a VM holds unless a newer one is known.
     void on_record(const primary_record& record);
     /// Advances the state machine. Returns the actions to execute; their
     /// outcomes are passed to the functions below.
@@ -178,6 +191,8 @@
     /// leader or has just become it.
     void abort_replacement();
 
+    /// Whether the leader must ask the VMs which record of the group they hold.
+    bool is_inquiring() const { return step_ == step::inquiring; }
     const primary_record& record() const { return record_; }
     /// When this leader last ordered the record to be opened. The primary had
     /// just answered then, so earlier failures to reach it mean nothing. The
@@ -191,6 +206,9 @@
     {
         /// No replacement in progress; the primary is observed.
         watching,
+        /// Waits for the VMs to tell which record they hold, and for the
+        /// targets' reports, because the store was restored.
+        inquiring,
         /// Waits for a record to be written.
         writing,
         /// Waits for the closed record to be binding for every VM.
@@ -211,6 +229,11 @@
 
     void enter_step(step next, time_point now);
     void watch_primary(const group_observation& observation, time_point now);
+    /// Whether the store may have lost a newer record than the one it contains.
+    bool must_inquire(const group_observation& observation) const;
+    /// Writes the record again, closed if a later term has begun, once nobody
+    /// can hold a newer one.
+    void confirm_record(const group_observation& observation, time_point now);
     void check_for_later_primary(const group_observation& observation,
                                  const target_observation& primary,
                                  time_point now);
@@ -224,7 +247,10 @@
     /// Opens the record if a target already is the primary of the group and no
     /// other primary can have a later term. Returns whether it did.
     bool adopt_primary(const group_observation& observation, time_point now);
-    void write_record(const primary_record& record, time_point now);
+    /// `restored_revision` is that of a record that is written again; 0 for a
+    /// new one.
+    void write_record(const primary_record& record, time_point now,
+                      std::uint64_t restored_revision = 0);
     void request_reports(const group_observation& observation, time_point now);
     /// Whether the recorded primary is to be replaced because its failure
     /// domain is being evacuated.
@@ -251,9 +277,18 @@
     std::uint64_t highest_term() const;
 
     std::string group_;
+    /// The newest record that is known.
     primary_record record_;
+    /// What the store contains as far as it has been read.
+    stored_primary_record stored_;
     /// The record that is being written.
-    primary_record pending_record_;
+    stored_primary_record pending_;
+    /// Generation of the store when the state machine last advanced.
+    std::uint64_t store_generation_ = 0;
+    /// Generation in which the VMs have last told what they hold.
+    std::uint64_t inquired_generation_ = 0;
+    /// No record is written before, after a write has failed.
+    time_point write_allowed_at_;
     step step_ = step::watching;
     time_point opened_at_;
     /// When the current step was entered.
--- a/include/oleandergrade/process/failover/primary_authority.hpp
+++ b/include/oleandergrade/process/failover/primary_authority.hpp
@@ -29,8 +29,8 @@
     /// Records the fencing token of a leader. Returns false if a higher token
     /// has been observed before.
     bool on_token(std::uint64_t token);
-    /// Stores the record if its revision is higher than the known one. Returns
-    /// whether it was stored.
+    /// Stores the record if it is newer than the known one. Returns whether
+    /// what this VM may do has changed.
     bool on_record(const primary_record& record);
 
     /// Returns the group's record if it is open and a grant is valid at `now`,
--- a/include/oleandergrade/process/failover/vm_report_tracker.hpp
+++ b/include/oleandergrade/process/failover/vm_report_tracker.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,10 +36,18 @@
     /// becomes the leader or another VM does.
     void clear() { vms_.clear(); }
     void on_report(const fleet_report& report, time_point now);
-    /// The VM has confirmed that it acts on this revision of the record.
+    /// The VM has confirmed that it acts on this record.
     void on_confirmed(const std::string& vm, const primary_record& record);
+    /// The VM has told which record of the group it holds, if any.
+    void on_inquiry_answered(const std::string& vm, const std::string& group);
+    /// Requires new answers of all VMs. To be called when the store was
+    /// restored.
+    void forget_inquiries();
+    /// Whether the VM has told which record of the group it holds.
+    bool has_answered_inquiry(const std::string& vm,
+                              const std::string& group) const;
 
-    /// Whether the VM has confirmed this revision of the record or a later one.
+    /// Whether the VM has confirmed this record or a newer one.
     bool has_confirmed(const std::string& vm,
                        const primary_record& record) const;
     /// Whether the VM's last report is not older than
@@ -63,6 +72,12 @@
     /// valid grant.
     bool is_binding(const primary_record& record, const member_list& members,
                     const grant_tracker& grants, time_point now) const;
+    /// Whether every member has told which record of the group it holds, or can
+    /// no longer hold a valid grant, and the same is true of VMs whose
+    /// registration the store has lost.
+    bool is_inquiry_complete(const std::string& group,
+                             const member_list& members,
+                             const grant_tracker& grants, time_point now) const;
 
 private:
     struct vm_status
@@ -76,8 +91,10 @@
         time_point reporting_since;
         /// Targets that the VM failed to reach, from its last report.
         std::vector<failing_target> failing_targets;
-        /// Highest revision that the VM has confirmed, by group.
-        std::map<std::string, std::uint64_t> confirmed_revisions;
+        /// Newest record that the VM has confirmed, by group.
+        std::map<std::string, primary_record> confirmed_records;
+        /// Groups of which the VM has told what it holds.
+        std::set<std::string> answered_inquiries;
     };
 
     std::map<std::string, vm_status> vms_;
--- a/include/oleandergrade/process/limits/lender_assigner.hpp
+++ b/include/oleandergrade/process/limits/lender_assigner.hpp
@@ -17,10 +17,13 @@
 {
 
 /// Returns the JSON text that is stored as the lender table. The version is not
-/// part of it.
-std::string serialize_lender_table(const lender_table& table);
-/// Parses a stored lender table. Fails with step "parse lender table" if it is
-/// not a JSON object or names a lender without its address.
+/// part of it; `predecessor` is the version that it replaces.
+std::string serialize_lender_table(const lender_table& table,
+                                   std::uint64_t predecessor = 0);
+/// Parses a stored lender table. Its version is the number of the revision, or
+/// higher if the store was restored; see `rising_number`. Fails with step
+/// "parse lender table" if it is not a JSON object or names a lender without
+/// its address.
 result<lender_table> parse_lender_table(const std::string& value,
                                         std::uint64_t revision);
 
--- a/include/oleandergrade/process/limits/operation_lending.hpp
+++ b/include/oleandergrade/process/limits/operation_lending.hpp
@@ -82,8 +82,9 @@
     lender_assigner assigner_;
     bool is_writing_ = false;
     time_point write_allowed_at_;
-    /// Revision of the table in the store; 0 if there is none.
+    /// Revision and version of the table in the store; 0 if there is none.
     std::uint64_t stored_revision_ = 0;
+    std::uint64_t stored_version_ = 0;
     lending_counts counts_;
 };
 
--- a/include/oleandergrade/process/membership/fleet_service.hpp
+++ b/include/oleandergrade/process/membership/fleet_service.hpp
@@ -136,6 +136,17 @@
     /// Applies a complete read of the product's own keys; members that it does
     /// not contain are removed.
     void apply_all_own_keys(const stored_range& range);
+    /// Reads everything again if the store was restored from a copy.
+    void check_store_generation();
+    /// Registers this VM again if the store has lost its registration. The
+    /// leader does so for the others: not all of them follow the store.
+    void restore_registrations(const std::vector<std::string>& lost_members,
+                               const stored_range& range);
+    boost::asio::awaitable<void> restore_registration(fleet_member member);
+    /// Resigns if this VM leads with a lower token: another leader has been
+    /// elected, or the store has lost one that was.
+    void on_higher_token(std::uint64_t token);
+    boost::asio::awaitable<void> end_lease(std::uint64_t lease);
     /// Applies a registration, or its removal, to the list of members.
     void apply_member(const stored_change& change);
     /// Applies a change of the leader key, a registration or a primary record.
@@ -252,6 +263,10 @@
     std::uint64_t last_link_ = 0;
     /// The store has acknowledged this VM's registration.
     bool registered_ = false;
+    /// Generation of the store, and whether it has changed since the process
+    /// started.
+    std::uint64_t store_generation_ = 0;
+    bool store_was_restored_ = false;
     /// Whether this VM was the leader after the previous election event.
     bool was_leader_ = false;
     /// At the last election of this VM there was no sign of an earlier leader.
--- a/include/oleandergrade/process/membership/grant_issuer.hpp
+++ b/include/oleandergrade/process/membership/grant_issuer.hpp
@@ -37,6 +37,8 @@
     /// Called with the address of a VM that has reported a newer configuration
     /// than this VM has.
     std::function<void(std::string address)> on_newer_configuration;
+    /// Called with a fencing token above this leader's that a VM has observed.
+    std::function<void(std::uint64_t token)> on_higher_token;
 
     /// This VM was elected leader. `is_first_leader`: there is no sign of an
     /// earlier leader, so that no VM holds a share.
--- a/include/oleandergrade/process/membership/leader_election.hpp
+++ b/include/oleandergrade/process/membership/leader_election.hpp
@@ -19,6 +19,9 @@
     std::uint64_t incarnation = 0;
     /// Address at which the leader accepts calls of other VMs.
     std::string address;
+    /// Highest fencing token that the leader knew when it was elected; its own
+    /// is higher.
+    std::uint64_t predecessor_token = 0;
 
     bool operator==(const leader_identity&) const = default;
 };
@@ -46,9 +49,10 @@
 /// State machine of one VM's part in the leader election.
 ///
 /// The leader key is bound to the lease of the leader, so it disappears when
-/// the lease ends, and it is created only if it does not exist. The revision at
-/// which the key was created is the fencing token; it increases with every
-/// change of leader.
+/// the lease ends, and it is created only if it does not exist. The number of
+/// the revision at which the key was created is the fencing token, or, if the
+/// store was restored since, a higher one than the candidate knew; it increases
+/// with every change of leader.
 ///
 /// The owner of this object obtains the next store call from `begin_due_call`,
 /// executes it and passes its outcome to the member function that belongs to
@@ -76,6 +80,9 @@
     /// Sets the position of this VM among the candidates; rank 0 competes
     /// first.
     void set_rank(std::size_t rank) { rank_ = rank; }
+    /// Sets the highest fencing token that this VM knows. The next leadership
+    /// of this VM gets a higher one.
+    void set_highest_token(std::uint64_t token) { highest_token_ = token; }
     /// Stops this VM from becoming the leader again, because its process is
     /// about to stop. Does not end a leadership that it already has.
     void retire() { retiring_ = true; }
@@ -126,7 +133,7 @@
     /// grants, or primary records, of its predecessors.
     bool has_complete_view() const
     {
-        return is_leader() && applied_revision_ >= token_;
+        return is_leader() && applied_revision_ >= key_revision_;
     }
     /// Whether this VM may act as the leader: its lease is certain to be valid
     /// and its view is complete.
@@ -138,16 +145,15 @@
     time_point lease_confirmed_at() const { return lease_confirmed_at_; }
     /// The fencing token; 0 if this VM is not the leader.
     std::uint64_t token() const { return token_; }
+    /// The store's revision of the leader key, for conditions; 0 if this VM is
+    /// not the leader.
+    std::uint64_t key_revision() const { return key_revision_; }
     /// Identifier of the lease in the store; 0 if there is none.
     std::uint64_t lease_id() const { return lease_.id; }
     /// The last observed leader; its fields are empty if there is none.
     const leader_identity& known_leader() const { return known_leader_; }
-    /// The store revision at which the known leader was elected, which is its
-    /// fencing token; 0 if no leader is known.
-    std::uint64_t known_leader_revision() const
-    {
-        return known_leader_revision_;
-    }
+    /// The fencing token of the known leader; 0 if no leader is known.
+    std::uint64_t known_leader_token() const { return known_leader_token_; }
 
 private:
     /// Ends this VM's leadership and discards its lease.
@@ -169,8 +175,10 @@
     time_point lease_confirmed_at_;
     time_point next_call_at_;
     std::uint64_t token_ = 0;
+    std::uint64_t key_revision_ = 0;
+    std::uint64_t highest_token_ = 0;
     leader_identity known_leader_;
-    std::uint64_t known_leader_revision_ = 0;
+    std::uint64_t known_leader_token_ = 0;
     /// The store revision at which the leader key was last observed; 0 if it
     /// has not been observed yet.
     std::uint64_t key_observed_at_revision_ = 0;
--- a/include/oleandergrade/process/metadata_store.hpp
+++ b/include/oleandergrade/process/metadata_store.hpp
@@ -16,7 +16,8 @@
 {
 
 /// A key with its value and the revision of its last change. Revision 0 means
-/// that the key does not exist.
+/// that the key does not exist. All revisions name the store's generation; see
+/// store_revision.hpp.
 struct stored_item
 {
     std::string key;
@@ -57,7 +58,7 @@
 
 /// A write that the store executes only if every key of `expected` still has
 /// the given revision (0: the key does not exist). The values of `expected` are
-/// not compared.
+/// not compared. A revision of an earlier generation of the store never holds.
 struct conditional_write
 {
     std::vector<stored_item> expected;
@@ -83,11 +84,19 @@
 /// was changed, or that the store has discarded the history that a watch needs.
 /// "refused" means that the store did nothing. After "broken" and "timeout" the
 /// outcome is unknown: the write may have been executed or may still be.
+///
+/// A store that is restored from an older copy begins a new generation. Watches
+/// from a revision of an earlier generation and calls for a lease of one fail
+/// with "conflict". Answers of an earlier generation, and answers that name
+/// none although earlier ones did, fail with "broken".
 class metadata_store
 {
 public:
     virtual ~metadata_store() = default;
 
+    /// The newest generation of the store that an answer has named; 0 if none
+    /// has.
+    virtual std::uint64_t generation() const { return 0; }
     /// Returns the item; its revision is 0 if the key does not exist.
     virtual boost::asio::awaitable<result<stored_item>>
     read(std::string key) = 0;
--- a/src/connection/fleet_message_codec.cpp
+++ b/src/connection/fleet_message_codec.cpp
@@ -27,6 +27,9 @@
     out.setHasPosition(in.has_position);
     out.setPosition(in.position);
     out.setPositionAge(milliseconds_to_wire(in.position_age));
+    out.setCandidate(in.record.candidate);
+    out.setKnownTerm(in.record.known_position.term);
+    out.setKnownIndex(in.record.known_position.index);
 }
 
 primary_state read(wire::PrimaryState::Reader in)
@@ -41,6 +44,8 @@
     out.has_position = in.getHasPosition();
     out.position = in.getPosition();
     out.position_age = milliseconds_from_wire(in.getPositionAge());
+    out.record.candidate = string_from_wire(in.getCandidate());
+    out.record.known_position = {in.getKnownTerm(), in.getKnownIndex()};
     return out;
 }
 
@@ -263,12 +268,20 @@
     out.setToken(in.token);
     out.setHolder(in.leader_address);
     write(out.initPrimaries(size_of(in.primaries)), in.primaries);
+    auto groups = out.initInquiredGroups(size_of(in.inquired_groups));
+    for (unsigned i = 0; i < in.inquired_groups.size(); ++i)
+        groups.set(i, in.inquired_groups[i]);
 }
 
 primary_notice read(wire::PrimaryNotice::Reader in)
 {
-    return {in.getToken(), string_from_wire(in.getHolder()),
-            read(in.getPrimaries())};
+    primary_notice out{in.getToken(),
+                       string_from_wire(in.getHolder()),
+                       read(in.getPrimaries()),
+                       {}};
+    for (const auto group : in.getInquiredGroups())
+        out.inquired_groups.push_back(string_from_wire(group));
+    return out;
 }
 
 void write(wire::NoticeReceipt::Builder out, const notice_receipt& in)
@@ -278,12 +291,28 @@
     out.setToken(in.token);
     out.setAccepted(in.accepted);
     out.setGrantAge(milliseconds_to_wire(in.other_leader_grant_age));
+    out.setNamesHeldRecords(in.held_records.has_value());
+    if (!in.held_records)
+        return;
+    auto held = out.initHeldRecords(size_of(*in.held_records));
+    for (unsigned i = 0; i < in.held_records->size(); ++i)
+        write(held[i], primary_state{(*in.held_records)[i], false, 0, {}});
 }
 
 notice_receipt read(wire::NoticeReceipt::Reader in)
 {
-    return {string_from_wire(in.getVm()), in.getIncarnation(), in.getToken(),
-            in.getAccepted(), milliseconds_from_wire(in.getGrantAge())};
+    notice_receipt out{string_from_wire(in.getVm()),
+                       in.getIncarnation(),
+                       in.getToken(),
+                       in.getAccepted(),
+                       milliseconds_from_wire(in.getGrantAge()),
+                       std::nullopt};
+    if (!in.getNamesHeldRecords())
+        return out;
+    out.held_records.emplace();
+    for (const auto state : in.getHeldRecords())
+        out.held_records->push_back(read(state).record);
+    return out;
 }
 
 void write(wire::BorrowRequest::Builder out, const borrow_request& in)
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
@@ -187,7 +188,18 @@
         std::string(beast_response[http::field::content_type]);
     response.retry_after =
         parse_retry_after(beast_response[http::field::retry_after]);
+    for (const auto& field : beast_response)
+        response.headers.emplace_back(field.name_string(), field.value());
     co_return response;
 }
 
+const std::string* find_header(const http_response& response,
+                               std::string_view name)
+{
+    for (const auto& [known_name, value] : response.headers)
+        if (beast::iequals(known_name, name))
+            return &value;
+    return nullptr;
+}
+
 } // namespace oleandergrade
--- a/src/connection/peer_message.capnp
+++ b/src/connection/peer_message.capnp
@@ -96,6 +96,10 @@
   position @6 :UInt64;
   positionAge @7 :UInt64;
   hasPosition @8 :Bool;
+  # Empty and 0 in messages of VMs that do not know these fields.
+  candidate @9 :Text;
+  knownTerm @10 :UInt64;
+  knownIndex @11 :UInt64;
 }
 
 struct FleetGrant {
@@ -182,6 +186,8 @@
   token @0 :UInt64;
   holder @1 :Text;
   primaries @2 :List(PrimaryState);
+  # Groups whose records the receiver is only asked for.
+  inquiredGroups @3 :List(Text);
 }
 
 struct NoticeReceipt {
@@ -191,6 +197,10 @@
   accepted @3 :Bool;
   # Time since the VM last received a grant of another leader, in milliseconds.
   grantAge @4 :UInt64;
+  # The records that the VM holds of the groups that the notice names.
+  heldRecords @5 :List(PrimaryState);
+  # False in messages of VMs that do not know the field before.
+  namesHeldRecords @6 :Bool;
 }
 
 struct SnapshotItem {
--- a/src/connection/peer_message.capnp.h
+++ b/src/connection/peer_message.capnp.h
@@ -148,7 +148,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ad9a6e04ecbb9685, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ad9a6e04ecbb9685, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -283,7 +283,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(91857391c186969c, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(91857391c186969c, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -298,7 +298,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ecbecdc9d0055e41, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ecbecdc9d0055e41, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1148,6 +1148,13 @@
 
   inline bool getHasPosition() const;
 
+  inline bool hasCandidate() const;
+  inline  ::capnp::Text::Reader getCandidate() const;
+
+  inline  ::uint64_t getKnownTerm() const;
+
+  inline  ::uint64_t getKnownIndex() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1211,6 +1218,19 @@
   inline bool getHasPosition();
   inline void setHasPosition(bool value);
 
+  inline bool hasCandidate();
+  inline  ::capnp::Text::Builder getCandidate();
+  inline void setCandidate( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCandidate(unsigned int size);
+  inline void adoptCandidate(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCandidate();
+
+  inline  ::uint64_t getKnownTerm();
+  inline void setKnownTerm( ::uint64_t value);
+
+  inline  ::uint64_t getKnownIndex();
+  inline void setKnownIndex( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2121,6 +2141,9 @@
   inline bool hasPrimaries() const;
   inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader getPrimaries() const;
 
+  inline bool hasInquiredGroups() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getInquiredGroups() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2166,6 +2189,14 @@
   inline void adoptPrimaries(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>> disownPrimaries();
 
+  inline bool hasInquiredGroups();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getInquiredGroups();
+  inline void setInquiredGroups( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setInquiredGroups(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initInquiredGroups(unsigned int size);
+  inline void adoptInquiredGroups(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownInquiredGroups();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2220,6 +2251,11 @@
 
   inline  ::uint64_t getGrantAge() const;
 
+  inline bool hasHeldRecords() const;
+  inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader getHeldRecords() const;
+
+  inline bool getNamesHeldRecords() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2267,6 +2303,16 @@
   inline  ::uint64_t getGrantAge();
   inline void setGrantAge( ::uint64_t value);
 
+  inline bool hasHeldRecords();
+  inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder getHeldRecords();
+  inline void setHeldRecords( ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder initHeldRecords(unsigned int size);
+  inline void adoptHeldRecords(::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>> disownHeldRecords();
+
+  inline bool getNamesHeldRecords();
+  inline void setNamesHeldRecords(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4695,6 +4741,68 @@
       ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PrimaryState::Reader::hasCandidate() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PrimaryState::Builder::hasCandidate() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PrimaryState::Reader::getCandidate() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PrimaryState::Builder::getCandidate() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PrimaryState::Builder::setCandidate( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PrimaryState::Builder::initCandidate(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PrimaryState::Builder::adoptCandidate(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PrimaryState::Builder::disownCandidate() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PrimaryState::Reader::getKnownTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrimaryState::Builder::getKnownTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryState::Builder::setKnownTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PrimaryState::Reader::getKnownIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrimaryState::Builder::getKnownIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryState::Builder::setKnownIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FleetGrant::Reader::getAccepted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5735,6 +5843,44 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool PrimaryNotice::Reader::hasInquiredGroups() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PrimaryNotice::Builder::hasInquiredGroups() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader PrimaryNotice::Reader::getInquiredGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PrimaryNotice::Builder::getInquiredGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PrimaryNotice::Builder::setInquiredGroups( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void PrimaryNotice::Builder::setInquiredGroups(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PrimaryNotice::Builder::initInquiredGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PrimaryNotice::Builder::adoptInquiredGroups(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> PrimaryNotice::Builder::disownInquiredGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool NoticeReceipt::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5825,6 +5971,54 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NoticeReceipt::Reader::hasHeldRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NoticeReceipt::Builder::hasHeldRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader NoticeReceipt::Reader::getHeldRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder NoticeReceipt::Builder::getHeldRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NoticeReceipt::Builder::setHeldRecords( ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>::Builder NoticeReceipt::Builder::initHeldRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NoticeReceipt::Builder::adoptHeldRecords(
+    ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>> NoticeReceipt::Builder::disownHeldRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandergrade::wire::PrimaryState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NoticeReceipt::Reader::getNamesHeldRecords() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool NoticeReceipt::Builder::getNamesHeldRecords() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void NoticeReceipt::Builder::setNamesHeldRecords(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SnapshotItem::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/process/configuration/store_follower.cpp
+++ b/src/process/configuration/store_follower.cpp
@@ -2,6 +2,7 @@
 
 #include <oleandergrade/connection/async_event.hpp>
 #include <oleandergrade/process/event_log.hpp>
+#include <oleandergrade/process/store_revision.hpp>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
@@ -45,7 +46,8 @@
         byte_count += item.value.size();
     log_event(event_level::info, "store", "read",
               {{"prefix", prefix},
-               {"revision", range.store_revision},
+               {"revision", store_number(range.store_revision)},
+               {"generation", store_generation(range.store_revision)},
                {"items", range.items.size()},
                {"bytes", byte_count},
                {"took", std::chrono::duration_cast<milliseconds>(took)}});
@@ -116,7 +118,7 @@
     log_event(event_level::info, "store", "watch repeated",
               {{"prefix", prefix_},
                {"reason", reason},
-               {"revision", store_revision_},
+               {"revision", store_number(store_revision_)},
                {"waited", std::chrono::duration_cast<milliseconds>(
                               current_time() - pending_watch_->sent_at)}});
     give_up_watch();
@@ -254,7 +256,7 @@
     if (!std::exchange(connected_, true))
         log_event(event_level::info, "store", "regained",
                   {{"prefix", prefix_},
-                   {"revision", store_revision_},
+                   {"revision", store_number(store_revision_)},
                    {"unanswered", unanswered_for}});
     on_call_ended();
 }
@@ -311,7 +313,7 @@
                           {"next_call_in", next_call_in}});
     log_event(event_level::warning, "store", "lost",
               {{"prefix", prefix_},
-               {"revision", store_revision_},
+               {"revision", store_number(store_revision_)},
                {"unanswered", status(current_time()).unanswered_for},
                {"error", to_string(failure)},
                {"next_call_in", next_call_in}});
--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -65,10 +65,23 @@
     vm_reports_.on_report(report, now);
 }
 
-void failover_driver::on_record(const primary_record& record)
+void failover_driver::on_stored_record(const stored_primary_record& stored)
 {
-    groups_.try_emplace(record.group, record.group)
-        .first->second.on_record(record);
+    const auto& name = stored.record.group;
+    groups_.try_emplace(name, name).first->second.on_stored_record(stored);
+}
+
+void failover_driver::on_store_read(const std::set<std::string>& listed_groups)
+{
+    for (auto& [name, group] : groups_)
+        if (!listed_groups.contains(name))
+            group.on_record_missing();
+}
+
+void failover_driver::on_store_restored()
+{
+    vm_reports_.forget_inquiries();
+    wake();
 }
 
 std::vector<primary_state> failover_driver::primary_states(time_point now) const
@@ -205,6 +218,9 @@
         found != groups_.end() &&
         vm_reports_.is_binding(found->second.record(), state_.members,
                                grant_tracker_, now);
+    observation.store_generation = state_.store.generation();
+    observation.is_inquiry_complete = vm_reports_.is_inquiry_complete(
+        group, state_.members, grant_tracker_, now);
     return observation;
 }
 
@@ -251,14 +267,16 @@
         auto& notice = notice_states_[vm];
         if (notice.in_flight || now < notice.next_notice_at)
             continue;
-        const bool is_unconfirmed =
-            std::any_of(groups_.begin(), groups_.end(),
-                        [&](const auto& entry)
-                        {
-                            const auto& record = entry.second.record();
-                            return record.revision != 0 &&
-                                   !vm_reports_.has_confirmed(vm, record);
-                        });
+        const bool is_unconfirmed = std::any_of(
+            groups_.begin(), groups_.end(),
+            [&](const auto& entry)
+            {
+                const auto& [name, group] = entry;
+                if (group.is_inquiring())
+                    return !vm_reports_.has_answered_inquiry(vm, name);
+                return group.record().revision != 0 &&
+                       !vm_reports_.has_confirmed(vm, group.record());
+            });
         if (!is_unconfirmed)
             continue;
         notice.in_flight = true;
@@ -275,7 +293,9 @@
     notice.token = election_.token();
     notice.leader_address = state_.settings.advertised_peer_address;
     for (const auto& [name, group] : groups_)
-        if (group.record().revision != 0)
+        if (group.is_inquiring())
+            notice.inquired_groups.push_back(name);
+        else if (group.record().revision != 0)
             notice.primaries.push_back({group.record(), false, 0, {}});
     std::optional<notice_receipt> receipt;
     if (vm == state_.settings.name)
@@ -293,27 +313,62 @@
                 receipt = *reply;
     }
     notice_states_[vm].in_flight = false;
-    if (!receipt || !receipt->accepted || notice.token != election_.token())
+    if (!receipt || notice.token != election_.token())
+        co_return;
+    if (!receipt->accepted)
+    {
+        if (receipt->token > notice.token && on_higher_token)
+            on_higher_token(receipt->token);
         co_return;
+    }
     if (vm != state_.settings.name)
         grant_tracker_.on_token_acknowledged(vm, receipt->incarnation,
                                              receipt->other_leader_grant_age,
                                              current_time());
-    for (const auto& state : notice.primaries)
-        vm_reports_.on_confirmed(vm, state.record);
+    apply_receipt(vm, notice, *receipt);
     wake();
 }
 
+void failover_driver::apply_receipt(const std::string& vm,
+                                    const primary_notice& notice,
+                                    const notice_receipt& receipt)
+{
+    for (const auto& group : notice.inquired_groups)
+        vm_reports_.on_inquiry_answered(vm, group);
+    if (!receipt.held_records)
+    {
+        for (const auto& state : notice.primaries)
+            vm_reports_.on_confirmed(vm, state.record);
+        return;
+    }
+    for (const auto& record : *receipt.held_records)
+    {
+        const auto found = groups_.find(record.group);
+        if (found == groups_.end())
+            continue;
+        vm_reports_.on_confirmed(vm, record);
+        if (is_newer(record, found->second.record()))
+            log_event(event_level::info, "failover", "newer record at a VM",
+                      {{"group", record.group},
+                       {"vm", vm},
+                       {"term", record.term},
+                       {"revision", record.revision},
+                       {"known_term", found->second.record().term},
+                       {"known_revision", found->second.record().revision}});
+        found->second.on_record(record);
+    }
+}
+
 asio::awaitable<void> failover_driver::write_record(std::string group,
                                                     write_primary_record order)
 {
     conditional_write change;
     change.key = primaries_prefix + group;
-    change.value = serialize_primary_record(order.record);
+    change.value = serialize_primary_record(order.record, order.origin);
     // The condition on the leader key makes the write fail if another VM has
     // become the leader.
     change.expected = {{change.key, "", order.expected_revision},
-                       {leader_key, "", election_.token()}};
+                       {leader_key, "", election_.key_revision()}};
     auto outcome = co_await state_.store.write(std::move(change));
     if (!succeeded(outcome))
         log_event(event_level::warning, "failover",
--- a/src/process/failover/group_failover.cpp
+++ b/src/process/failover/group_failover.cpp
@@ -2,6 +2,7 @@
 
 #include <oleandergrade/invariant.hpp>
 #include <oleandergrade/process/event_log.hpp>
+#include <oleandergrade/process/store_revision.hpp>
 
 #include <algorithm>
 #include <array>
@@ -18,6 +19,8 @@
 constexpr std::size_t lost_fraction_divisor = 3;
 /// A target that refused its promotion is not chosen again for this long.
 constexpr auto refusal_validity = seconds(2);
+/// Delay after a failed write of the record.
+constexpr auto write_retry_delay = milliseconds(50);
 
 const target_observation* find_target(const group_observation& observation,
                                       const std::string& id)
@@ -35,21 +38,29 @@
 
 const char* group_failover::step_name() const
 {
-    static constexpr std::array<const char*, 6> names{"watching",  "writing",
-                                                      "binding",   "reporting",
-                                                      "promoting", "verifying"};
+    static constexpr std::array<const char*, 7> names{
+        "watching",  "inquiring", "writing",  "binding",
+        "reporting", "promoting", "verifying"};
     return names[static_cast<std::size_t>(step_)];
 }
 
+void group_failover::on_stored_record(const stored_primary_record& stored)
+{
+    if (stored.store_revision >= stored_.store_revision)
+        stored_ = stored;
+    on_record(stored.record);
+}
+
 void group_failover::on_record(const primary_record& record)
 {
-    if (record.revision > record_.revision)
+    if (is_newer(record, record_))
         record_ = record;
 }
 
 void group_failover::abort_replacement()
 {
     step_ = step::watching;
+    inquired_generation_ = 0;
     forget_reports();
     actions_.clear();
 }
@@ -71,6 +82,7 @@
 std::vector<group_action>
 group_failover::tick(const group_observation& observation, time_point now)
 {
+    store_generation_ = observation.store_generation;
     // A write whose answer was lost has opened the record meanwhile.
     const bool replaces = step_ == step::binding || step_ == step::reporting ||
                           step_ == step::verifying;
@@ -81,6 +93,10 @@
     case step::watching:
         watch_primary(observation, now);
         break;
+    case step::inquiring:
+        request_reports(observation, now);
+        confirm_record(observation, now);
+        break;
     case step::writing:
     case step::promoting:
         break;
@@ -108,6 +124,13 @@
 void group_failover::watch_primary(const group_observation& observation,
                                    time_point now)
 {
+    if (now < write_allowed_at_)
+        return;
+    if (must_inquire(observation))
+    {
+        forget_reports();
+        return enter_step(step::inquiring, now);
+    }
     if (record_.revision == 0)
         return record_first_primary(observation, now);
     if (!record_.is_open)
@@ -133,6 +156,39 @@
     check_for_later_primary(observation, *primary, now);
 }
 
+bool group_failover::must_inquire(const group_observation& observation) const
+{
+    const auto generation = observation.store_generation;
+    if (generation == 0)
+        return false;
+    if (record_.revision == 0)
+        return inquired_generation_ != generation;
+    return stored_.store_revision == 0 || stored_.may_be_superseded() ||
+           store_generation(stored_.store_revision) != generation ||
+           is_newer(record_, stored_.record);
+}
+
+void group_failover::confirm_record(const group_observation& observation,
+                                    time_point now)
+{
+    const bool misses_reports =
+        std::any_of(observation.targets.begin(), observation.targets.end(),
+                    [&](const target_observation& target) {
+                        return !target.leader_failing_for &&
+                               !reports_.contains(target.record.id);
+                    });
+    if (!observation.is_inquiry_complete ||
+        (misses_reports && now - step_entered_at_ < report_timeout))
+        return;
+    inquired_generation_ = observation.store_generation;
+    if (record_.revision == 0)
+        return enter_step(step::watching, now);
+    // A promotion whose record is lost has taken effect.
+    if (highest_term() > record_.term && record_.is_open)
+        return close_record(false, now);
+    write_record(record_, now, record_.revision);
+}
+
 // A promotion whose answer was lost may have taken effect late. Registrations
 // lag behind the actual state of the targets, so a target that registers as
 // primary must send a report before the record is closed.
@@ -228,10 +284,14 @@
     write_record(opened, now);
 }
 
-void group_failover::write_record(const primary_record& record, time_point now)
+void group_failover::write_record(const primary_record& record, time_point now,
+                                  std::uint64_t restored_revision)
 {
-    pending_record_ = record;
-    actions_.push_back(write_primary_record{record, record_.revision});
+    pending_.record = record;
+    pending_.origin = {restored_revision == 0 ? record_.revision : 0,
+                       restored_revision, store_generation_};
+    actions_.push_back(
+        write_primary_record{record, stored_.store_revision, pending_.origin});
     enter_step(step::writing, now);
 }
 
@@ -241,20 +301,28 @@
     if (step_ != step::writing)
         return;
     if (!succeeded(outcome))
+    {
         // The write may have taken effect. The watch on the store delivers the
-        // stored record, from which the next tick continues.
+        // stored record, from which a later tick continues.
+        write_allowed_at_ = now + write_retry_delay;
         return enter_step(step::watching, now);
-    pending_record_.revision = value_of(outcome);
-    on_record(pending_record_);
+    }
+    auto& record = pending_.record;
+    const bool is_restored = pending_.origin.revision != 0;
+    pending_.store_revision = value_of(outcome);
+    if (!is_restored)
+        record.revision =
+            rising_number(pending_.store_revision, pending_.origin.predecessor);
+    on_stored_record(pending_);
     actions_.push_back(announce_primary{});
-    if (pending_record_.is_open)
+    if (record.is_open || is_restored)
     {
         forget_reports();
         return enter_step(step::watching, now);
     }
-    if (pending_record_.candidate.empty())
+    if (record.candidate.empty())
         return enter_step(step::binding, now);
-    order_promotion(pending_record_.candidate, now);
+    order_promotion(record.candidate, now);
 }
 
 void group_failover::request_reports(const group_observation& observation,
@@ -275,7 +343,7 @@
         // Fencing has an effect only if the group replicates synchronously:
         // there, a commit is not acknowledged without the replicas.
         if (observation.synchronous_replicas > 0 && id != record_.target &&
-            record_.revision != 0)
+            record_.revision != 0 && step_ != step::inquiring)
             actions_.push_back(fence_target{id, record_.term + 1});
         else
             actions_.push_back(request_target_report{id});
--- a/src/process/failover/primary_authority.cpp
+++ b/src/process/failover/primary_authority.cpp
@@ -1,7 +1,5 @@
 #include <oleandergrade/process/failover/primary_authority.hpp>
 
-#include <oleandergrade/invariant.hpp>
-
 #include <algorithm>
 
 namespace oleandergrade
@@ -26,11 +24,17 @@
 bool primary_authority::on_record(const primary_record& record)
 {
     auto& current = records_[record.group];
-    if (record.revision <= current.revision)
+    if (!is_newer(record, current))
+        return false;
+    // The store tells more of a record than notifications of earlier versions.
+    const bool is_same =
+        record.term == current.term && record.revision == current.revision &&
+        record.is_open == current.is_open && record.target == current.target;
+    if (is_same)
+    {
+        current = record;
         return false;
-    check_invariant(record.term >= current.term,
-                    "the term of a newer record must not be lower",
-                    record.group);
+    }
     closing_revisions_.erase(record.group);
     if (current.is_open && !record.is_open && record.is_planned)
         closing_revisions_[record.group] = current.revision;
--- a/src/process/failover/vm_report_tracker.cpp
+++ b/src/process/failover/vm_report_tracker.cpp
@@ -27,8 +27,29 @@
 void vm_report_tracker::on_confirmed(const std::string& vm,
                                      const primary_record& record)
 {
-    auto& confirmed = vms_[vm].confirmed_revisions[record.group];
-    confirmed = std::max(confirmed, record.revision);
+    auto& confirmed = vms_[vm].confirmed_records[record.group];
+    if (is_newer(record, confirmed))
+        confirmed = record;
+}
+
+void vm_report_tracker::on_inquiry_answered(const std::string& vm,
+                                            const std::string& group)
+{
+    vms_[vm].answered_inquiries.insert(group);
+}
+
+void vm_report_tracker::forget_inquiries()
+{
+    for (auto& [vm, status] : vms_)
+        status.answered_inquiries.clear();
+}
+
+bool vm_report_tracker::has_answered_inquiry(const std::string& vm,
+                                             const std::string& group) const
+{
+    const auto found = vms_.find(vm);
+    return found != vms_.end() &&
+           found->second.answered_inquiries.contains(group);
 }
 
 bool vm_report_tracker::has_confirmed(const std::string& vm,
@@ -37,9 +58,9 @@
     const auto found = vms_.find(vm);
     if (found == vms_.end())
         return false;
-    const auto confirmed = found->second.confirmed_revisions.find(record.group);
-    return confirmed != found->second.confirmed_revisions.end() &&
-           confirmed->second >= record.revision;
+    const auto confirmed = found->second.confirmed_records.find(record.group);
+    return confirmed != found->second.confirmed_records.end() &&
+           !is_newer(record, confirmed->second);
 }
 
 bool vm_report_tracker::is_reporting(const std::string& vm,
@@ -116,4 +137,19 @@
                        });
 }
 
+bool vm_report_tracker::is_inquiry_complete(const std::string& group,
+                                            const member_list& members,
+                                            const grant_tracker& grants,
+                                            time_point now) const
+{
+    return now >= grants.predecessor_grant_end() + grant_end_margin &&
+           std::all_of(members.all().begin(), members.all().end(),
+                       [&](const auto& member)
+                       {
+                           return has_answered_inquiry(member.first, group) ||
+                                  now >= grants.latest_grant_end(member.first) +
+                                             grant_end_margin;
+                       });
+}
+
 } // namespace oleandergrade
--- a/src/process/limits/lender_assigner.cpp
+++ b/src/process/limits/lender_assigner.cpp
@@ -2,6 +2,7 @@
 
 #include <oleandergrade/connection/json_fields.hpp>
 #include <oleandergrade/process/limits/account_budget.hpp>
+#include <oleandergrade/process/store_revision.hpp>
 
 #include <algorithm>
 #include <set>
@@ -51,7 +52,8 @@
 
 } // namespace
 
-std::string serialize_lender_table(const lender_table& table)
+std::string serialize_lender_table(const lender_table& table,
+                                   std::uint64_t predecessor)
 {
     json::array lenders;
     for (const auto& listed : table.lenders)
@@ -63,7 +65,8 @@
     return json::serialize(
         json::object{{"lenders_per_account", table.lenders_per_account},
                      {"lenders", std::move(lenders)},
-                     {"former", std::move(former)}});
+                     {"former", std::move(former)},
+                     {"predecessor", predecessor}});
 }
 
 result<lender_table> parse_lender_table(const std::string& value,
@@ -77,7 +80,8 @@
         return invalid(error_of(parsed).message);
     const auto& fields = value_of(parsed);
     lender_table table;
-    table.version = revision;
+    table.version =
+        rising_number(revision, unsigned_field(fields, "predecessor"));
     table.lenders_per_account = static_cast<std::uint32_t>(
         unsigned_field(fields, "lenders_per_account"));
     if (const auto* lenders = fields.if_contains("lenders");
--- a/src/process/limits/operation_lending.cpp
+++ b/src/process/limits/operation_lending.cpp
@@ -2,6 +2,7 @@
 
 #include <oleandergrade/process/event_log.hpp>
 #include <oleandergrade/process/store_layout.hpp>
+#include <oleandergrade/process/store_revision.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -43,6 +44,7 @@
 void operation_lending::on_stored_table(const stored_change& change)
 {
     stored_revision_ = change.value ? change.revision : 0;
+    stored_version_ = 0;
     if (!change.value)
         return;
     auto table = parse_lender_table(*change.value, change.revision);
@@ -50,6 +52,7 @@
         return log_event(event_level::error, "limits",
                          "lender table cannot be parsed",
                          {{"error", to_string(error_of(table))}});
+    stored_version_ = value_of(table).version;
     apply(value_of(table));
 }
 
@@ -82,6 +85,11 @@
                              { return grants_.is_present(vm, now); },
                              state_.members.lowest_level()};
     auto table = assigner_.update(directory_.lenders().table(), input, now);
+    // The store was restored and has lost the table in force.
+    const bool is_lost =
+        state_.store.generation() != 0 && table_version() > stored_version_;
+    if (!table && is_lost)
+        table = directory_.lenders().table();
     if (!table)
         return;
     is_writing_ = true;
@@ -92,17 +100,19 @@
 // knows which VMs may hold one.
 asio::awaitable<void> operation_lending::write_table(lender_table table)
 {
+    const auto predecessor = table_version();
     conditional_write change;
     change.key = lenders_key;
-    change.value = serialize_lender_table(table);
+    change.value = serialize_lender_table(table, predecessor);
     change.expected = {{lenders_key, "", stored_revision_},
-                       {leader_key, "", election_.token()}};
+                       {leader_key, "", election_.key_revision()}};
     const auto outcome = co_await state_.store.write(std::move(change));
     is_writing_ = false;
     if (succeeded(outcome))
     {
         stored_revision_ = value_of(outcome);
-        table.version = value_of(outcome);
+        table.version = rising_number(stored_revision_, predecessor);
+        stored_version_ = table.version;
         apply(table);
         co_return;
     }
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -7,6 +7,7 @@
 #include <oleandergrade/connection/socket_options.hpp>
 #include <oleandergrade/process/event_log.hpp>
 #include <oleandergrade/process/membership/member_registration.hpp>
+#include <oleandergrade/process/store_revision.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,6 +15,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace oleandergrade
@@ -103,6 +105,10 @@
             state_.update_limits();
             grants_.set_limits(table, current_time());
         });
+    failover_.on_higher_token = [this](std::uint64_t token)
+    { on_higher_token(token); };
+    grants_.on_higher_token = [this](std::uint64_t token)
+    { on_higher_token(token); };
     grants_.is_current = [this] { return is_current(); };
     grants_.on_newer_configuration = [this](const std::string& address)
     { copies_.fetch_from(address); };
@@ -157,8 +163,11 @@
 
 void fleet_service::apply_all_own_keys(const stored_range& range)
 {
+    check_store_generation();
     stored_item leader_item{leader_key, "", 0};
     std::vector<std::string> unlisted_members = state_.members.names();
+    std::set<std::string> listed_groups;
+    bool has_lender_table = false;
     for (const auto& item : range.items)
     {
         if (item.key == leader_key)
@@ -170,10 +179,20 @@
         std::erase(unlisted_members,
                    item.key.substr(std::min(
                        item.key.size(), std::string(members_prefix).size())));
+        if (item.key.starts_with(primaries_prefix))
+            listed_groups.insert(
+                item.key.substr(std::string(primaries_prefix).size()));
+        has_lender_table = has_lender_table || item.key == lenders_key;
     }
-    for (const auto& name : unlisted_members)
-        if (name != state_.settings.name)
-            state_.members.remove(name);
+    failover_.on_store_read(listed_groups);
+    if (!has_lender_table)
+        lending_.on_stored_table({lenders_key, std::nullopt, 0});
+    // A VM whose registration was lost may hold a grant all the same.
+    if (!store_was_restored_)
+        for (const auto& name : unlisted_members)
+            if (name != state_.settings.name)
+                state_.members.remove(name);
+    restore_registrations(unlisted_members, range);
     const auto earlier_leader = election_.known_leader().address;
     election_.on_key_observed(leader_item, range.store_revision,
                               current_time());
@@ -196,7 +215,7 @@
         return;
     log_event(event_level::info, "duty", "view complete",
               {{"token", election_.token()},
-               {"revision", store_revision},
+               {"revision", store_number(store_revision)},
                {"members", state_.members.size()}});
     if (is_first_leader_ && store_shows_earlier_leader())
         grants_.on_predecessor_found(current_time());
@@ -235,13 +254,101 @@
         return lending_.on_stored_table(change);
     if (!change.key.starts_with(primaries_prefix) || !change.value)
         return;
-    auto record = parse_primary_record(*change.value, change.revision);
-    if (!succeeded(record))
+    const auto stored =
+        parse_stored_primary_record(*change.value, change.revision);
+    if (!succeeded(stored))
         return log_event(
             event_level::error, "failover", "primary record cannot be parsed",
-            {{"key", change.key}, {"error", to_string(error_of(record))}});
-    apply_primary_record(value_of(record), "store");
-    failover_.on_record(value_of(record));
+            {{"key", change.key}, {"error", to_string(error_of(stored))}});
+    // The leader finds out whether the record is still valid.
+    if (!value_of(stored).may_be_superseded())
+        apply_primary_record(value_of(stored).record, "store");
+    failover_.on_stored_record(value_of(stored));
+}
+
+void fleet_service::check_store_generation()
+{
+    const auto generation = state_.store.generation();
+    const auto previous = std::exchange(store_generation_, generation);
+    if (previous == generation)
+        return;
+    const auto followed = own_keys_follower_.status(current_time());
+    log_event(event_level::warning, "store",
+              previous == 0 ? "generation" : "restored from a copy",
+              {{"generation", generation},
+               {"before", previous},
+               {"revision_before", store_number(followed.revision)},
+               {"token", state_.view.authority.highest_token()}});
+    if (previous == 0)
+        return;
+    store_was_restored_ = true;
+    // A watch of the earlier generation may never be answered.
+    own_keys_follower_.refresh("the store was restored");
+    store_mirror_.refresh("the store was restored");
+    failover_.on_store_restored();
+}
+
+void fleet_service::restore_registrations(
+    const std::vector<std::string>& lost_members, const stored_range& range)
+{
+    const auto own_key = members_prefix + state_.settings.name;
+    const auto own = std::find_if(range.items.begin(), range.items.end(),
+                                  [&](const stored_item& item)
+                                  { return item.key == own_key; });
+    const auto stored_member = own == range.items.end()
+                                   ? parse_fleet_member("")
+                                   : parse_fleet_member(own->value);
+    const bool is_listed =
+        succeeded(stored_member) &&
+        value_of(stored_member).incarnation == state_.incarnation;
+    if (registered_ && !is_listed && store_was_restored_)
+    {
+        registered_ = false;
+        asio::co_spawn(context_, register_member(), asio::detached);
+    }
+    if (!election_.is_leader() || !store_was_restored_)
+        return;
+    for (const auto& name : lost_members)
+        if (const auto* member = state_.members.find(name);
+            member != nullptr && name != state_.settings.name)
+            asio::co_spawn(context_, restore_registration(*member),
+                           asio::detached);
+}
+
+asio::awaitable<void> fleet_service::restore_registration(fleet_member member)
+{
+    conditional_write change;
+    change.key = members_prefix + member.name;
+    change.value = serialize_fleet_member(member);
+    change.expected = {{change.key, "", 0},
+                       {leader_key, "", election_.key_revision()}};
+    const auto outcome = co_await state_.store.write(std::move(change));
+    log_event(event_level::info, "membership", "registration written again",
+              {{"vm", member.name},
+               {"outcome",
+                succeeded(outcome) ? "stored" : to_string(error_of(outcome))}});
+}
+
+void fleet_service::on_higher_token(std::uint64_t token)
+{
+    state_.view.authority.on_token(token);
+    if (!election_.is_leader() || token <= election_.token())
+        return;
+    log_event(event_level::warning, "duty", "higher token observed",
+              {{"token", election_.token()}, {"observed", token}});
+    const auto lease = election_.lease_id();
+    election_.on_token_observed(token);
+    on_election_event();
+    // If no other VM is the leader, the next election begins at once.
+    asio::co_spawn(context_, end_lease(lease), asio::detached);
+}
+
+asio::awaitable<void> fleet_service::end_lease(std::uint64_t lease)
+{
+    const auto outcome = co_await state_.store.end_lease(lease);
+    if (!succeeded(outcome))
+        log_event(event_level::info, "duty", "lease not ended",
+                  {{"error", to_string(error_of(outcome))}});
 }
 
 void fleet_service::apply_member(const stored_change& change)
@@ -336,6 +443,7 @@
             registered_ &&
             (election_.is_leader() || !pacing().is_large_fleet() ||
              own_keys_follower_.is_connected());
+        election_.set_highest_token(state_.view.authority.highest_token());
         const auto call =
             may_call ? election_.begin_due_call(now) : election_call::none;
         if (call != election_call::none)
@@ -389,6 +497,7 @@
         auto outcome = co_await store.read(leader_key);
         election_.on_read(outcome, current_time());
     }
+    check_store_generation();
 }
 
 void fleet_service::on_election_event()
@@ -396,8 +505,8 @@
     const auto now = current_time();
     const bool is_leader = election_.is_leader();
     const auto earlier_token = state_.view.authority.highest_token();
-    if (election_.known_leader_revision() != 0)
-        state_.view.authority.on_token(election_.known_leader_revision());
+    if (election_.known_leader_token() != 0)
+        state_.view.authority.on_token(election_.known_leader_token());
     election_wake_timer_.cancel();
     if (is_leader == was_leader_)
         return;
@@ -946,6 +1055,16 @@
     receipt.other_leader_grant_age =
         leader_.other_leader_grant_age(notice.token, current_time());
     receipt.accepted = state_.view.authority.on_token(notice.token);
+    auto& held = receipt.held_records.emplace();
+    const auto add_held = [&](const std::string& group)
+    {
+        if (const auto* record = state_.view.authority.find(group))
+            held.push_back(*record);
+    };
+    for (const auto& primary : notice.primaries)
+        add_held(primary.record.group);
+    for (const auto& group : notice.inquired_groups)
+        add_held(group);
     co_return receipt;
 }
 
--- a/src/process/membership/grant_issuer.cpp
+++ b/src/process/membership/grant_issuer.cpp
@@ -226,6 +226,12 @@
     // the first grants and the copies that the VMs fetch then.
     const bool must_be_registered =
         state_.members.size() >= state_.settings.relay_from;
+    if (election_.is_leader() && report.highest_token > election_.token() &&
+        on_higher_token)
+    {
+        on_higher_token(report.highest_token);
+        return grant;
+    }
     if (!common.accepted || reporting_member == nullptr ||
         (must_be_registered && !report.is_registered) ||
         report.highest_token > election_.token())
--- a/src/process/membership/leader_election.cpp
+++ b/src/process/membership/leader_election.cpp
@@ -2,6 +2,7 @@
 
 #include <oleandergrade/connection/json_fields.hpp>
 #include <oleandergrade/process/membership/member_list.hpp>
+#include <oleandergrade/process/store_revision.hpp>
 
 #include <algorithm>
 
@@ -11,9 +12,11 @@
 
 std::string serialize_leader_identity(const leader_identity& leader)
 {
-    return json::serialize(json::object{{"vm", leader.vm},
-                                        {"incarnation", leader.incarnation},
-                                        {"address", leader.address}});
+    return json::serialize(
+        json::object{{"vm", leader.vm},
+                     {"incarnation", leader.incarnation},
+                     {"address", leader.address},
+                     {"predecessor_token", leader.predecessor_token}});
 }
 
 result<leader_identity> parse_leader_identity(const std::string& value)
@@ -25,7 +28,8 @@
     const auto& fields = value_of(parsed);
     leader_identity leader{string_field(fields, "vm"),
                            unsigned_field(fields, "incarnation"),
-                           string_field(fields, "address")};
+                           string_field(fields, "address"),
+                           unsigned_field(fields, "predecessor_token")};
     if (leader.vm.empty() || leader.address.empty())
         return error{error_kind::invalid, "parse leader identity", "",
                      "'vm' or 'address' is missing or empty"};
@@ -47,7 +51,7 @@
     if (item.revision == 0)
     {
         known_leader_ = {};
-        known_leader_revision_ = 0;
+        known_leader_token_ = 0;
         // The leader key of this VM has disappeared, so its lease has ended.
         if (is_leader())
             lose_leadership();
@@ -55,14 +59,18 @@
         return;
     }
     const auto parsed = parse_leader_identity(item.value);
-    known_leader_revision_ = item.revision;
     known_leader_ = succeeded(parsed) ? value_of(parsed) : leader_identity{};
+    known_leader_token_ =
+        rising_number(item.revision, known_leader_.predecessor_token);
+    // A key of an earlier leadership of this VM, which a restored store may
+    // contain, names another predecessor.
     if (known_leader_ == self_ && lease_.id != 0 && !call_in_flight_)
     {
-        token_ = item.revision;
+        token_ = known_leader_token_;
+        key_revision_ = item.revision;
         acquisition_unverified_ = false;
     }
-    else if (is_leader() && item.revision > token_)
+    else if (is_leader() && item.revision > key_revision_)
         lose_leadership();
 }
 
@@ -77,7 +85,7 @@
         return;
     lose_leadership();
     known_leader_ = {};
-    known_leader_revision_ = observed_token;
+    known_leader_token_ = observed_token;
 }
 
 election_call leader_election::begin_due_call(time_point now)
@@ -95,13 +103,16 @@
         return election_call::read;
     }
     const bool has_no_leader =
-        key_observed_at_revision_ != 0 && known_leader_revision_ == 0;
+        key_observed_at_revision_ != 0 && known_leader_token_ == 0;
     if (retiring_ || !has_no_leader)
         return election_call::none;
     call_in_flight_ = true;
     const bool has_lease =
         lease_.id != 0 && now < lease_sent_at_ + lease_.lifetime - lease_margin;
-    return has_lease ? election_call::acquire : election_call::create_lease;
+    if (!has_lease)
+        return election_call::create_lease;
+    self_.predecessor_token = highest_token_;
+    return election_call::acquire;
 }
 
 void leader_election::on_lease_created(const result<store_lease>& outcome,
@@ -124,10 +135,11 @@
     call_in_flight_ = false;
     if (succeeded(outcome))
     {
-        token_ = value_of(outcome);
+        key_revision_ = value_of(outcome);
+        token_ = rising_number(key_revision_, self_.predecessor_token);
         known_leader_ = self_;
-        known_leader_revision_ = token_;
-        key_observed_at_revision_ = token_;
+        known_leader_token_ = token_;
+        key_observed_at_revision_ = key_revision_;
         return delay_next_call(renewal_interval, now);
     }
     // The write may have been refused, or executed and its answer lost. Reading
@@ -176,6 +188,7 @@
 void leader_election::lose_leadership()
 {
     token_ = 0;
+    key_revision_ = 0;
     lease_ = {};
 }
 
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -5,6 +5,7 @@
 #include <oleandergrade/invariant.hpp>
 #include <oleandergrade/process/event_log.hpp>
 #include <oleandergrade/process/stop_schedule.hpp>
+#include <oleandergrade/process/store_revision.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -234,7 +235,9 @@
     out << "# TYPE oleander_store_revision gauge\n";
     for (const auto& followed : prefixes)
         out << "oleander_store_revision{prefix=\"" << followed.prefix << "\"} "
-            << followed.revision << "\n";
+            << store_number(followed.revision) << "\n";
+    out << "# TYPE oleander_store_generation gauge\n"
+        << "oleander_store_generation " << state_.store.generation() << "\n";
     out << "# TYPE oleander_store_unanswered_seconds gauge\n";
     for (const auto& followed : prefixes)
         out << "oleander_store_unanswered_seconds{prefix=\"" << followed.prefix
@@ -341,7 +344,8 @@
     for (const auto& followed : fleet_service_.followed_prefixes(now))
         followed_prefixes.push_back(
             {{"prefix", followed.prefix},
-             {"revision", followed.revision},
+             {"revision", store_number(followed.revision)},
+             {"generation", store_generation(followed.revision)},
              {"unanswered_ms", followed.unanswered_for.count()},
              {"failed_calls", followed.failed_calls},
              {"retry_delay_ms", followed.retry_delay.count()}});
--- a/tests/fakes/fleet_simulation.cpp
+++ b/tests/fakes/fleet_simulation.cpp
@@ -1,5 +1,7 @@
 #include "fleet_simulation_types.hpp"
 
+#include <oleandergrade/process/store_revision.hpp>
+
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
@@ -30,6 +32,8 @@
 constexpr double primary_fault_fraction = 0.6;
 constexpr double isolation_fraction = 0.4;
 constexpr double drain_fraction = 0.3;
+constexpr auto copy_interval = milliseconds(250);
+constexpr auto max_copy_age = seconds(11);
 
 } // namespace
 
@@ -53,6 +57,7 @@
             machines_.push_back(std::make_shared<host>(
                 host{"vm-" + domain + std::to_string(i), domain}));
     }
+    store_generation_ = faults.store_restores ? 1 : 0;
     if (faults.lost_watches)
     {
         machines_.back()->is_up = false;
@@ -91,6 +96,8 @@
     }
     network_.schedule_after(startup_duration,
                             [this, end] { inject_faults(end); });
+    if (faults_.store_restores)
+        copy_store(end);
     if (faults_.lost_watches)
         network_.schedule_after(startup_duration +
                                     milliseconds(network_.random_below(3000)),
@@ -140,9 +147,73 @@
         [this, serve]
         {
             store_.process_expirations(network_.now());
-            return serve();
+            auto reply = serve();
+            reply.generation = store_generation_;
+            return reply;
         },
-        std::move(done), delivery::at_most_once);
+        [this, from, done](const result<store_reply>& outcome)
+        {
+            if (!succeeded(outcome))
+                return done(outcome);
+            const auto reply = receive_reply(from, value_of(outcome));
+            if (!reply)
+                return done(error{error_kind::broken, "store", "",
+                                  "an answer of an earlier generation"});
+            done(*reply);
+        },
+        delivery::at_most_once);
+}
+
+std::optional<fleet_simulation::store_reply>
+fleet_simulation::receive_reply(const vm_ptr& node, store_reply reply)
+{
+    if (defect_ == injected_defect::store_generation_ignored)
+        reply.generation = 0;
+    if (reply.generation < node->store_generation)
+        return std::nullopt;
+    const auto previous =
+        std::exchange(node->store_generation, reply.generation);
+    if (previous != 0 && previous != reply.generation)
+    {
+        node->store_was_restored = true;
+        node->vm_reports.forget_inquiries();
+        repeat_watch(node);
+    }
+    for (auto& item : reply.items)
+        if (item.revision != 0)
+            item.revision =
+                make_store_revision(reply.generation, item.revision);
+    for (auto& event : reply.events)
+        event.revision = make_store_revision(reply.generation, event.revision);
+    return reply;
+}
+
+bool fleet_simulation::are_current(
+    const vm_ptr& node,
+    const std::vector<std::pair<std::string, std::uint64_t>>& expected)
+{
+    return std::all_of(expected.begin(), expected.end(),
+                       [&](const auto& entry)
+                       {
+                           return entry.second == 0 ||
+                                  store_generation(entry.second) ==
+                                      node->store_generation;
+                       });
+}
+
+void fleet_simulation::check_promotion_token(const std::string& vm,
+                                             std::uint64_t token)
+{
+    if (token < highest_promotion_token_ ||
+        (token == highest_promotion_token_ && vm != highest_token_holder_))
+        add_violation(vm + " orders a promotion with token " +
+                      std::to_string(token) + " after " +
+                      highest_token_holder_ + " with token " +
+                      std::to_string(highest_promotion_token_));
+    if (token < highest_promotion_token_)
+        return;
+    highest_promotion_token_ = token;
+    highest_token_holder_ = vm;
 }
 
 void fleet_simulation::call_server(
@@ -178,6 +249,8 @@
     const std::string& key, const std::string& value, std::uint64_t lease,
     std::vector<std::pair<std::string, std::uint64_t>> expected)
 {
+    for (auto& [expected_key, revision] : expected)
+        revision = store_number(revision);
     store_reply reply;
     reply.outcome =
         store_.write(expected, {{key, value, lease}}, network_.now());
@@ -214,6 +287,8 @@
         kinds.push_back(&fleet_simulation::inject_link_fault);
     if (faults_.store_outages || faults_.early_lease_ends)
         kinds.push_back(&fleet_simulation::inject_store_fault);
+    if (faults_.store_restores)
+        kinds.push_back(&fleet_simulation::inject_store_restore);
     if (faults_.server_failures)
         kinds.push_back(&fleet_simulation::inject_server_fault);
     if (faults_.evacuations)
@@ -308,6 +383,110 @@
                             [this] { platform_->is_up = true; });
 }
 
+void fleet_simulation::copy_store(time_point end)
+{
+    if (network_.now() >= end)
+        return;
+    store_copies_.emplace_back(network_.now(), store_);
+    while (network_.now() - store_copies_.front().first > max_copy_age)
+        store_copies_.pop_front();
+    network_.schedule_after(copy_interval, [this, end] { copy_store(end); });
+}
+
+void fleet_simulation::inject_store_restore()
+{
+    if (!platform_->is_up || network_.random_fraction() < 0.5)
+        return;
+    if (faults_.vm_crashes && network_.random_fraction() < 0.5)
+        return restore_behind_new_leader();
+    const auto copy_age = milliseconds(network_.random_below(10'000));
+    const auto absence = milliseconds(
+        network_.random_fraction() < 0.3 ? 0 : network_.random_below(5000));
+    const bool happens_twice = network_.random_fraction() < 0.3;
+    platform_->is_up = false;
+    network_.schedule_after(
+        absence,
+        [this, copy_age, happens_twice]
+        {
+            platform_->is_up = true;
+            restore_store(copy_age);
+            if (happens_twice)
+                network_.schedule_after(
+                    milliseconds(network_.random_below(1500)),
+                    [this] { restore_store(milliseconds(500)); });
+        });
+}
+
+void fleet_simulation::restore_behind_new_leader()
+{
+    if (!is_group_in_sync())
+        return;
+    // The VMs are equally strong, so the first one by name is the next leader.
+    const auto next_leader = machines_.front();
+    const auto restored_after = milliseconds(900 + network_.random_below(900));
+    drain_primary_for(restored_after);
+    kill_vm(next_leader, restored_after + milliseconds(100));
+    network_.schedule_after(
+        restored_after, [this, restored_after]
+        { restore_store(restored_after + milliseconds(300)); });
+    const auto lead_after =
+        restored_after + milliseconds(400 + network_.random_below(400));
+    network_.schedule_after(
+        lead_after,
+        [this, next_leader]
+        {
+            for (const auto& [name, node] : vms_)
+                if (node->election.is_leader() && node->machine != next_leader)
+                    kill_vm(node->machine, milliseconds(300));
+        });
+    network_.schedule_after(lead_after +
+                                milliseconds(500 + network_.random_below(1500)),
+                            [this] { drain_primary_for(seconds(2)); });
+}
+
+void fleet_simulation::drain_primary_for(duration length)
+{
+    for (const auto& [id, server] : group_.servers())
+        if (server.is_primary && server.is_running)
+        {
+            trace(id + " is draining");
+            set_draining(id, true);
+            network_.schedule_after(length, [this, id = id]
+                                    { set_draining(id, false); });
+            return;
+        }
+}
+
+// Leases of the copy have expired, unless it is very recent. Their numbers are
+// given out again.
+void fleet_simulation::restore_store(duration copy_age)
+{
+    auto copy =
+        std::find_if(store_copies_.rbegin(), store_copies_.rend(),
+                     [&](const auto& entry)
+                     { return network_.now() - entry.first >= copy_age; });
+    if (copy == store_copies_.rend())
+        copy = std::prev(store_copies_.rend());
+    trace("store restored, revision " + std::to_string(store_.revision()) +
+          " becomes " + std::to_string(copy->second.revision()));
+    store_ = copy->second;
+    store_.discard_history();
+    ++store_generation_;
+    store_.process_expirations(network_.now());
+    for (const auto& domain : domains)
+    {
+        const auto key = evacuation_prefix + domain;
+        const bool is_ordered = domain == evacuated_domain_;
+        if (is_ordered != (store_.read(key).revision != 0))
+            store_.write(
+                {},
+                {{key,
+                  is_ordered ? std::optional<std::string>("{}") : std::nullopt,
+                  0}},
+                network_.now());
+    }
+}
+
 // A commit that only one server has received is lost with that server. The
 // system does not promise to keep such commits, so server faults are injected
 // only while all servers have the same log.
--- a/tests/fakes/fleet_simulation.hpp
+++ b/tests/fakes/fleet_simulation.hpp
@@ -13,6 +13,7 @@
 #include <oleandergrade/process/failover/group_failover.hpp>
 #include <oleandergrade/process/serving/target_chooser.hpp>
 
+#include <deque>
 #include <set>
 
 namespace fakes
@@ -75,7 +76,14 @@
     transaction_over_other_link,
     /// A VM obeys the evacuations that the store shows it, but not those that
     /// the leader and other VMs name.
-    granted_evacuation_ignored
+    granted_evacuation_ignored,
+    /// A VM takes the answers of a store that was restored from a copy for
+    /// those of the store that it knew.
+    store_generation_ignored,
+    /// The leader acts on the record of a store that was restored without
+    /// asking anyone for a newer one, and takes a VM's receipt for a
+    /// notification as if the VM held what the notification says.
+    restored_record_trusted
 };
 
 /// The kinds of faults that are injected during a run.
@@ -117,6 +125,9 @@
     bool forwarding = false;
     /// Operators order the evacuation of a failure domain and revoke it.
     bool evacuations = false;
+    /// The store is unavailable for up to 5 s and returns from a copy that is
+    /// up to 10 s old, at times twice in a row. It names its generation.
+    bool store_restores = false;
 };
 
 /// The results of one run of the simulation.
@@ -209,6 +220,19 @@
     write_store(const std::string& key, const std::string& value,
                 std::uint64_t lease,
                 std::vector<std::pair<std::string, std::uint64_t>> expected);
+    /// Does what the store's client does with an answer: discards one of an
+    /// earlier generation and gives revisions their generation. Returns null if
+    /// the answer is discarded.
+    std::optional<store_reply> receive_reply(const vm_ptr& node,
+                                             store_reply reply);
+    /// Whether the expected revisions, by key, are of the generation that the
+    /// VM knows.
+    static bool are_current(
+        const vm_ptr& node,
+        const std::vector<std::pair<std::string, std::uint64_t>>& expected);
+    /// Adds a violation if a promotion has a lower fencing token than an
+    /// earlier one, or the same as that of another VM.
+    void check_promotion_token(const std::string& vm, std::uint64_t token);
     /// Returns the report that this database server gives of itself.
     static target_report
     make_target_report(const standins::group_server& server);
@@ -300,6 +324,13 @@
     /// Sends the current primary record to all members that have not confirmed
     /// it.
     void notify_vms(const vm_ptr& node);
+    /// Records what the VM holds, which may be newer than what the leader
+    /// knows.
+    void apply_receipt(const vm_ptr& node, const std::string& vm,
+                       const primary_notice& notice,
+                       const notice_receipt& receipt);
+    /// Ends the leadership of a VM whose token is lower, and its lease.
+    void on_higher_token(const vm_ptr& node, std::uint64_t token);
     /// Returns the newest process of the machine with this name, or null.
     vm_ptr find_vm(const std::string& name) const;
 
@@ -385,6 +416,15 @@
     void inject_vm_fault();
     void inject_link_fault();
     void inject_store_fault();
+    /// Takes a copy of the store and schedules the next one until `end`.
+    void copy_store(time_point end);
+    void inject_store_restore();
+    /// Restores the store from a copy without the last promotion, starts a VM
+    /// that knows only this copy, makes it the leader and drains the primary.
+    void restore_behind_new_leader();
+    void drain_primary_for(duration length);
+    /// Replaces the store by a copy that is about this old.
+    void restore_store(duration copy_age);
     void inject_server_fault();
     void inject_evacuation();
     void revoke_evacuation();
@@ -416,6 +456,14 @@
     injected_defect defect_;
     simulation_outcome outcome_;
     standins::store_model store_;
+    /// Generation of the store; 0 if it names none.
+    std::uint64_t store_generation_ = 0;
+    /// Copies of the store and when they were taken, the oldest first.
+    std::deque<std::pair<time_point, standins::store_model>> store_copies_;
+    /// Highest fencing token with which a promotion was ordered, and the VM
+    /// that did.
+    std::uint64_t highest_promotion_token_ = 0;
+    std::string highest_token_holder_;
     standins::group_model group_;
     std::shared_ptr<host> platform_;
     /// Hosts of the database servers, by server id.
--- a/tests/fakes/fleet_simulation_types.hpp
+++ b/tests/fakes/fleet_simulation_types.hpp
@@ -27,6 +27,8 @@
     standins::store_outcome outcome = standins::store_outcome::done;
     /// Revision of the store, or the id of the lease that was created.
     std::uint64_t revision = 0;
+    /// Generation of the store; 0 if it names none.
+    std::uint64_t generation = 0;
     std::vector<standins::store_entry> items;
     std::vector<standins::store_event> events;
 };
@@ -85,6 +87,11 @@
     member_list members;
     bool registration_in_progress = false;
     bool is_registered = false;
+    /// The newest generation of the store that this VM knows, that in which its
+    /// lease was created, and whether the generation has changed.
+    std::uint64_t store_generation = 0;
+    std::uint64_t lease_generation = 0;
+    bool store_was_restored = false;
     /// Whether this VM was the leader when its leadership was last examined.
     bool was_leader = false;
     /// A read of the store's changes is in progress.
--- a/tests/fakes/fleet_simulation_vm.cpp
+++ b/tests/fakes/fleet_simulation_vm.cpp
@@ -1,6 +1,7 @@
 #include "fleet_simulation_types.hpp"
 
 #include <oleandergrade/process/store_layout.hpp>
+#include <oleandergrade/process/store_revision.hpp>
 
 namespace fakes
 {
@@ -101,10 +102,12 @@
         return;
     const auto sent_at = network_.now();
     auto& election = node->election;
+    election.set_highest_token(node->view.authority.highest_token());
+    const auto call = election.begin_due_call(sent_at);
     const auto lease = election.lease_id();
     const error conflict{error_kind::conflict, "store", "",
                          "request rejected by the store"};
-    switch (election.begin_due_call(sent_at))
+    switch (call)
     {
     case election_call::none:
         break;
@@ -121,6 +124,7 @@
             [this, node, sent_at](const result<store_reply>& outcome)
             {
                 result<store_lease> created = store_lease{};
+                node->lease_generation = node->store_generation;
                 if (succeeded(outcome))
                     created = store_lease{value_of(outcome).revision,
                                           leader_election::lease_lifetime};
@@ -133,12 +137,8 @@
     case election_call::acquire:
         call_store(
             node,
-            [this, node, lease]
-            {
-                return write_store(
-                    leader_key,
-                    serialize_leader_identity(node->election.self()), lease,
-                    {{leader_key, 0}});
+            [this, lease, self = serialize_leader_identity(election.self())] {
+                return write_store(leader_key, self, lease, {{leader_key, 0}});
             },
             [this, node, conflict](const result<store_reply>& outcome)
             {
@@ -147,7 +147,8 @@
                     acquired = error_of(outcome);
                 else if (value_of(outcome).outcome ==
                          standins::store_outcome::done)
-                    acquired = value_of(outcome).revision;
+                    acquired = make_store_revision(value_of(outcome).generation,
+                                                   value_of(outcome).revision);
                 node->election.on_acquired(acquired, network_.now());
                 on_leadership_changed(node);
             });
@@ -165,7 +166,9 @@
             [this, node, sent_at, conflict](const result<store_reply>& outcome)
             {
                 result<bool> renewed = true;
-                if (!succeeded(outcome))
+                if (node->lease_generation != node->store_generation)
+                    renewed = conflict;
+                else if (!succeeded(outcome))
                     renewed = error_of(outcome);
                 else if (value_of(outcome).outcome !=
                          standins::store_outcome::done)
@@ -219,11 +222,14 @@
         {
             store_reply reply;
             reply.revision = store_.revision();
+            const auto number = store_number(after_revision);
             if (after_revision == 0)
                 reply.items = store_.read_all(own_prefix);
+            else if (number > store_.revision())
+                reply.outcome = standins::store_outcome::history_discarded;
             else
-                reply.outcome = store_.events_after(own_prefix, after_revision,
-                                                    reply.events);
+                reply.outcome =
+                    store_.events_after(own_prefix, number, reply.events);
             return reply;
         },
         [this, node, after_revision,
@@ -235,17 +241,20 @@
             if (!succeeded(outcome))
                 return;
             const auto& reply = value_of(outcome);
-            if (reply.outcome == standins::store_outcome::history_discarded)
+            if (reply.outcome == standins::store_outcome::history_discarded ||
+                (after_revision != 0 &&
+                 store_generation(after_revision) != reply.generation))
             {
                 node->watched_revision = 0;
                 return;
             }
-            node->watched_revision = reply.revision;
+            node->watched_revision =
+                make_store_revision(reply.generation, reply.revision);
             if (after_revision == 0)
-                return apply_items(node, reply.items, reply.revision);
+                return apply_items(node, reply.items, node->watched_revision);
             for (const auto& event : reply.events)
                 apply_event(node, event);
-            on_changes_applied(node, reply.revision);
+            on_changes_applied(node, node->watched_revision);
         });
 }
 
@@ -271,6 +280,20 @@
     std::uint64_t store_revision)
 {
     stored_item leader_item{leader_key, "", 0};
+    const auto own_key = members_prefix + node->machine->name;
+    const auto own = std::find_if(items.begin(), items.end(),
+                                  [&](const standins::store_entry& item)
+                                  { return item.key == own_key; });
+    if (node->store_was_restored &&
+        (own == items.end() || own->value.find(std::to_string(
+                                   node->incarnation)) == std::string::npos))
+        node->is_registered = false;
+    const bool has_record =
+        std::any_of(items.begin(), items.end(),
+                    [](const standins::store_entry& item)
+                    { return item.key.starts_with(primaries_prefix); });
+    if (!has_record)
+        node->failover.on_record_missing();
     std::set<std::string> evacuated;
     for (const auto& item : items)
         if (item.key.starts_with(evacuation_prefix))
@@ -329,12 +352,13 @@
             node->members.put(value_of(member));
         return on_members_changed(node);
     }
-    const auto record =
-        parse_primary_record(event.value.value_or(""), event.revision);
-    if (!succeeded(record))
+    const auto stored =
+        parse_stored_primary_record(event.value.value_or(""), event.revision);
+    if (!succeeded(stored))
         return;
-    apply_record(node, value_of(record));
-    node->failover.on_record(value_of(record));
+    if (!value_of(stored).may_be_superseded())
+        apply_record(node, value_of(stored).record);
+    node->failover.on_stored_record(value_of(stored));
 }
 
 void fleet_simulation::apply_record(const vm_ptr& node,
@@ -362,8 +386,8 @@
 void fleet_simulation::on_leadership_changed(const vm_ptr& node)
 {
     auto& election = node->election;
-    if (election.known_leader_revision() != 0)
-        node->view.authority.on_token(election.known_leader_revision());
+    if (election.known_leader_token() != 0)
+        node->view.authority.on_token(election.known_leader_token());
     if (election.is_leader() == node->was_leader)
         return;
     node->was_leader = election.is_leader();
@@ -601,11 +625,15 @@
     grant.leader_address = node->election.is_leader()
                                ? node->machine->name
                                : node->election.known_leader().address;
+    if (report.highest_token > node->election.token())
+    {
+        on_higher_token(node, report.highest_token);
+        return grant;
+    }
     const auto validity = grant_validity(node);
     const bool is_listed = node->members.find(report.vm) != nullptr ||
                            defect_ == injected_defect::grant_to_unlisted_vm;
-    if (validity.count() == 0 || !is_listed ||
-        report.highest_token > node->election.token())
+    if (validity.count() == 0 || !is_listed)
         return grant;
     grant.accepted = true;
     grant.token = node->election.token();
@@ -690,7 +718,10 @@
     receipt.vm = node->machine->name;
     receipt.incarnation = node->incarnation;
     if (!node->view.authority.on_token(notice.token))
+    {
+        receipt.token = node->view.authority.highest_token();
         return receipt;
+    }
     node->leader.set_leader_address(notice.leader_address);
     node->election.on_token_observed(notice.token);
     on_leadership_changed(node);
@@ -707,6 +738,13 @@
     receipt.other_leader_grant_age =
         node->leader.other_leader_grant_age(notice.token, network_.now());
     receipt.accepted = true;
+    receipt.held_records.emplace();
+    const auto* held = node->view.authority.find(group_name);
+    if (defect_ == injected_defect::closed_record_ignored &&
+        !notice.primaries.empty())
+        held = &notice.primaries.front().record;
+    if (held != nullptr)
+        receipt.held_records->push_back(*held);
     return receipt;
 }
 
@@ -765,6 +803,12 @@
         defect_ == injected_defect::promotion_before_binding ||
         node->vm_reports.is_binding(node->failover.record(), node->members,
                                     node->grants, now);
+    observation.store_generation =
+        defect_ == injected_defect::restored_record_trusted
+            ? 0
+            : node->store_generation;
+    observation.is_inquiry_complete = node->vm_reports.is_inquiry_complete(
+        group_name, node->members, node->grants, now);
     return observation;
 }
 
@@ -785,28 +829,35 @@
 void fleet_simulation::write_record(const vm_ptr& node,
                                     const write_primary_record& order)
 {
-    const auto token = node->election.token();
     const auto key = std::string(primaries_prefix) + group_name;
+    const auto sent_in = node->store_generation;
+    std::vector<std::pair<std::string, std::uint64_t>> expected{
+        {key, order.expected_revision}};
+    if (defect_ != injected_defect::unfenced_leader)
+        expected.emplace_back(leader_key, node->election.key_revision());
+    const error rejected{error_kind::conflict, "write", "",
+                         "write rejected by the store"};
+    if (!are_current(node, expected))
+        return node->failover.on_write_result(rejected, network_.now());
     call_store(
         node,
-        [this, order, token, key]
+        [this, order, key, expected]
         {
-            std::vector<std::pair<std::string, std::uint64_t>>
-                expected_revisions{{key, order.expected_revision}};
-            if (defect_ != injected_defect::unfenced_leader)
-                expected_revisions.emplace_back(leader_key, token);
-            return write_store(key, serialize_primary_record(order.record), 0,
-                               std::move(expected_revisions));
+            return write_store(
+                key, serialize_primary_record(order.record, order.origin), 0,
+                expected);
         },
-        [this, node](const result<store_reply>& outcome)
+        [this, node, sent_in, rejected](const result<store_reply>& outcome)
         {
-            result<std::uint64_t> written =
-                error{error_kind::conflict, "write", "",
-                      "write rejected by the store"};
+            result<std::uint64_t> written = rejected;
             if (!succeeded(outcome))
                 written = error_of(outcome);
+            else if (value_of(outcome).generation != sent_in)
+                written = error{error_kind::broken, "write", "",
+                                "the store was restored"};
             else if (value_of(outcome).outcome == standins::store_outcome::done)
-                written = value_of(outcome).revision;
+                written = make_store_revision(value_of(outcome).generation,
+                                              value_of(outcome).revision);
             node->failover.on_write_result(written, network_.now());
         });
 }
@@ -826,10 +877,12 @@
                                                            : " is down") +
           (replaced.is_planned ? ", planned" : ""));
     store_.process_expirations(network_.now());
-    if (!faults_.early_lease_ends &&
+    if (!faults_.early_lease_ends && !faults_.store_restores &&
         store_.read(leader_key).revision != node->election.token())
         add_violation(node->machine->name +
                       " ordered a promotion without being the leader");
+    if (defect_ != injected_defect::unfenced_leader)
+        check_promotion_token(node->machine->name, node->election.token());
     network_.call<store_reply>(
         node->machine, platform_, call_timeout,
         [this, target]
@@ -921,23 +974,32 @@
 void fleet_simulation::notify_vms(const vm_ptr& node)
 {
     const auto now = network_.now();
-    const auto& record = node->failover.record();
-    if (record.revision == 0)
+    const auto record = node->failover.record();
+    const bool is_inquiring = node->failover.is_inquiring();
+    if (record.revision == 0 && !is_inquiring)
         return;
     primary_notice notice;
     notice.token = node->election.token();
     notice.leader_address = node->machine->name;
-    notice.primaries.push_back({record, false, 0, milliseconds(0)});
+    if (is_inquiring)
+        notice.inquired_groups.push_back(group_name);
+    else
+        notice.primaries.push_back({record, false, 0, milliseconds(0)});
     for (const auto& [name, member] : node->members.all())
     {
         auto& next_at = node->next_notice_at[name];
-        if (now < next_at || node->vm_reports.has_confirmed(name, record))
+        const bool is_done =
+            is_inquiring
+                ? node->vm_reports.has_answered_inquiry(name, group_name)
+                : node->vm_reports.has_confirmed(name, record);
+        if (now < next_at || is_done)
             continue;
         next_at = now + notice_interval;
         if (name == node->machine->name)
         {
-            if (apply_notice(node, notice).accepted)
-                node->vm_reports.on_confirmed(name, record);
+            if (const auto receipt = apply_notice(node, notice);
+                receipt.accepted)
+                apply_receipt(node, name, notice, receipt);
             continue;
         }
         const auto receiver = find_vm(name);
@@ -950,17 +1012,55 @@
             [this, node, name = name,
              notice](const result<notice_receipt>& outcome)
             {
-                if (!succeeded(outcome) || !value_of(outcome).accepted ||
+                if (!succeeded(outcome) ||
                     notice.token != node->election.token())
                     return;
+                if (!value_of(outcome).accepted)
+                    return on_higher_token(node, value_of(outcome).token);
                 node->grants.on_token_acknowledged(
                     name, value_of(outcome).incarnation,
                     value_of(outcome).other_leader_grant_age, network_.now());
-                node->vm_reports.on_confirmed(name,
-                                              notice.primaries.front().record);
+                apply_receipt(node, name, notice, value_of(outcome));
             },
             delivery::at_most_once);
     }
 }
 
+void fleet_simulation::apply_receipt(const vm_ptr& node, const std::string& vm,
+                                     const primary_notice& notice,
+                                     const notice_receipt& receipt)
+{
+    for (const auto& group : notice.inquired_groups)
+        node->vm_reports.on_inquiry_answered(vm, group);
+    if (defect_ == injected_defect::restored_record_trusted)
+    {
+        for (const auto& state : notice.primaries)
+            node->vm_reports.on_confirmed(vm, state.record);
+        return;
+    }
+    for (const auto& record : *receipt.held_records)
+    {
+        node->vm_reports.on_confirmed(vm, record);
+        node->failover.on_record(record);
+    }
+}
+
+void fleet_simulation::on_higher_token(const vm_ptr& node, std::uint64_t token)
+{
+    node->view.authority.on_token(token);
+    if (!node->election.is_leader() || token <= node->election.token())
+        return;
+    const auto lease = node->election.lease_id();
+    node->election.on_token_observed(token);
+    on_leadership_changed(node);
+    call_store(
+        node,
+        [this, lease]
+        {
+            store_.end_lease(lease, network_.now());
+            return store_reply();
+        },
+        [](const result<store_reply>&) {});
+}
+
 } // namespace fakes
--- a/tests/test_failover_logic.cpp
+++ b/tests/test_failover_logic.cpp
@@ -6,6 +6,8 @@
 #include <oleandergrade/process/failover/primary_wait_estimator.hpp>
 #include <oleandergrade/process/failover/vm_report_tracker.hpp>
 #include <oleandergrade/process/membership/leader_election.hpp>
+#include <oleandergrade/process/store_layout.hpp>
+#include <oleandergrade/process/store_revision.hpp>
 
 #include <criterion/criterion.h>
 
@@ -28,6 +30,11 @@
     return record;
 }
 
+stored_primary_record as_stored(const primary_record& record)
+{
+    return {record, {}, record.revision};
+}
+
 target_observation make_observation(const char* id, bool claims_primary = false)
 {
     target_observation observation;
@@ -57,7 +64,7 @@
 {
     group_fixture()
     {
-        failover.on_record(make_record(1, "p", true, 10));
+        failover.on_stored_record(as_stored(make_record(1, "p", true, 10)));
         observation.targets = {make_observation("p", true),
                                make_observation("r1"), make_observation("r2")};
         observation.reporting_vms = 5;
@@ -154,7 +161,7 @@
     group_fixture group;
     auto updated = make_record(1, "p", false, 12);
     updated.candidate = "r1";
-    group.failover.on_record(updated);
+    group.failover.on_stored_record(as_stored(updated));
     group.lose_primary();
     group.tick();
     group.observation.is_record_binding = true;
@@ -188,7 +195,7 @@
     group_fixture group;
     auto updated = make_record(1, "p", false, 12);
     updated.candidate = "r2";
-    group.failover.on_record(updated);
+    group.failover.on_stored_record(as_stored(updated));
     group.lose_primary();
     group.tick();
     group.observation.is_record_binding = true;
@@ -205,7 +212,7 @@
     group_fixture group;
     auto updated = make_record(1, "p", false, 12);
     updated.candidate = "r2";
-    group.failover.on_record(updated);
+    group.failover.on_stored_record(as_stored(updated));
     group.lose_primary();
     group.observation.targets.push_back(make_observation("r3"));
     group.tick();
@@ -349,7 +356,7 @@
     auto closed = make_record(1, "p", false, 12);
     closed.candidate = "r1";
     closed.known_position = {1, 171};
-    group.failover.on_record(closed);
+    group.failover.on_stored_record(as_stored(closed));
     group.observation.is_record_binding = true;
     group.observation.targets[0].leader_failing_for = milliseconds(900);
     group.observation.targets[1].leader_failing_for = milliseconds(900);
@@ -380,7 +387,7 @@
 Test(failover_logic, a_stale_registration_does_not_close_the_record)
 {
     group_fixture group;
-    group.failover.on_record(make_record(2, "r1", true, 20));
+    group.failover.on_stored_record(as_stored(make_record(2, "r1", true, 20)));
     bool is_requested = false;
     for (int i = 0; i < 20; ++i)
     {
@@ -438,7 +445,7 @@
         error{error_kind::timeout, "store write", "", "no answer"}, group.now);
     group.tick();
     cr_assert(std::string(group.failover.step_name()) == "binding");
-    group.failover.on_record(make_record(1, "p", true, 12));
+    group.failover.on_stored_record(as_stored(make_record(1, "p", true, 12)));
     group.report("p", make_report(true, 1, 40));
     group.observation.targets[0].leader_failing_for.reset();
     group.observation.targets[0].vms_failing_to_reach = 0;
@@ -861,12 +868,127 @@
 
 // Guards against an evacuation that is forgotten with its leader: the next one
 // continues from the closed record and obeys the order as well.
+// Guards against a restored record that replaces the newer one that a VM holds:
+// VMs then wrote at a primary whose successor had been promoted.
+Test(failover_logic, a_restored_record_does_not_replace_a_newer_one)
+{
+    primary_authority authority;
+    cr_assert(authority.on_record(make_record(1, "p", true, 45)));
+    cr_assert(authority.on_record(make_record(2, "r1", true, 102)));
+    cr_assert(!authority.on_record(make_record(1, "p", true, 45)));
+    // Its numbers are given out again, also to a record of the lower term.
+    cr_assert(!authority.on_record(make_record(1, "p", false, 110)));
+    cr_assert(authority.find("g")->target == "r1");
+    cr_assert(authority.on_record(make_record(2, "r1", false, 103)));
+}
+
+// Guards against records that get a lower number than one that the writer
+// knew, because the store gives out the numbers of lost changes again.
+Test(failover_logic, records_written_after_a_restore_are_newer)
+{
+    const auto record = make_record(2, "r1", false, 0);
+    const auto written = parse_stored_primary_record(
+        serialize_primary_record(record, {102, 0, 2}),
+        make_store_revision(2, 71));
+    cr_assert(succeeded(written));
+    cr_assert(value_of(written).record.revision == 103);
+    cr_assert(!value_of(written).may_be_superseded());
+    const auto again = parse_stored_primary_record(
+        serialize_primary_record(record, {0, 102, 2}),
+        make_store_revision(2, 120));
+    cr_assert(value_of(again).record.revision == 102);
+    const auto outdated =
+        parse_stored_primary_record(serialize_primary_record(record, {0, 0, 1}),
+                                    make_store_revision(2, 45));
+    cr_assert(value_of(outdated).may_be_superseded());
+}
+
+// Guards against a confirmation that names what a VM was sent and not what it
+// holds: the leader took it as binding and ordered a promotion.
+Test(failover_logic, a_vm_that_holds_another_record_has_not_confirmed)
+{
+    vm_report_tracker reports;
+    auto held = make_record(1, "p", true, 102);
+    const auto sent = make_record(1, "p", false, 102);
+    reports.on_confirmed("a", held);
+    cr_assert(!reports.has_confirmed("a", sent));
+    reports.on_confirmed("a", make_record(1, "p", false, 101));
+    cr_assert(!reports.has_confirmed("a", sent));
+    reports.on_confirmed("a", sent);
+    cr_assert(reports.has_confirmed("a", sent));
+}
+
+// Guards against a leader that acts on the record of a restored store although
+// a VM holds a newer one, and against one that keeps it from the store.
+Test(failover_logic, a_leader_asks_for_the_newest_record_after_a_restore)
+{
+    group_fixture group;
+    group.observation.store_generation = 2;
+    auto restored = as_stored(make_record(1, "p", true, 10));
+    restored.origin.generation = 1;
+    restored.store_revision = make_store_revision(2, 10);
+    group.failover.on_stored_record(restored);
+    group.observation.targets[0].record.is_draining = true;
+    cr_assert(group.tick().empty());
+    cr_assert(group.failover.is_inquiring());
+    group.failover.on_record(make_record(2, "r1", true, 102));
+    group.observation.is_inquiry_complete = true;
+    const auto actions = group.tick(milliseconds(400));
+    const auto* order = find_action<write_primary_record>(actions);
+    cr_assert(order != nullptr);
+    cr_assert(order->record.target == "r1");
+    cr_assert(order->origin == record_origin({0, 102, 2}));
+    cr_assert(order->expected_revision == make_store_revision(2, 10));
+    group.failover.on_write_result(make_store_revision(2, 72), group.now);
+    cr_assert(group.failover.record().revision == 102);
+    cr_assert(!group.failover.is_inquiring());
+}
+
+// Guards against a term that is used again although a target knows a later
+// one, whose record nobody holds any more.
+Test(failover_logic, a_restored_record_is_closed_if_a_target_knows_a_later_term)
+{
+    group_fixture group;
+    group.observation.store_generation = 2;
+    auto restored = as_stored(make_record(1, "p", true, 10));
+    restored.store_revision = make_store_revision(2, 10);
+    group.failover.on_stored_record(restored);
+    group.tick();
+    group.report("r1", make_report(true, 2, 7));
+    group.observation.is_inquiry_complete = true;
+    const auto actions = group.tick(milliseconds(400));
+    const auto* order = find_action<write_primary_record>(actions);
+    cr_assert(order != nullptr);
+    cr_assert(!order->record.is_open);
+}
+
+// Guards against a fencing token below that of an earlier leader: the number of
+// the leader key's revision falls when the store is restored.
+Test(failover_logic, fencing_tokens_rise_after_a_restore)
+{
+    leader_election election({"a", 1, "addr"});
+    election.on_key_observed({leader_key, "", 0}, make_store_revision(1, 40),
+                             start);
+    election.set_highest_token(100);
+    cr_assert(election.begin_due_call(start) == election_call::create_lease);
+    election.on_lease_created(store_lease{7, seconds(1)}, start, start);
+    cr_assert(election.begin_due_call(start) == election_call::acquire);
+    const auto stored = serialize_leader_identity(election.self());
+    election.on_acquired(make_store_revision(2, 46), start);
+    cr_assert(election.token() == 101);
+    cr_assert(election.key_revision() == make_store_revision(2, 46));
+    leader_election other({"b", 2, "other"});
+    other.on_key_observed({leader_key, stored, make_store_revision(2, 46)},
+                          make_store_revision(2, 46), start);
+    cr_assert(other.known_leader_token() == 101);
+}
+
 Test(failover_logic, the_next_leader_continues_an_evacuation)
 {
     group_fixture group;
     auto closed = make_record(1, "p", false, 11);
     closed.is_planned = true;
-    group.failover.on_record(closed);
+    group.failover.on_stored_record(as_stored(closed));
     group.observation.targets[0].is_evacuated = true;
     group.observation.targets[1].is_evacuated = true;
     group.observation.is_record_binding = true;
--- a/tests/test_fleet_seeds.cpp
+++ b/tests/test_fleet_seeds.cpp
@@ -21,8 +21,8 @@
 constexpr std::uint64_t defect_seed_count = 60;
 /// For a defect that shows only in the order of a few messages.
 constexpr std::uint64_t rare_defect_seed_count = 180;
-/// For a defect that shows in about one of 60 runs.
-constexpr std::uint64_t max_defect_search = 600;
+/// For a defect that shows in about one of 300 runs.
+constexpr std::uint64_t max_defect_search = 1200;
 constexpr auto fault_duration = seconds(8);
 constexpr fault_kinds all_faults{true, true, true,  true,
                                  true, true, false, true};
@@ -102,7 +102,7 @@
                                                 seed_count)) > 0);
 }
 
-/// For a defect that shows in about one of 60 runs: fails if none of the first
+/// For a defect that shows in few runs: fails if none of the first
 /// `max_seed_count` runs detects it.
 void expect_violation_within(const char* name, injected_defect defect,
                              const fault_kinds& faults,
@@ -177,6 +177,43 @@
                         {.early_lease_ends = true, .server_failures = true});
 }
 
+// Guards against writes that are acknowledged and lost, and against fencing
+// tokens that fall, because the store was restored from an older copy.
+Test(fleet_seeds, restored_stores)
+{
+    expect_no_violation("restored stores",
+                        {.server_failures = true, .store_restores = true});
+}
+
+Test(fleet_seeds, restored_stores_and_vms_that_crash)
+{
+    expect_no_violation("restored stores, crashes", {.vm_crashes = true,
+                                                     .vm_pauses = true,
+                                                     .server_failures = true,
+                                                     .store_restores = true});
+}
+
+Test(fleet_seeds, restored_stores_and_everything_else)
+{
+    auto faults = all_faults;
+    faults.store_restores = true;
+    expect_no_violation("restored stores, all", faults);
+}
+
+Test(fleet_seeds, detects_store_generation_ignored)
+{
+    expect_violation(
+        "store generation ignored", injected_defect::store_generation_ignored,
+        {.vm_crashes = true, .server_failures = true, .store_restores = true});
+}
+
+Test(fleet_seeds, detects_restored_record_trusted)
+{
+    expect_violation(
+        "restored record trusted", injected_defect::restored_record_trusted,
+        {.vm_crashes = true, .server_failures = true, .store_restores = true});
+}
+
 Test(fleet_seeds, servers_that_fail)
 {
     expect_no_violation("targets", {.server_failures = true});
