Send a promotion only with the authority of the moment of sending

What callers saw: a leader that had resigned ordered a promotion 0.9 s after its successor's, with a lower fencing token.

Cause: the authority was checked before the connection was opened, which can take seconds, and nothing ended the call when the VM resigned.

Change: an order carries its authority, which is checked when the connection is open. The call ends with the authority, and a reset discards what has not been sent. PAUSE and DEMOTE are checked when they are written, too. A stopping leader keeps its lease for up to 1.5 s while an order that it has sent is unanswered. The event "promotion ordered" names the token that was sent; "promotion not ordered" is new.

--- a/include/oleandergrade/connection/http_client.hpp
+++ b/include/oleandergrade/connection/http_client.hpp
@@ -51,6 +51,9 @@
     /// closes the connection if the answer is no.
     bool is_reusable();
     void close();
+    /// Closes the connection, or gives up opening it, without sending what has
+    /// not been sent yet.
+    void abort();
     const std::string& address() const { return address_; }
 
 private:
--- a/include/oleandergrade/process/failover/failover_driver.hpp
+++ b/include/oleandergrade/process/failover/failover_driver.hpp
@@ -47,6 +47,11 @@
     void on_leadership_changed(bool is_leader);
     /// Makes the next step run at once.
     void wake();
+    /// Begins no further action, and ends the orders that have not been written
+    /// yet. To be called before the lease is given back.
+    void stop_ordering();
+    /// Whether an order has been written and not been answered yet.
+    bool has_open_orders() const { return !orders_.empty(); }
     /// Records the report of another VM.
     void on_report(const fleet_report& report, time_point now);
     /// Applies a primary record that was observed in the store.
@@ -103,19 +108,27 @@
     /// the known ones.
     void apply_receipt(const std::string& vm, const primary_notice& notice,
                        const notice_receipt& receipt);
+    /// Ends all orders under way.
+    void end_orders();
     boost::asio::awaitable<void> write_record(std::string group,
                                               write_primary_record order);
     boost::asio::awaitable<void> order_promotion(std::string group,
                                                  std::string target);
-    /// Sends a statement that the target answers with a report.
-    boost::asio::awaitable<void>
-    request_report(std::string group, std::string target, std::string text);
+    /// Sends a statement that the target answers with a report. One that
+    /// changes the target is sent only if this VM may act when it is written.
+    boost::asio::awaitable<void> request_report(std::string group,
+                                                std::string target,
+                                                std::string text,
+                                                bool is_order = false);
     boost::asio::awaitable<void> ping_primary(std::string group,
                                               std::string target);
     /// Sends one statement to the target, over a new session if there is no
-    /// usable one. Fails if another exchange with the target is in progress.
+    /// usable one. Fails if another exchange with the target is in progress,
+    /// and if the statement is an order and this VM may not act when the
+    /// session is open.
     boost::asio::awaitable<result<target_answer>>
-    exchange(std::string target, std::string text, milliseconds timeout);
+    exchange(std::string target, std::string text, milliseconds timeout,
+             bool is_order = false);
     boost::asio::any_io_executor executor_;
     fleet_state& state_;
     leader_election& election_;
@@ -127,7 +140,10 @@
     vm_report_tracker vm_reports_;
     /// State of the notifications, by VM.
     std::map<std::string, notice_state> notice_states_;
+    /// Promotions that are being ordered.
+    std::set<std::shared_ptr<order_authority>> orders_;
     bool is_leader_ = false;
+    bool has_stopped_ordering_ = false;
     std::uint64_t promotions_ordered_ = 0;
 };
 
--- a/include/oleandergrade/process/failover/promotion_client.hpp
+++ b/include/oleandergrade/process/failover/promotion_client.hpp
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <oleandergrade/error.hpp>
+#include <oleandergrade/process/failover/order_authority.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <string>
 
 namespace oleandergrade
@@ -30,12 +32,15 @@
 public:
     virtual ~promotion_client() = default;
 
-    /// Orders a promotion. Errors: "refused" means that the promotion does not
-    /// take place, because the target is not running or because calls came too
-    /// often; after "broken" and "timeout" the promotion may or may not take
-    /// effect.
+    /// Orders a promotion, unless the authority is no longer valid when the
+    /// order can be written. The call ends with the authority. Errors:
+    /// "unreachable" means that nothing was sent; "refused" that the promotion
+    /// does not take place, because the target is not running or because calls
+    /// came too often; after "broken" and "timeout" the promotion may or may
+    /// not take effect.
     virtual boost::asio::awaitable<result<bool>>
-    promote(promotion_order order) = 0;
+    promote(promotion_order order,
+            std::shared_ptr<order_authority> authority) = 0;
 };
 
 } // namespace oleandergrade
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -120,6 +120,14 @@
     state_->stream.close();
 }
 
+void http_client::abort()
+{
+    error_code ignored;
+    state_->stream.socket().set_option(asio::socket_base::linger(true, 0),
+                                       ignored);
+    close();
+}
+
 asio::awaitable<result<bool>> http_client::connect(duration timeout)
 {
     const auto endpoint = parse_endpoint(address_);
--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -52,6 +52,7 @@
         group.abort_replacement();
     if (!is_leader)
     {
+        end_orders();
         for (auto& [id, connection] : target_connections_)
             if (connection.session != nullptr)
                 connection.session->close();
@@ -60,6 +61,22 @@
     wake();
 }
 
+void failover_driver::stop_ordering()
+{
+    has_stopped_ordering_ = true;
+    const auto orders = orders_;
+    for (const auto& order : orders)
+        if (!order->is_sent())
+            order->end();
+}
+
+void failover_driver::end_orders()
+{
+    const auto orders = orders_;
+    for (const auto& order : orders)
+        order->end();
+}
+
 void failover_driver::on_report(const fleet_report& report, time_point now)
 {
     vm_reports_.on_report(report, now);
@@ -132,6 +149,8 @@
 milliseconds failover_driver::advance_groups(time_point now)
 {
     add_groups();
+    if (!election_.may_act(now))
+        end_orders();
     bool is_active = false;
     for (auto& [name, group] : groups_)
     {
@@ -145,7 +164,7 @@
                            asio::detached);
         }
         // Without a valid lease or a complete view, no action is safe.
-        if (!election_.may_act(now))
+        if (!election_.may_act(now) || has_stopped_ordering_)
             continue;
         const std::string previous_step = group.step_name();
         for (const auto& action : group.tick(observe_group(name, now), now))
@@ -242,13 +261,15 @@
         asio::co_spawn(
             executor_,
             request_report(group, fenced->target,
-                           state_.platform.codec->encode_fence(fenced->term)),
+                           state_.platform.codec->encode_fence(fenced->term),
+                           true),
             asio::detached);
     else if (const auto* demoted = std::get_if<demote_target>(&action))
         asio::co_spawn(
             executor_,
             request_report(group, demoted->target,
-                           state_.platform.codec->encode_demote(demoted->term)),
+                           state_.platform.codec->encode_demote(demoted->term),
+                           true),
             asio::detached);
     else
         asio::co_spawn(
@@ -382,20 +403,31 @@
                                                        std::string target)
 {
     const auto started_at = current_time();
+    const promotion_order order{group, target, state_.settings.name,
+                                election_.token()};
+    const auto authority = std::make_shared<order_authority>(
+        [this, token = order.token]
+        {
+            return election_.token() == token && !has_stopped_ordering_ &&
+                   election_.may_act(current_time());
+        });
     result<bool> outcome =
         error{error_kind::unreachable, "promote", target,
               "promotion not ordered: this VM has no valid leader lease"};
-    promotion_order order{group, target, state_.settings.name,
-                          election_.token()};
-    if (election_.may_act(started_at))
+    if (authority->is_valid())
     {
-        ++promotions_ordered_;
-        outcome = co_await state_.platform.promotions->promote(order);
+        orders_.insert(authority);
+        outcome =
+            co_await state_.platform.promotions->promote(order, authority);
+        orders_.erase(authority);
+        promotions_ordered_ += authority->is_sent() ? 1 : 0;
     }
-    log_event(event_level::info, "failover", "promotion ordered",
+    log_event(event_level::info, "failover",
+              authority->is_sent() ? "promotion ordered"
+                                   : "promotion not ordered",
               {{"group", group},
                {"target", target},
-               {"token", election_.token()},
+               {"token", order.token},
                {"took", std::chrono::duration_cast<milliseconds>(
                             current_time() - started_at)},
                {"outcome", succeeded(outcome) ? "accepted"
@@ -406,11 +438,12 @@
 
 asio::awaitable<void> failover_driver::request_report(std::string group,
                                                       std::string target,
-                                                      std::string text)
+                                                      std::string text,
+                                                      bool is_order)
 {
     const auto requested_at = current_time();
-    auto outcome =
-        co_await exchange(target, std::move(text), report_request_timeout);
+    auto outcome = co_await exchange(target, std::move(text),
+                                     report_request_timeout, is_order);
     result<target_report> report =
         error{error_kind::refused, "report", target,
               "the target answered the report request with an error"};
@@ -474,7 +507,7 @@
 
 asio::awaitable<result<target_answer>>
 failover_driver::exchange(std::string target, std::string text,
-                          milliseconds timeout)
+                          milliseconds timeout, bool is_order)
 {
     const auto* record = state_.view.registry.find(target);
     if (record == nullptr)
@@ -503,6 +536,13 @@
             co_return error_of(opened);
         }
     }
+    // Opening the session may have taken longer than the lease.
+    if (is_order && !election_.may_act(current_time()))
+    {
+        target_connections_[target].exchange_in_flight = false;
+        co_return error{error_kind::unreachable, "exchange", target,
+                        "this VM has no valid leader lease any more"};
+    }
     std::string bytes;
     state_.platform.codec->append_statement(
         bytes, state_.platform.codec->proxy_statement_id(), text, std::nullopt);
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -46,6 +46,10 @@
 constexpr auto planned_closing_timeout = milliseconds(250);
 /// How often it is checked whether these statements have ended.
 constexpr auto planned_closing_poll_interval = milliseconds(10);
+/// A stopping leader keeps its lease for this long while an order that it has
+/// sent is not answered.
+constexpr auto max_order_wait = milliseconds(1500);
+constexpr auto order_poll_interval = milliseconds(5);
 /// If the store last answered the leader longer ago than this, VMs confirm the
 /// state of the store themselves instead of relying on the leader.
 constexpr auto max_leader_store_age = milliseconds(2000);
@@ -142,6 +146,12 @@
 asio::awaitable<void> fleet_service::retire()
 {
     election_.retire();
+    failover_.stop_ordering();
+    // The successor's orders must not arrive before this leader's.
+    const auto deadline = current_time() + max_order_wait;
+    while (failover_.has_open_orders() && current_time() < deadline)
+        co_await sleep_for(order_poll_interval);
+    const bool has_open_orders = failover_.has_open_orders();
     const auto lease = election_.lease_id();
     if (!election_.is_leader() || lease == 0)
         co_return;
@@ -150,7 +160,9 @@
     election_.on_renewed(error{error_kind::conflict, "retire", "", "stopping"},
                          current_time(), current_time());
     on_election_event();
-    co_await state_.store.end_lease(lease);
+    // The lease lapses if an order may still take effect.
+    if (!has_open_orders)
+        co_await end_lease(lease);
 }
 
 std::vector<followed_prefix>
--- a/tests/fakes/fleet_simulation.hpp
+++ b/tests/fakes/fleet_simulation.hpp
@@ -83,7 +83,10 @@
     /// The leader acts on the record of a store that was restored without
     /// asking anyone for a newer one, and takes a VM's receipt for a
     /// notification as if the VM held what the notification says.
-    restored_record_trusted
+    restored_record_trusted,
+    /// The leader checks its authority before it opens the connection for a
+    /// promotion, and not when it sends the order.
+    authority_checked_before_connecting
 };
 
 /// The kinds of faults that are injected during a run.
@@ -128,6 +131,8 @@
     /// The store is unavailable for up to 5 s and returns from a copy that is
     /// up to 10 s old, at times twice in a row. It names its generation.
     bool store_restores = false;
+    /// Connections for promotions take up to 3 s to open.
+    bool slow_connections = false;
 };
 
 /// The results of one run of the simulation.
@@ -314,6 +319,10 @@
     void execute(const vm_ptr& node, const group_action& action);
     void write_record(const vm_ptr& node, const write_primary_record& order);
     void promote(const vm_ptr& node, const std::string& target);
+    /// Sends the promotion when its connection is open, unless the VM has lost
+    /// its authority or the token for which the promotion was ordered.
+    void send_promotion(const vm_ptr& node, const std::string& target,
+                        std::uint64_t token);
     /// Requests a report from a target, and first demotes it if its term is
     /// below `demote_below_term`. Does nothing while a request to it is in
     /// progress.
--- a/tests/fakes/fleet_simulation_vm.cpp
+++ b/tests/fakes/fleet_simulation_vm.cpp
@@ -18,6 +18,8 @@
 constexpr auto ping_timeout = milliseconds(400);
 constexpr auto report_request_timeout = milliseconds(300);
 constexpr std::size_t max_rank = 100;
+/// Longest time until the connection for a promotion is open.
+constexpr auto max_connection_delay = milliseconds(3000);
 constexpr auto relay_timeout = milliseconds(350);
 constexpr auto max_leader_store_age = milliseconds(2000);
 /// A watch whose answer is lost is given up after these times.
@@ -871,6 +873,32 @@
             error{error_kind::unreachable, "promote", target,
                   "this VM is no longer the leader"},
             network_.now());
+    const auto token = node->election.token();
+    if (!faults_.slow_connections || network_.random_fraction() < 0.5)
+        return send_promotion(node, target, token);
+    network_.schedule_after(
+        milliseconds(network_.random_below(max_connection_delay.count())),
+        [this, node, target, token]
+        {
+            network_.run_on_host(node->machine, node->boot_number,
+                                 [this, node, target, token]
+                                 { send_promotion(node, target, token); });
+        });
+}
+
+void fleet_simulation::send_promotion(const vm_ptr& node,
+                                      const std::string& target,
+                                      std::uint64_t token)
+{
+    const bool may_send = node->election.token() == token &&
+                          node->election.may_act(network_.now());
+    if (!may_send && defect_ != injected_defect::unfenced_leader &&
+        defect_ != injected_defect::authority_checked_before_connecting)
+        return node->failover.on_promotion_result(
+            target,
+            error{error_kind::unreachable, "promote", target,
+                  "this VM is no longer the leader"},
+            network_.now());
     const auto& replaced = node->failover.record();
     trace(node->machine->name + " promotes " + target + ", " + replaced.target +
           (group_.servers().at(replaced.target).is_running ? " runs"
@@ -878,11 +906,11 @@
           (replaced.is_planned ? ", planned" : ""));
     store_.process_expirations(network_.now());
     if (!faults_.early_lease_ends && !faults_.store_restores &&
-        store_.read(leader_key).revision != node->election.token())
+        store_.read(leader_key).revision != token)
         add_violation(node->machine->name +
                       " ordered a promotion without being the leader");
     if (defect_ != injected_defect::unfenced_leader)
-        check_promotion_token(node->machine->name, node->election.token());
+        check_promotion_token(node->machine->name, token);
     network_.call<store_reply>(
         node->machine, platform_, call_timeout,
         [this, target]
--- a/tests/test_fleet_seeds.cpp
+++ b/tests/test_fleet_seeds.cpp
@@ -200,6 +200,31 @@
     expect_no_violation("restored stores, all", faults);
 }
 
+// Guards against orders of a leader that has lost its lease while the
+// connection for the order was opened.
+Test(fleet_seeds, connections_that_open_late)
+{
+    expect_no_violation("late connections", {.vm_crashes = true,
+                                             .vm_pauses = true,
+                                             .network_partitions = true,
+                                             .store_outages = true,
+                                             .early_lease_ends = true,
+                                             .server_failures = true,
+                                             .slow_connections = true});
+}
+
+Test(fleet_seeds, detects_authority_checked_before_connecting)
+{
+    expect_violation("authority checked before connecting",
+                     injected_defect::authority_checked_before_connecting,
+                     {.vm_pauses = true,
+                      .network_partitions = true,
+                      .store_outages = true,
+                      .server_failures = true,
+                      .slow_connections = true},
+                     rare_defect_seed_count);
+}
+
 Test(fleet_seeds, detects_store_generation_ignored)
 {
     expect_violation(
--- a/tests/test_store_following.cpp
+++ b/tests/test_store_following.cpp
@@ -10,6 +10,7 @@
 #include <oleandergrade/process/configuration/store_mirror.hpp>
 #include <oleandergrade/process/membership/copy_fetcher.hpp>
 #include <oleandergrade/process/membership/fleet_service.hpp>
+#include <oleandergrade/process/store_revision.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -276,6 +277,100 @@
     cr_assert(error_of(outcome).retry_after == seconds(3));
 }
 
+/// Answers the requests on one connection to a store, one after another.
+static asio::awaitable<void> answer_calls(asio::ip::tcp::acceptor& acceptor,
+                                          std::vector<std::string> answers)
+{
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    std::array<char, 4096> chunk{};
+    for (const auto& answer : answers)
+    {
+        co_await socket.async_read_some(asio::buffer(chunk),
+                                        asio::use_awaitable);
+        co_await asio::async_write(socket, asio::buffer(answer),
+                                   asio::use_awaitable);
+    }
+    co_await sleep_for(seconds(1));
+}
+
+static std::string store_answer(const std::string& generation,
+                                const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" +
+           (generation.empty() ? "" : "store-era: " + generation + "\r\n") +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Calls of a store whose answers name its generation.
+static asio::awaitable<void> call_restored_store(metadata_store& store,
+                                                 unsigned& passed)
+{
+    const auto first = co_await store.read("key");
+    passed += succeeded(first) &&
+              value_of(first).revision == make_store_revision(3, 100);
+    const auto lease = co_await store.create_lease(seconds(1));
+    passed += succeeded(lease) && value_of(lease).id == 9;
+    // The store returns from a copy, and has given out number 100 again.
+    const auto watched =
+        co_await store.watch("", value_of(first).revision, milliseconds(10));
+    passed +=
+        !succeeded(watched) && error_of(watched).kind == error_kind::conflict;
+    passed += store.generation() == 4;
+    // Neither of these is sent.
+    conditional_write change;
+    change.key = "key";
+    change.value = "value";
+    change.expected = {value_of(first)};
+    const auto written = co_await store.write(change);
+    passed +=
+        !succeeded(written) && error_of(written).kind == error_kind::conflict;
+    const auto renewed = co_await store.renew_lease(9);
+    passed +=
+        !succeeded(renewed) && error_of(renewed).kind == error_kind::conflict;
+    // A late answer, one without a generation, and an invalid one.
+    for (int i = 0; i < 3; ++i)
+    {
+        const auto outdated = co_await store.read("key");
+        passed += !succeeded(outdated) &&
+                  error_of(outdated).kind == error_kind::broken;
+    }
+    const auto last = co_await store.read("key");
+    passed += succeeded(last) &&
+              value_of(last).revision == make_store_revision(4, 101);
+}
+
+// Guards against revisions, conditions and leases that are taken for those of
+// another generation of the store, which has given out their numbers again.
+Test(store_following, revisions_and_leases_belong_to_a_generation)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context,
+                                     {asio::ip::address_v4::loopback(), 0});
+    const auto item = [](unsigned revision)
+    {
+        return R"({"Key":"key","Value":"","Revision":)" +
+               std::to_string(revision) + "}";
+    };
+    asio::co_spawn(
+        context,
+        answer_calls(acceptor,
+                     {store_answer("3", item(100)),
+                      store_answer("3", R"({"Lease":9,"TtlMs":1000})"),
+                      store_answer("4", R"({"events":[],"AsOf":100})"),
+                      store_answer("3", item(102)), store_answer("", item(102)),
+                      store_answer("5x", item(102)),
+                      store_answer("4", item(101))}),
+        asio::detached);
+    const auto store = platform::make_store_client(
+        context.get_executor(),
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    unsigned passed = 0;
+    asio::co_spawn(context, call_restored_store(*store, passed),
+                   asio::detached);
+    context.run_for(milliseconds(500));
+    cr_assert(passed == 10, "%u of 10 checks passed", passed);
+}
+
 /// Serves one read of a store. Sends the answer in `part_count` parts, one each
 /// `interval`, but only the first `sent_parts` of them.
 static asio::awaitable<void> serve_slowly(asio::ip::tcp::acceptor& acceptor,
