Give prepared statements names that determine them

What callers saw: an EXECUTE ran the shape that another caller of the same account had prepared, and returned its rows.

Cause: a shape of letters and digits was its own name, any other one got "x" and its bytes in hexadecimal digits, and both could give the same name, which a caller could choose. The session then sent no PREPARE.

Ruled out: names that are remembered after a RESET.

Test: serving_logic/prepared_names_determine_the_statement, over shapes of arbitrary bytes and shapes derived from them; it contains the earlier naming and checks that this one fails.

--- a/include/oleandergrade/process/serving/statement_runner.hpp
+++ b/include/oleandergrade/process/serving/statement_runner.hpp
@@ -248,8 +248,6 @@
     /// target's log must have reached.
     std::string encode_statement(const run_state& run,
                                  const std::optional<log_position>& minimum);
-    /// Returns the name under which the statement is prepared at targets.
-    std::string prepared_name_at_target(const prepared_statement& statement);
 
     const session_codec& codec_;
     active_configuration& configuration_;
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -1,6 +1,7 @@
 #include "statement_run_state.hpp"
 
 #include <oleandergrade/process/event_log.hpp>
+#include <oleandergrade/process/serving/prepared_name.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -46,14 +47,6 @@
         static_cast<double>(total.count()) * fraction));
 }
 
-bool is_short_alphanumeric(const std::string& text)
-{
-    constexpr std::size_t max_length = 64;
-    return text.size() <= max_length &&
-           std::all_of(text.begin(), text.end(),
-                       [](unsigned char c) { return std::isalnum(c) != 0; });
-}
-
 } // namespace
 
 statement_runner::statement_runner(const session_codec& codec,
@@ -341,25 +334,6 @@
     co_return false;
 }
 
-std::string
-statement_runner::prepared_name_at_target(const prepared_statement& statement)
-{
-    // The name depends only on the statement's shape and on whether it writes,
-    // not on the caller's name for it. So callers that take turns on a target
-    // session share its prepared statements.
-    const std::string kind = statement.writes ? "w" : "r";
-    if (is_short_alphanumeric(statement.shape))
-        return kind + statement.shape;
-    std::string name = kind + "x";
-    constexpr char digits[] = "0123456789abcdef";
-    for (const unsigned char c : statement.shape)
-    {
-        name += digits[c >> 4];
-        name += digits[c & 15];
-    }
-    return name;
-}
-
 std::string
 statement_runner::encode_statement(const run_state& run,
                                    const std::optional<log_position>& minimum)
--- a/tests/test_serving_logic.cpp
+++ b/tests/test_serving_logic.cpp
@@ -8,12 +8,18 @@
 #include <oleandergrade/process/membership/member_list.hpp>
 #include <oleandergrade/process/serving/connection_share.hpp>
 #include <oleandergrade/process/serving/placement_deadline.hpp>
+#include <oleandergrade/process/serving/prepared_name.hpp>
 #include <oleandergrade/process/serving/target_chooser.hpp>
 #include <oleandergrade/process/stop_schedule.hpp>
 
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <cctype>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
 
 using namespace oleandergrade;
 
@@ -78,6 +84,90 @@
 
 } // namespace
 
+namespace
+{
+
+using naming = std::function<std::string(const prepared_statement&)>;
+
+std::string hexadecimal(const std::string& bytes)
+{
+    constexpr char digits[] = "0123456789abcdef";
+    std::string text;
+    for (const unsigned char byte : bytes)
+    {
+        text += digits[byte >> 4];
+        text += digits[byte & 15];
+    }
+    return text;
+}
+
+/// The naming of earlier versions, in which a literal name and a hexadecimal
+/// one can be the same.
+std::string ambiguous_name(const prepared_statement& statement)
+{
+    const std::string kind = statement.writes ? "w" : "r";
+    const auto& shape = statement.shape;
+    const bool is_literal =
+        shape.size() <= 64 &&
+        std::all_of(shape.begin(), shape.end(),
+                    [](unsigned char c) { return std::isalnum(c) != 0; });
+    return is_literal ? kind + shape : kind + "x" + hexadecimal(shape);
+}
+
+/// Returns how many pairs of different statements share a name, among shapes of
+/// arbitrary bytes, and shapes and names that a caller derives from them.
+std::size_t count_shared_names(const naming& name_of)
+{
+    std::minstd_rand random(7);
+    std::set<std::string> shapes{"", "x612d", "a-"};
+    for (int i = 0; i < 2000; ++i)
+    {
+        std::string shape;
+        const auto length = random() % (i % 10 == 0 ? 200 : 12);
+        for (std::size_t j = 0; j < length; ++j)
+            shape += static_cast<char>(i % 3 == 0 ? "ax-6"[random() % 4]
+                                                  : random() % 256);
+        shapes.insert(shape);
+        shapes.insert("x" + hexadecimal(shape));
+        shapes.insert("d" + hexadecimal(shape));
+        for (const bool writes : {false, true})
+        {
+            const auto name = name_of({writes, shape});
+            shapes.insert(name);
+            shapes.insert(name.substr(1));
+            shapes.insert(name.substr(std::min<std::size_t>(2, name.size())));
+        }
+    }
+    std::map<std::string, prepared_statement> named;
+    std::size_t shared = 0;
+    for (const auto& shape : shapes)
+        for (const bool writes : {false, true})
+        {
+            const prepared_statement statement{writes, shape};
+            const auto [found, is_new] =
+                named.emplace(name_of(statement), statement);
+            if (!is_new && !(found->second == statement))
+                ++shared;
+        }
+    return shared;
+}
+
+} // namespace
+
+// Guards against two prepared statements with one name at a target, where a
+// caller's EXECUTE ran the shape of another caller.
+Test(serving_logic, prepared_names_determine_the_statement)
+{
+    cr_assert(count_shared_names(prepared_name_at_target) == 0);
+    cr_assert(count_shared_names(ambiguous_name) > 0,
+              "the check does not find names that are shared");
+    const auto long_name =
+        prepared_name_at_target({false, std::string(1 << 20, '-')});
+    cr_assert(long_name.size() == 66);
+    cr_assert(prepared_name_at_target({true, "q2c"}) ==
+              prepared_name_at_target({true, "q2c"}));
+}
+
 Test(serving_logic, strict_reads_and_writes_go_to_the_primary)
 {
     auto view = view_of_group();
