Promote synchronous replicas only after enough logs have been read

What callers saw: in a service with synchronous replicas, commits that had been acknowledged were gone after the primary had crashed while one replica lagged and the other could not be reached. After a planned replacement that was called off no commit was acknowledged any more.

Cause: 2.5 s after the longest log that answered was found to be incomplete it was promoted all the same. Replicas were fenced as soon as a record was closed, in planned replacements as well, and nothing resumed them.

Change: with k synchronous replicas of n, n - k + 1 logs must have been read, however long that takes; which replicas count is stored with the record. Callers are refused at once and told which replicas are awaited. Fences wait for the binding record and for a primary that does not answer, and every leader resumes the replicas of an open record. A primary of an earlier term is demoted before it can be promoted. Groups without synchronous replicas keep their time-out.

The test of fences expected them before the record was binding, which is the second fault; it now demands that they wait for it. A replica of the stand-in that has missed commits now receives these before later ones.

--- a/include/oleandergrade/connection/fleet_message.hpp
+++ b/include/oleandergrade/connection/fleet_message.hpp
@@ -89,6 +89,8 @@
     std::uint64_t position = 0;
     /// Time since the position was requested from the target.
     milliseconds position_age{0};
+    /// Replicas whose logs are awaited before a target can be promoted.
+    std::vector<std::string> awaited_replicas = {};
 
     bool operator==(const primary_state&) const = default;
 };
--- a/include/oleandergrade/connection/session_codec.hpp
+++ b/include/oleandergrade/connection/session_codec.hpp
@@ -85,6 +85,9 @@
     /// Makes a replica reject what primaries of terms below the given one
     /// commit.
     virtual std::string encode_fence(std::uint64_t term) const = 0;
+    /// Encodes the request that ends the effect of encode_fence(). The answer
+    /// contains no report.
+    virtual std::string encode_resume() const = 0;
     /// Makes a target a replica if it is the primary of a lower term.
     virtual std::string encode_demote(std::uint64_t term) const = 0;
     /// The identifier of statements that the proxy sends by itself.
--- a/include/oleandergrade/process/failover/failover_driver.hpp
+++ b/include/oleandergrade/process/failover/failover_driver.hpp
@@ -120,6 +120,8 @@
                                                 std::string target,
                                                 std::string text,
                                                 bool is_order = false);
+    /// Ends the effect of a fence at the target.
+    boost::asio::awaitable<void> resume(std::string group, std::string target);
     boost::asio::awaitable<void> ping_primary(std::string group,
                                               std::string target);
     /// Sends one statement to the target, over a new session if there is no
--- a/include/oleandergrade/process/failover/group_failover.hpp
+++ b/include/oleandergrade/process/failover/group_failover.hpp
@@ -5,12 +5,14 @@
 #include <oleandergrade/clock.hpp>
 #include <oleandergrade/connection/session_message.hpp>
 #include <oleandergrade/error.hpp>
+#include <oleandergrade/process/failover/commit_quorum.hpp>
 #include <oleandergrade/process/failover/primary_record.hpp>
 #include <oleandergrade/process/serving/target_record.hpp>
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -53,6 +55,14 @@
     bool operator==(const fence_target&) const = default;
 };
 
+/// End the effect of `fence_target`.
+struct resume_target
+{
+    std::string target;
+
+    bool operator==(const resume_target&) const = default;
+};
+
 /// Turn a primary of a term lower than `term` into a replica.
 struct demote_target
 {
@@ -73,7 +83,7 @@
 /// An action that the state machine requests from its driver.
 using group_action =
     std::variant<write_primary_record, announce_primary, request_target_report,
-                 fence_target, demote_target, promote_target>;
+                 fence_target, resume_target, demote_target, promote_target>;
 
 /// What the leader and the reports of the VMs show of one target.
 struct target_observation
@@ -98,8 +108,9 @@
     /// Whether the closed record is binding: every VM has confirmed it or can
     /// no longer hold a valid grant.
     bool is_record_binding = false;
-    /// Number of replicas that must hold a commit before it is acknowledged.
-    std::uint32_t synchronous_replicas = 0;
+    /// Number of replicas that must hold a commit before it is acknowledged;
+    /// empty if the configuration is not known.
+    std::optional<std::uint32_t> synchronous_replicas = 0;
     /// The furthest position that this VM has seen the primary reach; the
     /// default if it has seen none.
     log_position primary_position;
@@ -117,14 +128,18 @@
 ///    is a target elsewhere.
 /// 2. Its record is closed in the store and at every VM.
 /// 3. The targets report the length of their logs, which has become final with
-///    the closed record. If the group commits synchronously, the request also
-///    fences the replicas.
+///    the closed record. If the group commits synchronously and the primary is
+///    lost, the request also fences the replicas. They are resumed once the
+///    record is open, by whichever leader is in office.
 /// 4. A target whose log is complete is written to the record as the candidate
 ///    and is promoted. Complete means as long as the old primary's, or, if that
 ///    one is lost, as the longest that any target or VM has shown. If no target
 ///    that answers has the complete log in time, the old primary continues its
 ///    term if it answers; otherwise the target with the longest log is
-///    promoted, and what it lacks is logged as given up.
+///    promoted, and what it lacks is logged as given up. In a group that
+///    commits synchronously no target is promoted before enough logs have been
+///    read to know that one of them has every acknowledged commit, however long
+///    that takes.
 /// 5. The record is opened with the new term, in the store and at every VM.
 ///
 /// A primary that returns, possibly under another identifier, continues its
@@ -187,6 +202,8 @@
     /// Outcome of `promote_target`.
     void on_promotion_result(const std::string& target,
                              const result<bool>& outcome, time_point now);
+    /// Outcome of `resume_target`.
+    void on_resumed(const std::string& target, bool succeeded);
     /// Aborts a replacement in progress, because this VM is no longer the
     /// leader or has just become it.
     void abort_replacement();
@@ -194,6 +211,12 @@
     /// Whether the leader must ask the VMs which record of the group they hold.
     bool is_inquiring() const { return step_ == step::inquiring; }
     const primary_record& record() const { return record_; }
+    /// The replicas whose logs must be read before a target can be promoted, if
+    /// the replacement waits for them.
+    const std::vector<std::string>& awaited_replicas() const
+    {
+        return awaited_replicas_;
+    }
     /// When this leader last ordered the record to be opened. The primary had
     /// just answered then, so earlier failures to reach it mean nothing. The
     /// epoch if another leader opened the record.
@@ -225,6 +248,8 @@
     {
         target_report report;
         time_point requested_at;
+        /// The target's process that has sent it.
+        std::uint64_t started_at = 0;
     };
 
     void enter_step(step next, time_point now);
@@ -252,6 +277,27 @@
     void write_record(const primary_record& record, time_point now,
                       std::uint64_t restored_revision = 0);
     void request_reports(const group_observation& observation, time_point now);
+    /// Whether replicas must be fenced so that their logs do not grow any more.
+    bool must_fence(time_point now) const;
+    /// Whether the recorded primary has just reported that it still leads its
+    /// term, since the closed record became binding.
+    bool answers_as_primary(time_point now) const;
+    /// Returns the replicas of the record's term, which may be a new one.
+    commit_quorum quorum_of_term(const primary_record& record) const;
+    /// Updates what is known of the replicas that acknowledge commits.
+    void observe_replicas(const group_observation& observation);
+    /// Resumes replicas that may have been fenced.
+    void resume_replicas(const group_observation& observation, time_point now);
+    /// Forgets replicas that are not registered any more, once others hold what
+    /// they may have acknowledged.
+    void forget_departed_replicas(const group_observation& observation,
+                                  time_point now);
+    /// Whether the logs that have been read contain every acknowledged commit.
+    /// Otherwise sets `awaited_replicas_`.
+    bool has_read_enough_logs(time_point now);
+    /// The furthest position in a log that has been read since it ended, apart
+    /// from that of the recorded primary.
+    log_position furthest_final_position() const;
     /// Whether the recorded primary is to be replaced because its failure
     /// domain is being evacuated.
     static bool must_evacuate(const target_observation& primary,
@@ -311,6 +357,19 @@
     std::map<std::string, time_point> promotion_refused_at_;
     /// The target that is to be promoted.
     std::string candidate_;
+    /// The registered targets of the group, as last observed.
+    std::vector<target_record> registered_;
+    commit_quorum quorum_;
+    /// Replicas have been fenced, so that reports from before do not count.
+    bool has_fenced_ = false;
+    std::vector<std::string> awaited_replicas_;
+    /// Replicas that need not be resumed any more.
+    std::set<std::string> resumed_;
+    /// Position of the primary after the departure of the replicas that are to
+    /// be forgotten.
+    std::optional<log_position> departure_position_;
+    std::vector<counted_replica> departed_replicas_;
+    time_point departed_at_;
     /// Actions that the current or next call of `tick` returns.
     std::vector<group_action> actions_;
 };
--- a/include/oleandergrade/process/failover/primary_record.hpp
+++ b/include/oleandergrade/process/failover/primary_record.hpp
@@ -3,6 +3,7 @@
 
 #include <oleandergrade/connection/log_position.hpp>
 #include <oleandergrade/error.hpp>
+#include <oleandergrade/process/failover/commit_quorum.hpp>
 
 #include <cstdint>
 #include <string>
@@ -56,6 +57,8 @@
     /// Generation of the store in which the value was written; 0 if it is not
     /// known.
     std::uint64_t generation = 0;
+    /// The replicas that may have acknowledged commits of the term.
+    quorum_state quorum = {};
 
     bool operator==(const record_origin&) const = default;
 };
--- a/include/oleandergrade/process/serving/target_chooser.hpp
+++ b/include/oleandergrade/process/serving/target_chooser.hpp
@@ -68,8 +68,14 @@
     target_health health;
     replica_lag_tracker replica_lag;
     primary_wait_estimator wait_estimator;
+    /// Replicas whose logs are awaited before a primary can be promoted, by
+    /// group, as the leader has told.
+    std::map<std::string, std::vector<std::string>> awaited_replicas;
     evacuated_domains evacuations;
 
+    void set_awaited_replicas(const std::string& group,
+                              const std::vector<std::string>& replicas);
+
     /// Records that a target answered, or failed to answer. Returns false if
     /// the target was recorded as failing before.
     bool record_target_result(const std::string& target, bool answered,
--- a/include/oleandergrade/process/serving/target_record.hpp
+++ b/include/oleandergrade/process/serving/target_record.hpp
@@ -23,6 +23,9 @@
     /// The target claims to be the group's primary. The claim alone does not
     /// permit its use as such.
     bool claims_primary = false;
+    /// Start of the target's process, in Unix milliseconds; 0 if it is not
+    /// known. One that starts again under its identifier has lost its log.
+    std::uint64_t started_at = 0;
 
     bool operator==(const target_record&) const = default;
 };
--- a/src/connection/fleet_message_codec.cpp
+++ b/src/connection/fleet_message_codec.cpp
@@ -30,6 +30,9 @@
     out.setCandidate(in.record.candidate);
     out.setKnownTerm(in.record.known_position.term);
     out.setKnownIndex(in.record.known_position.index);
+    auto awaited = out.initAwaitedReplicas(size_of(in.awaited_replicas));
+    for (unsigned i = 0; i < in.awaited_replicas.size(); ++i)
+        awaited.set(i, in.awaited_replicas[i]);
 }
 
 primary_state read(wire::PrimaryState::Reader in)
@@ -46,6 +49,8 @@
     out.position_age = milliseconds_from_wire(in.getPositionAge());
     out.record.candidate = string_from_wire(in.getCandidate());
     out.record.known_position = {in.getKnownTerm(), in.getKnownIndex()};
+    for (const auto replica : in.getAwaitedReplicas())
+        out.awaited_replicas.push_back(string_from_wire(replica));
     return out;
 }
 
--- a/src/connection/peer_message.capnp
+++ b/src/connection/peer_message.capnp
@@ -100,6 +100,8 @@
   candidate @9 :Text;
   knownTerm @10 :UInt64;
   knownIndex @11 :UInt64;
+  # Replicas whose logs are awaited before a target can be promoted.
+  awaitedReplicas @12 :List(Text);
 }
 
 struct FleetGrant {
--- a/src/connection/peer_message.capnp.h
+++ b/src/connection/peer_message.capnp.h
@@ -148,7 +148,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ad9a6e04ecbb9685, 7, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ad9a6e04ecbb9685, 7, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1155,6 +1155,9 @@
 
   inline  ::uint64_t getKnownIndex() const;
 
+  inline bool hasAwaitedReplicas() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getAwaitedReplicas() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1231,6 +1234,14 @@
   inline  ::uint64_t getKnownIndex();
   inline void setKnownIndex( ::uint64_t value);
 
+  inline bool hasAwaitedReplicas();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getAwaitedReplicas();
+  inline void setAwaitedReplicas( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setAwaitedReplicas(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initAwaitedReplicas(unsigned int size);
+  inline void adoptAwaitedReplicas(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownAwaitedReplicas();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4803,6 +4814,44 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PrimaryState::Reader::hasAwaitedReplicas() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PrimaryState::Builder::hasAwaitedReplicas() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader PrimaryState::Reader::getAwaitedReplicas() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PrimaryState::Builder::getAwaitedReplicas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PrimaryState::Builder::setAwaitedReplicas( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void PrimaryState::Builder::setAwaitedReplicas(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PrimaryState::Builder::initAwaitedReplicas(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void PrimaryState::Builder::adoptAwaitedReplicas(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> PrimaryState::Builder::disownAwaitedReplicas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool FleetGrant::Reader::getAccepted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/process/failover/failover_driver.cpp
+++ b/src/process/failover/failover_driver.cpp
@@ -108,6 +108,9 @@
     {
         primary_state state;
         state.record = record;
+        if (const auto replaced = groups_.find(group);
+            replaced != groups_.end())
+            state.awaited_replicas = replaced->second.awaited_replicas();
         const auto found = state_.view.positions.find(group);
         if (found != state_.view.positions.end())
         {
@@ -169,6 +172,7 @@
         const std::string previous_step = group.step_name();
         for (const auto& action : group.tick(observe_group(name, now), now))
             execute(name, action);
+        state_.view.set_awaited_replicas(name, group.awaited_replicas());
         if (previous_step != group.step_name())
             log_event(event_level::info, "failover", "step",
                       {{"group", name},
@@ -227,8 +231,11 @@
     const auto& configuration = state_.configuration.current();
     const auto* limits =
         configuration == nullptr ? nullptr : configuration->find_group(group);
-    observation.synchronous_replicas =
-        limits == nullptr ? 0 : limits->synchronous_replicas;
+    if (configuration == nullptr)
+        observation.synchronous_replicas.reset();
+    else
+        observation.synchronous_replicas =
+            limits == nullptr ? 0 : limits->synchronous_replicas;
     const auto positions = state_.view.positions.find(group);
     if (positions != state_.view.positions.end())
         observation.primary_position =
@@ -264,6 +271,9 @@
                            state_.platform.codec->encode_fence(fenced->term),
                            true),
             asio::detached);
+    else if (const auto* resumed = std::get_if<resume_target>(&action))
+        asio::co_spawn(executor_, resume(group, resumed->target),
+                       asio::detached);
     else if (const auto* demoted = std::get_if<demote_target>(&action))
         asio::co_spawn(
             executor_,
@@ -470,6 +480,23 @@
     wake();
 }
 
+asio::awaitable<void> failover_driver::resume(std::string group,
+                                              std::string target)
+{
+    const auto outcome =
+        co_await exchange(target, state_.platform.codec->encode_resume(),
+                          report_request_timeout, true);
+    const bool is_resumed = succeeded(outcome) && value_of(outcome).succeeded();
+    if (!is_resumed)
+        log_event(
+            event_level::info, "failover", "target not resumed",
+            {{"group", group},
+             {"target", target},
+             {"error", succeeded(outcome) ? "the target answered with an error"
+                                          : to_string(error_of(outcome))}});
+    groups_.at(group).on_resumed(target, is_resumed);
+}
+
 // Sends a statement that occupies no statement slot of the target. The answer
 // shows that the primary is reachable and contains its log position.
 asio::awaitable<void> failover_driver::ping_primary(std::string group,
--- a/src/process/failover/group_failover.cpp
+++ b/src/process/failover/group_failover.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t lost_fraction_divisor = 3;
 /// A target that refused its promotion is not chosen again for this long.
 constexpr auto refusal_validity = seconds(2);
+/// Interval between requests for the reports that show whether a replica that
+/// is not registered any more can be forgotten.
+constexpr auto departure_request_interval = milliseconds(1000);
 /// Delay after a failed write of the record.
 constexpr auto write_retry_delay = milliseconds(50);
 
@@ -49,18 +52,43 @@
     if (stored.store_revision >= stored_.store_revision)
         stored_ = stored;
     on_record(stored.record);
+    if (record_ == stored.record)
+        quorum_.merge(stored.origin.quorum);
 }
 
 void group_failover::on_record(const primary_record& record)
 {
-    if (is_newer(record, record_))
-        record_ = record;
+    if (!is_newer(record, record_))
+        return;
+    if (record.term > record_.term)
+        quorum_ = quorum_of_term(record);
+    record_ = record;
+}
+
+commit_quorum group_failover::quorum_of_term(const primary_record& record) const
+{
+    auto quorum = quorum_;
+    if (record.term <= record_.term)
+        return quorum;
+    const auto former = std::find_if(registered_.begin(), registered_.end(),
+                                     [&](const target_record& registered) {
+                                         return registered.id == record_.target;
+                                     });
+    quorum.begin_term(record.target,
+                      former == registered_.end()
+                          ? counted_replica{}
+                          : counted_replica{former->id, former->started_at,
+                                            former->address,
+                                            former->is_draining});
+    return quorum;
 }
 
 void group_failover::abort_replacement()
 {
     step_ = step::watching;
     inquired_generation_ = 0;
+    resumed_.clear();
+    departed_replicas_.clear();
     forget_reports();
     actions_.clear();
 }
@@ -70,6 +98,8 @@
     reports_.clear();
     furthest_position_ = record_.known_position;
     incomplete_since_.reset();
+    has_fenced_ = false;
+    awaited_replicas_.clear();
 }
 
 void group_failover::enter_step(step next, time_point now)
@@ -83,6 +113,7 @@
 group_failover::tick(const group_observation& observation, time_point now)
 {
     store_generation_ = observation.store_generation;
+    observe_replicas(observation);
     // A write whose answer was lost has opened the record meanwhile.
     const bool replaces = step_ == step::binding || step_ == step::reporting ||
                           step_ == step::verifying;
@@ -154,6 +185,92 @@
         now >= planned_retry_at_)
         return close_record(true, now);
     check_for_later_primary(observation, *primary, now);
+    if (step_ != step::watching || !quorum_.is_synchronous())
+        return;
+    resume_replicas(observation, now);
+    forget_departed_replicas(observation, now);
+}
+
+void group_failover::observe_replicas(const group_observation& observation)
+{
+    registered_.clear();
+    for (const auto& target : observation.targets)
+        registered_.push_back(target.record);
+    if (record_.revision != 0)
+        quorum_.observe(registered_, record_.target,
+                        observation.synchronous_replicas.value_or(
+                            quorum_.state().synchronous_replicas));
+}
+
+// The leader that has fenced a replica may have lost its office since.
+void group_failover::resume_replicas(const group_observation& observation,
+                                     time_point now)
+{
+    for (const auto& target : observation.targets)
+    {
+        const auto& id = target.record.id;
+        auto& next = next_request_at_[id];
+        if (id == record_.target || resumed_.contains(id) || now < next)
+            continue;
+        next = now + unresponsive_request_interval;
+        actions_.push_back(resume_target{id});
+    }
+}
+
+void group_failover::on_resumed(const std::string& target, bool succeeded)
+{
+    if (succeeded && step_ == step::watching)
+        resumed_.insert(target);
+}
+
+// What a replica may have acknowledged before it departed was at the primary
+// then. As soon as enough others have received the primary's log up to a later
+// position, nothing depends on the departed one.
+void group_failover::forget_departed_replicas(
+    const group_observation& observation, time_point now)
+{
+    const auto departed = quorum_.departed(registered_);
+    if (departed != departed_replicas_)
+    {
+        departed_replicas_ = departed;
+        departed_at_ = now;
+        departure_position_.reset();
+        reports_.clear();
+    }
+    if (departed.empty())
+        return;
+    const auto primary = reports_.find(record_.target);
+    if (!departure_position_ && primary != reports_.end() &&
+        primary->second.requested_at > departed_at_ &&
+        primary->second.report.is_primary &&
+        primary->second.report.term == record_.term)
+        departure_position_ = primary->second.report.received_position;
+    const auto holders = std::count_if(
+        registered_.begin(), registered_.end(),
+        [&](const target_record& target)
+        {
+            const auto found = reports_.find(target.id);
+            return departure_position_ && target.id != record_.target &&
+                   found != reports_.end() &&
+                   found->second.started_at == target.started_at &&
+                   found->second.report.received_position >=
+                       *departure_position_;
+        });
+    if (departure_position_ && static_cast<std::size_t>(holders) >=
+                                   quorum_.state().synchronous_replicas)
+    {
+        for (const auto& replica : departed)
+            quorum_.remove(replica);
+        return;
+    }
+    for (const auto& target : observation.targets)
+    {
+        auto& next = next_request_at_[target.record.id];
+        if (now < next)
+            continue;
+        next = now + departure_request_interval;
+        actions_.push_back(request_target_report{target.record.id});
+    }
 }
 
 bool group_failover::must_inquire(const group_observation& observation) const
@@ -281,6 +398,7 @@
     opened.target = target;
     opened.is_open = true;
     opened_at_ = now;
+    resumed_.clear();
     write_record(opened, now);
 }
 
@@ -289,7 +407,8 @@
 {
     pending_.record = record;
     pending_.origin = {restored_revision == 0 ? record_.revision : 0,
-                       restored_revision, store_generation_};
+                       restored_revision, store_generation_,
+                       quorum_of_term(record).state()};
     actions_.push_back(
         write_primary_record{record, stored_.store_revision, pending_.origin});
     enter_step(step::writing, now);
@@ -328,28 +447,65 @@
 void group_failover::request_reports(const group_observation& observation,
                                      time_point now)
 {
+    const bool fences = must_fence(now);
+    if (fences && !has_fenced_)
+    {
+        has_fenced_ = true;
+        std::erase_if(reports_, [&](const auto& entry)
+                      { return entry.first != record_.target; });
+    }
     for (const auto& target : observation.targets)
     {
         const auto& id = target.record.id;
         auto& next = next_request_at_[id];
-        const bool is_known =
-            step_ == step::reporting
-                ? final_report(id) != nullptr && !incomplete_since_
-                : reports_.contains(id);
+        bool is_known = reports_.contains(id);
+        if (step_ == step::reporting)
+            is_known = final_report(id) != nullptr && !incomplete_since_;
+        // Replicas are fenced when the primary no longer answers.
+        if (quorum_.is_synchronous() && id == record_.target)
+            is_known = is_known && answers_as_primary(now);
+        // A primary of an earlier term cannot be promoted.
+        const auto found = reports_.find(id);
+        const bool is_superseded = step_ == step::reporting &&
+                                   found != reports_.end() &&
+                                   found->second.report.is_primary &&
+                                   found->second.report.term < record_.term;
+        is_known = is_known && !is_superseded;
         if (is_known || now < next)
             continue;
         next = now + (target.leader_failing_for ? unresponsive_request_interval
                                                 : request_interval);
-        // Fencing has an effect only if the group replicates synchronously:
-        // there, a commit is not acknowledged without the replicas.
-        if (observation.synchronous_replicas > 0 && id != record_.target &&
-            record_.revision != 0 && step_ != step::inquiring)
+        if (is_superseded)
+            actions_.push_back(demote_target{id, record_.term});
+        else if (fences && id != record_.target)
             actions_.push_back(fence_target{id, record_.term + 1});
         else
             actions_.push_back(request_target_report{id});
     }
 }
 
+// A fence keeps a former primary that is cut off from getting further commits
+// acknowledged. Before the closed record is binding it would stop commits that
+// are under way, and in a planned replacement the primary itself tells where
+// its log ends.
+bool group_failover::must_fence(time_point now) const
+{
+    if (!quorum_.is_synchronous() || step_ != step::reporting)
+        return false;
+    return !record_.is_planned || has_fenced_ ||
+           (!answers_as_primary(now) &&
+            now - step_entered_at_ >= report_timeout);
+}
+
+bool group_failover::answers_as_primary(time_point now) const
+{
+    const auto* report = final_report(record_.target);
+    return report != nullptr && report->is_primary &&
+           report->term == record_.term &&
+           now - reports_.at(record_.target).requested_at <
+               primary_report_validity;
+}
+
 void group_failover::on_report(const std::string& target,
                                const result<target_report>& outcome,
                                time_point requested_at, time_point now)
@@ -357,7 +513,12 @@
     if (!succeeded(outcome))
         return;
     const auto& report = value_of(outcome);
-    reports_[target] = {report, requested_at};
+    const auto registered = std::find_if(registered_.begin(), registered_.end(),
+                                         [&](const target_record& known)
+                                         { return known.id == target; });
+    reports_[target] = {
+        report, requested_at,
+        registered == registered_.end() ? 0 : registered->started_at};
     if (report.term == record_.term)
         furthest_position_ =
             std::max(furthest_position_, report.received_position);
@@ -450,6 +611,8 @@
         // be the primary of a later term.
         if (report->is_primary && !record_.candidate.empty())
             continue;
+        if (report->is_primary && report->term < record_.term)
+            continue;
         const auto log_end = report->received_position;
         const bool has_all = is_complete(log_end, observation);
         const bool is_staying = !target.record.is_draining;
@@ -461,10 +624,16 @@
         best_rank = rank;
         best_log_end = log_end;
     }
-    if (best_id.empty())
+    if (!has_read_enough_logs(now))
+        return;
+    if (best_id.empty() && !quorum_.is_synchronous())
         return;
+    // The target with the longest log may be refused at the moment.
+    const bool has_longest_log =
+        !best_id.empty() && (!quorum_.is_synchronous() ||
+                             best_log_end >= furthest_final_position());
     const bool is_best_complete = std::get<0>(best_rank);
-    if (is_best_complete)
+    if (is_best_complete && has_longest_log)
     {
         if (!misses_reports || now - step_entered_at_ >= report_timeout)
             write_candidate(best_id, observation, now);
@@ -475,7 +644,8 @@
     const auto waited = now - *incomplete_since_;
     if (waited >= catch_up_timeout && call_off_replacement(now))
         return;
-    if (waited < complete_log_timeout)
+    if (waited < complete_log_timeout || !has_longest_log ||
+        (quorum_.is_synchronous() && answers_as_primary(now)))
         return;
     const auto known = known_position(observation);
     if (best_log_end < known)
@@ -488,6 +658,46 @@
     write_candidate(best_id, observation, now);
 }
 
+bool group_failover::has_read_enough_logs(time_point now)
+{
+    // The primary itself knows what it has acknowledged.
+    auto missing = answers_as_primary(now)
+                       ? std::vector<std::string>()
+                       : quorum_.missing(registered_,
+                                         [&](const std::string& id) {
+                                             return id != record_.target &&
+                                                    final_report(id) != nullptr;
+                                         });
+    if (now - step_entered_at_ >= report_timeout &&
+        missing != awaited_replicas_)
+    {
+        awaited_replicas_ = missing;
+        std::string names;
+        for (const auto& id : missing)
+            names += (names.empty() ? "" : ",") + id;
+        log_event(event_level::warning, "failover",
+                  missing.empty() ? "logs read" : "replicas awaited",
+                  {{"group", group_},
+                   {"replicas", names},
+                   {"term", record_.term},
+                   {"needed", quorum_.state().replicas.size() + 1 -
+                                  std::min<std::size_t>(
+                                      quorum_.state().replicas.size(),
+                                      quorum_.state().synchronous_replicas)}});
+    }
+    return missing.empty();
+}
+
+log_position group_failover::furthest_final_position() const
+{
+    log_position furthest;
+    for (const auto& [id, received] : reports_)
+        if (const auto* report = final_report(id);
+            report != nullptr && id != record_.target)
+            furthest = std::max(furthest, report->received_position);
+    return furthest;
+}
+
 log_position
 group_failover::known_position(const group_observation& observation) const
 {
--- a/src/process/failover/primary_record.cpp
+++ b/src/process/failover/primary_record.cpp
@@ -9,6 +9,31 @@
 {
 namespace json = boost::json;
 
+namespace
+{
+
+quorum_state parse_quorum(const json::object& fields)
+{
+    quorum_state quorum;
+    quorum.synchronous_replicas = static_cast<std::uint32_t>(
+        unsigned_field(fields, "synchronous_replicas"));
+    const auto* replicas = fields.if_contains("replicas");
+    if (replicas == nullptr || !replicas->is_array())
+        return quorum;
+    for (const auto& entry : replicas->as_array())
+    {
+        if (!entry.is_object())
+            continue;
+        const auto& replica = entry.as_object();
+        quorum.replicas.push_back(
+            {string_field(replica, "id"), unsigned_field(replica, "started_at"),
+             string_field(replica, "address"), bool_field(replica, "drained")});
+    }
+    return quorum;
+}
+
+} // namespace
+
 bool is_newer(const primary_record& left, const primary_record& right)
 {
     const auto rank = [](const primary_record& record)
@@ -43,6 +68,18 @@
         fields["revision"] = origin.revision;
     if (origin.generation != 0)
         fields["generation"] = origin.generation;
+    // Groups without synchronous replicas lose what they lose.
+    if (origin.quorum.synchronous_replicas != 0)
+    {
+        json::array replicas;
+        for (const auto& replica : origin.quorum.replicas)
+            replicas.push_back({{"id", replica.id},
+                                {"started_at", replica.started_at},
+                                {"address", replica.address},
+                                {"drained", replica.has_drained}});
+        fields["synchronous_replicas"] = origin.quorum.synchronous_replicas;
+        fields["replicas"] = std::move(replicas);
+    }
     return json::serialize(fields);
 }
 
@@ -68,7 +105,8 @@
     stored.store_revision = store_revision;
     stored.origin = {unsigned_field(fields, "predecessor"),
                      unsigned_field(fields, "revision"),
-                     unsigned_field(fields, "generation")};
+                     unsigned_field(fields, "generation"),
+                     parse_quorum(fields)};
     auto& record = stored.record;
     record.group = string_field(fields, "group");
     record.term = unsigned_field(fields, "term");
--- a/src/process/membership/fleet_service.cpp
+++ b/src/process/membership/fleet_service.cpp
@@ -384,7 +384,10 @@
         return;
     // The primary has answered the leader before the record was opened.
     if (record.is_open)
+    {
         state_.view.health.discard_failures(record.target);
+        state_.view.set_awaited_replicas(record.group, {});
+    }
     state_.view.wait_estimator.on_record(record, current_time());
     log_event(event_level::info, "failover", "record",
               {{"group", record.group},
@@ -915,6 +918,8 @@
         // for it. Statements at the primary are aborted here already unless the
         // replacement is planned.
         apply_primary_record(primary.record, "holder");
+        state_.view.set_awaited_replicas(primary.record.group,
+                                         primary.awaited_replicas);
         if (primary.has_position)
             state_.view.positions[primary.record.group].observe(
                 {primary.record.term, primary.position},
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -33,6 +33,9 @@
 /// served by other VMs.
 constexpr auto stopping_retry_after = milliseconds(50);
 
+/// Retry time for statements of a group that waits for the logs of replicas.
+constexpr auto awaited_retry_after = milliseconds(500);
+
 /// Retry time for statements of a group whose targets are all in evacuated
 /// failure domains. Operators decide when it is served again.
 constexpr auto evacuation_retry_after = milliseconds(1000);
@@ -300,6 +303,16 @@
     }
     const auto expected_wait =
         view_.wait_estimator.expected_wait(request.group, current_time());
+    const auto awaited = view_.awaited_replicas.find(request.group);
+    if (needs_primary && awaited != view_.awaited_replicas.end())
+    {
+        std::string reason = "no primary before these replicas answer:";
+        for (const auto& replica : awaited->second)
+            reason += " " + replica;
+        fail(run, session_error::busy, reason,
+             pool_.spread_retry(std::max(expected_wait, awaited_retry_after)));
+        co_return false;
+    }
     if (needs_primary && current_time() + expected_wait > primary_deadline)
     {
         fail(run, session_error::busy, "the primary is being replaced",
--- a/src/process/serving/target_chooser.cpp
+++ b/src/process/serving/target_chooser.cpp
@@ -36,6 +36,15 @@
 
 } // namespace
 
+void serving_view::set_awaited_replicas(
+    const std::string& group, const std::vector<std::string>& replicas)
+{
+    if (replicas.empty())
+        awaited_replicas.erase(group);
+    else
+        awaited_replicas[group] = replicas;
+}
+
 bool serving_view::record_target_result(const std::string& target,
                                         bool answered, time_point now)
 {
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -236,6 +236,10 @@
     for (const auto& followed : prefixes)
         out << "oleander_store_revision{prefix=\"" << followed.prefix << "\"} "
             << store_number(followed.revision) << "\n";
+    out << "# TYPE oleander_awaited_replicas gauge\n";
+    for (const auto& [group, replicas] : state_.view.awaited_replicas)
+        out << "oleander_awaited_replicas{group=\"" << group << "\"} "
+            << replicas.size() << "\n";
     out << "# TYPE oleander_store_generation gauge\n"
         << "oleander_store_generation " << state_.store.generation() << "\n";
     out << "# TYPE oleander_store_unanswered_seconds gauge\n";
--- a/standins/group_model.cpp
+++ b/standins/group_model.cpp
@@ -68,10 +68,17 @@
         const committed_write commit{{server.term, position}, item, data, now};
         server.log.push_back(commit);
         for (auto& [id, replica] : servers_)
-            if (id != server.id && replica.is_running &&
-                replica.receives_commits && replica.term == server.term &&
-                !replica.is_primary)
+        {
+            if (id == server.id || !replica.is_running ||
+                !replica.receives_commits || replica.term != server.term ||
+                replica.is_primary)
+                continue;
+            // A replica that has missed commits receives these first.
+            if (replica.log.size() + 1 == server.log.size())
                 replica.log.push_back(commit);
+            else
+                replica.log = server.log;
+        }
     }
     return true;
 }
--- a/tests/fakes/fleet_simulation.cpp
+++ b/tests/fakes/fleet_simulation.cpp
@@ -32,6 +32,7 @@
 constexpr double primary_fault_fraction = 0.6;
 constexpr double isolation_fraction = 0.4;
 constexpr double drain_fraction = 0.3;
+constexpr auto self_demotion_delay = milliseconds(1000);
 constexpr auto copy_interval = milliseconds(250);
 constexpr auto max_copy_age = seconds(11);
 
@@ -98,6 +99,8 @@
                             [this, end] { inject_faults(end); });
     if (faults_.store_restores)
         copy_store(end);
+    if (faults_.synchronous_replicas)
+        demote_former_primaries(true);
     if (faults_.lost_watches)
         network_.schedule_after(startup_duration +
                                     milliseconds(network_.random_below(3000)),
@@ -349,15 +352,7 @@
                             });
     if (network_.random_fraction() < isolation_fraction)
     {
-        trace("failure domain " + first + " isolated");
-        // Callers, VMs and the server in the domain still reach each other.
-        for (const auto& other : {"a", "b", "c", "platform"})
-        {
-            if (first == other)
-                continue;
-            network_.block_link(first, other);
-            network_.block_link(other, first);
-        }
+        isolate_domain(first);
         return;
     }
     const auto second = network_.random_fraction() < 0.3
@@ -371,6 +366,19 @@
         network_.block_link(second, first);
 }
 
+// Callers, VMs and the server in the domain still reach each other.
+void fleet_simulation::isolate_domain(const std::string& domain)
+{
+    trace("failure domain " + domain + " isolated");
+    for (const auto& other : {"a", "b", "c", "platform"})
+    {
+        if (domain == other)
+            continue;
+        network_.block_link(domain, other);
+        network_.block_link(other, domain);
+    }
+}
+
 void fleet_simulation::inject_store_fault()
 {
     if (faults_.early_lease_ends &&
@@ -507,10 +515,42 @@
     return true;
 }
 
+void fleet_simulation::demote_former_primaries(bool could_reach)
+{
+    const bool can_reach = !has_link_fault_;
+    std::uint64_t newest_term = 0;
+    for (const auto& [id, server] : group_.servers())
+        if (server.is_primary && server.is_running)
+            newest_term = std::max(newest_term, server.term);
+    if (could_reach && can_reach)
+        for (const auto& [id, server] : group_.servers())
+            if (server.is_primary && server.is_running)
+                group_.demote(*group_.find_server(id), newest_term);
+    network_.schedule_after(self_demotion_delay, [this, can_reach]
+                            { demote_former_primaries(can_reach); });
+}
+
+bool fleet_simulation::is_replicated(
+    const standins::group_server& primary) const
+{
+    return std::any_of(group_.servers().begin(), group_.servers().end(),
+                       [&](const auto& entry)
+                       {
+                           const auto& [id, other] = entry;
+                           return id != primary.id && other.is_running &&
+                                  other.receives_commits &&
+                                  other.term == primary.term &&
+                                  other.log.size() == primary.log.size();
+                       });
+}
+
 void fleet_simulation::inject_server_fault()
 {
-    if (!is_group_in_sync())
+    if (!faults_.synchronous_replicas && !is_group_in_sync())
         return;
+    if (faults_.synchronous_replicas && faults_.network_partitions &&
+        is_group_in_sync() && network_.random_fraction() < 0.2)
+        return lose_primary_behind_cut_replica();
     auto server = group_.servers().begin();
     std::advance(server, network_.random_below(group_.servers().size()));
     // Faults of the primary are more frequent, because they exercise most of
@@ -519,6 +559,8 @@
         server = std::find_if(group_.servers().begin(), group_.servers().end(),
                               [](const auto& entry)
                               { return entry.second.is_primary; });
+    if (server == group_.servers().end() || !server->second.is_running)
+        return;
     const auto id = server->first;
     const auto fault_duration = milliseconds(50 + network_.random_below(4000));
     const auto kind = server->second.is_primary ? 2 : network_.random_below(3);
@@ -555,6 +597,43 @@
     network_.schedule_after(fault_duration, [this, id] { restart_server(id); });
 }
 
+void fleet_simulation::lose_primary_behind_cut_replica()
+{
+    if (std::exchange(has_link_fault_, true))
+        return;
+    std::string primary;
+    std::vector<std::string> replicas;
+    for (const auto& [id, server] : group_.servers())
+        if (server.is_primary)
+            primary = id;
+        else
+            replicas.push_back(id);
+    const auto behind = replicas[network_.random_below(replicas.size())];
+    const auto& cut =
+        behind == replicas.front() ? replicas.back() : replicas.front();
+    trace(behind + " stops receiving commits");
+    group_.find_server(behind)->receives_commits = false;
+    network_.schedule_after(
+        milliseconds(300 + network_.random_below(1000)),
+        [this, primary, domain = server_host(cut)->failure_domain]
+        {
+            isolate_domain(domain);
+            trace(primary + " crashes");
+            crash_server(primary);
+        });
+    network_.schedule_after(milliseconds(4500 + network_.random_below(1500)),
+                            [this, behind]
+                            {
+                                trace("all links restored");
+                                network_.unblock_links();
+                                has_link_fault_ = false;
+                                group_.resume_replication(
+                                    *group_.find_server(behind));
+                            });
+    network_.schedule_after(milliseconds(6500),
+                            [this, primary] { restart_server(primary); });
+}
+
 void fleet_simulation::crash_server(const std::string& id)
 {
     group_.find_server(id)->is_running = false;
--- a/tests/fakes/fleet_simulation.hpp
+++ b/tests/fakes/fleet_simulation.hpp
@@ -86,7 +86,10 @@
     restored_record_trusted,
     /// The leader checks its authority before it opens the connection for a
     /// promotion, and not when it sends the order.
-    authority_checked_before_connecting
+    authority_checked_before_connecting,
+    /// The leader promotes the longest log that answers in time although
+    /// another replica may have more acknowledged commits.
+    synchronous_replicas_ignored
 };
 
 /// The kinds of faults that are injected during a run.
@@ -133,6 +136,9 @@
     bool store_restores = false;
     /// Connections for promotions take up to 3 s to open.
     bool slow_connections = false;
+    /// A commit is acknowledged once a replica has received it. Database
+    /// servers fail whether or not they have the same log.
+    bool synchronous_replicas = false;
 };
 
 /// The results of one run of the simulation.
@@ -324,10 +330,14 @@
     void send_promotion(const vm_ptr& node, const std::string& target,
                         std::uint64_t token);
     /// Requests a report from a target, and first demotes it if its term is
-    /// below `demote_below_term`. Does nothing while a request to it is in
+    /// below `demote_below_term`, or fences it if it is a replica and its term
+    /// is below `fence_below_term`. Does nothing while a request to it is in
     /// progress.
     void request_report(const vm_ptr& node, const std::string& target,
-                        std::uint64_t demote_below_term);
+                        std::uint64_t demote_below_term,
+                        std::uint64_t fence_below_term = 0);
+    /// Ends the effect of a fence at the target.
+    void resume(const vm_ptr& node, const std::string& target);
     /// Pings the primary, and records since when it has failed to answer.
     void ping_primary(const vm_ptr& node);
     /// Sends the current primary record to all members that have not confirmed
@@ -435,6 +445,11 @@
     /// Replaces the store by a copy that is about this old.
     void restore_store(duration copy_age);
     void inject_server_fault();
+    /// Crashes the primary while one replica has missed its last commits and
+    /// the failure domain of the other one is isolated.
+    void lose_primary_behind_cut_replica();
+    /// Blocks all links of a failure domain.
+    void isolate_domain(const std::string& domain);
     void inject_evacuation();
     void revoke_evacuation();
     /// Adds a violation if a statement is sent to an evacuated failure domain.
@@ -454,6 +469,11 @@
     void replace_primary_behind_late_vm();
     void restart_server(const std::string& id);
     void set_draining(const std::string& id, bool draining);
+    /// Demotes former primaries that have been able to reach the present one,
+    /// and repeats this.
+    void demote_former_primaries(bool could_reach);
+    /// Whether another server has received the last commit of this one.
+    bool is_replicated(const standins::group_server& primary) const;
     /// Whether all database servers run, receive commits and have the same
     /// term and log, and no promotion is in progress.
     bool is_group_in_sync() const;
--- a/tests/fakes/fleet_simulation_sessions.cpp
+++ b/tests/fakes/fleet_simulation_sessions.cpp
@@ -308,6 +308,8 @@
             {
                 if (!group_.commit(server, {{item, data}}, now))
                     reply.failure = session_error::read_only;
+                else if (faults_.synchronous_replicas && !is_replicated(server))
+                    reply.failure = session_error::timeout;
             }
             else
             {
--- a/tests/fakes/fleet_simulation_vm.cpp
+++ b/tests/fakes/fleet_simulation_vm.cpp
@@ -764,8 +764,12 @@
     // What the predecessor ordered is superseded by what this leader has read.
     if (node->election.has_complete_view())
         node->view.evacuations.set_granted({}, now);
+    const std::string previous_step = node->failover.step_name();
     for (const auto& action : node->failover.tick(observe_group(node), now))
         execute(node, action);
+    if (previous_step != node->failover.step_name())
+        trace(node->machine->name + " is " + node->failover.step_name() +
+              ", record " + std::to_string(node->failover.record().revision));
     notify_vms(node);
 }
 
@@ -797,6 +801,11 @@
             target->id, node->failover.opened_at(), now);
         observation.targets.push_back(std::move(observed));
     }
+    observation.synchronous_replicas =
+        faults_.synchronous_replicas &&
+                defect_ != injected_defect::synchronous_replicas_ignored
+            ? 1
+            : 0;
     const auto positions = node->view.positions.find(group_name);
     if (positions != node->view.positions.end())
         observation.primary_position =
@@ -821,7 +830,9 @@
     else if (const auto* request = std::get_if<request_target_report>(&action))
         request_report(node, request->target, 0);
     else if (const auto* fence = std::get_if<fence_target>(&action))
-        request_report(node, fence->target, 0);
+        request_report(node, fence->target, 0, fence->term);
+    else if (const auto* resumption = std::get_if<resume_target>(&action))
+        resume(node, resumption->target);
     else if (const auto* demotion = std::get_if<demote_target>(&action))
         request_report(node, demotion->target, demotion->term);
     else if (const auto* promotion = std::get_if<promote_target>(&action))
@@ -935,15 +946,19 @@
 
 void fleet_simulation::request_report(const vm_ptr& node,
                                       const std::string& target,
-                                      std::uint64_t demote_below_term)
+                                      std::uint64_t demote_below_term,
+                                      std::uint64_t fence_below_term)
 {
     if (!node->pending_report_requests.insert(target).second)
         return;
     const auto requested_at = network_.now();
     call_server(
         node, target, report_request_timeout,
-        [this, demote_below_term](standins::group_server& server)
+        [this, demote_below_term,
+         fence_below_term](standins::group_server& server)
         {
+            if (!server.is_primary && server.term < fence_below_term)
+                server.receives_commits = false;
             if (demote_below_term != 0)
                 group_.demote(server, demote_below_term);
             server_reply reply;
@@ -963,6 +978,19 @@
         });
 }
 
+void fleet_simulation::resume(const vm_ptr& node, const std::string& target)
+{
+    call_server(
+        node, target, report_request_timeout,
+        [this](standins::group_server& server)
+        {
+            group_.resume_replication(server);
+            return server_reply();
+        },
+        [node, target](const result<server_reply>& outcome)
+        { node->failover.on_resumed(target, succeeded(outcome)); });
+}
+
 void fleet_simulation::ping_primary(const vm_ptr& node)
 {
     const auto now = network_.now();
--- a/tests/test_failover_logic.cpp
+++ b/tests/test_failover_logic.cpp
@@ -454,16 +454,146 @@
     cr_assert(std::string(group.failover.step_name()) == "watching");
 }
 
+// Commits under way still need the replicas until the record is binding.
 Test(failover_logic, replicas_of_synchronous_groups_are_fenced)
 {
     group_fixture group;
     group.observation.synchronous_replicas = 1;
     group.close();
+    cr_assert(find_action<fence_target>(group.tick()) == nullptr);
+    group.observation.is_record_binding = true;
     const auto actions = group.tick();
     const auto* fence = find_action<fence_target>(actions);
     cr_assert(fence != nullptr && fence->term == 2 && fence->target != "p");
 }
 
+// Guards against replicas that are fenced while a planned replacement lets
+// statements finish: these then wait for replicas for ever.
+Test(failover_logic, a_planned_replacement_fences_no_replica)
+{
+    group_fixture group;
+    group.observation.synchronous_replicas = 1;
+    group.observation.targets[0].record.is_draining = true;
+    const auto closing = group.tick();
+    cr_assert(find_action<write_primary_record>(closing)->record.is_planned);
+    group.failover.on_write_result(std::uint64_t(11), group.now);
+    group.observation.is_record_binding = true;
+    for (int i = 0; i < 20; ++i)
+    {
+        cr_assert(find_action<fence_target>(group.tick()) == nullptr);
+        group.report("p", make_report(true, 1, 20));
+    }
+}
+
+// Guards against a promotion after a time-out while the replica that has the
+// acknowledged commits has not been heard: the commits were lost.
+Test(failover_logic, no_timeout_promotes_before_enough_logs_are_read)
+{
+    group_fixture group;
+    group.observation.synchronous_replicas = 1;
+    group.tick();
+    group.close();
+    group.observation.is_record_binding = true;
+    group.tick();
+    group.observation.targets[2].leader_failing_for = seconds(1);
+    for (int i = 0; i < 200; ++i)
+    {
+        group.report("r1", make_report(false, 1, 5));
+        cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
+    }
+    cr_assert(group.failover.awaited_replicas() ==
+              std::vector<std::string>{"r2"});
+    // A registration that lapses changes nothing.
+    const auto lapsed = group.observation.targets[2];
+    group.observation.targets.pop_back();
+    group.report("r1", make_report(false, 1, 5));
+    cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
+    group.observation.targets.push_back(lapsed);
+    group.tick();
+    group.report("r2", make_report(false, 1, 337));
+    const auto actions = group.tick();
+    const auto* write = find_action<write_primary_record>(actions);
+    cr_assert(write != nullptr && write->record.candidate == "r2");
+}
+
+// Guards against fenced replicas that stay so when the primary turns out to
+// serve, or when the leader that has fenced them is gone.
+Test(failover_logic, every_leader_resumes_the_replicas)
+{
+    group_fixture group;
+    group.observation.synchronous_replicas = 1;
+    const auto first = group.tick();
+    const auto* resumed = find_action<resume_target>(first);
+    cr_assert(resumed != nullptr && resumed->target != "p");
+    group.failover.on_resumed("r1", true);
+    group.failover.on_resumed("r2", false);
+    const auto second = group.tick(seconds(1));
+    cr_assert(find_action<resume_target>(second)->target == "r2");
+    group.failover.on_resumed("r2", true);
+    cr_assert(find_action<resume_target>(group.tick(seconds(1))) == nullptr);
+    group.failover.abort_replacement();
+    cr_assert(find_action<resume_target>(group.tick(seconds(1))) != nullptr);
+}
+
+// Guards against the loss of commits whose replica has left, has started again
+// without its log, or was fewer than the others.
+Test(failover_logic, a_quorum_contains_a_log_with_each_acknowledged_commit)
+{
+    const auto make_target = [](const char* id, std::uint64_t started_at)
+    {
+        target_record record;
+        record.id = id;
+        record.address = std::string(id) + ":1";
+        record.started_at = started_at;
+        return record;
+    };
+    std::vector<target_record> registered{
+        make_target("p", 1), make_target("a", 1), make_target("b", 1),
+        make_target("c", 1)};
+    std::set<std::string> read;
+    const auto has_read = [&](const std::string& id)
+    { return read.contains(id); };
+    const auto missing = [&](const commit_quorum& quorum)
+    { return quorum.missing(registered, has_read).size(); };
+    commit_quorum quorum;
+    quorum.observe(registered, "p", 2);
+    read = {"a"};
+    cr_assert(missing(quorum) == 2);
+    read = {"a", "b"};
+    cr_assert(missing(quorum) == 0);
+    // The number was lower for a time.
+    quorum.observe(registered, "p", 1);
+    quorum.observe(registered, "p", 2);
+    cr_assert(missing(quorum) == 1);
+    read = {"a", "b", "c"};
+    cr_assert(missing(quorum) == 0);
+    // A process that has started again is not the one that has acknowledged.
+    registered[3].started_at = 2;
+    quorum.observe(registered, "p", 1);
+    cr_assert(missing(quorum) == 1);
+    cr_assert(quorum.departed(registered).size() == 1);
+    quorum.remove(quorum.departed(registered).front());
+    cr_assert(missing(quorum) == 0);
+    // The log of a drained one goes to the next target at its address.
+    registered[1].is_draining = true;
+    quorum.observe(registered, "p", 1);
+    registered[1] = make_target("d", 3);
+    registered[1].address = "a:1";
+    quorum.observe(registered, "p", 1);
+    read = {"b", "c", "d"};
+    cr_assert(missing(quorum) == 0);
+    // The operators no longer ask for synchronous replicas.
+    read = {"b"};
+    cr_assert(missing(quorum) > 0);
+    quorum.observe(registered, "p", 0);
+    cr_assert(missing(quorum) == 0);
+    // The next leader knows the term from the stored record.
+    commit_quorum successor;
+    successor.merge({1, {{"a", 1, "a:1", false}, {"b", 1, "b:1", false}}});
+    successor.observe({registered[0], registered[2]}, "p", 1);
+    cr_assert(missing(successor) == 1);
+}
+
 Test(failover_logic, primaries_are_used_only_with_a_grant_and_an_open_record)
 {
     primary_authority authority;
@@ -937,7 +1067,8 @@
     const auto* order = find_action<write_primary_record>(actions);
     cr_assert(order != nullptr);
     cr_assert(order->record.target == "r1");
-    cr_assert(order->origin == record_origin({0, 102, 2}));
+    cr_assert(order->origin.predecessor == 0 && order->origin.revision == 102);
+    cr_assert(order->origin.generation == 2);
     cr_assert(order->expected_revision == make_store_revision(2, 10));
     group.failover.on_write_result(make_store_revision(2, 72), group.now);
     cr_assert(group.failover.record().revision == 102);
--- a/tests/test_fleet_seeds.cpp
+++ b/tests/test_fleet_seeds.cpp
@@ -225,6 +225,33 @@
                      rare_defect_seed_count);
 }
 
+// Guards against promotions that lose commits which the only replica that had
+// received them could not tell, and against replicas that stay fenced.
+Test(fleet_seeds, synchronous_replicas)
+{
+    expect_no_violation("synchronous replicas", {.server_failures = true,
+                                                 .synchronous_replicas = true});
+}
+
+Test(fleet_seeds, synchronous_replicas_and_vms_and_links_that_fail)
+{
+    expect_no_violation("synchronous replicas, crashes, cuts",
+                        {.vm_crashes = true,
+                         .vm_pauses = true,
+                         .network_partitions = true,
+                         .server_failures = true,
+                         .synchronous_replicas = true});
+}
+
+Test(fleet_seeds, detects_synchronous_replicas_ignored)
+{
+    expect_violation("synchronous replicas ignored",
+                     injected_defect::synchronous_replicas_ignored,
+                     {.network_partitions = true,
+                      .server_failures = true,
+                      .synchronous_replicas = true});
+}
+
 Test(fleet_seeds, detects_store_generation_ignored)
 {
     expect_violation(
