--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -205,8 +205,9 @@
         R"("Seq":4,"born":1700000000000})";
     const auto decoded = platform::decode_server_record("i-1", valid_record);
     cr_assert(succeeded(decoded));
-    cr_assert(value_of(decoded) == (target_record{"i-1", "g", "127.0.0.1:80",
-                                                  "a", 3, false, false}));
+    cr_assert(value_of(decoded) ==
+              (target_record{"i-1", "g", "127.0.0.1:80", "a", 3, false, false,
+                             1700000000000}));
     const std::vector<std::string> records{
         "",
         "[]",
