Soak: restore the store from an older copy

The emulator names the generation of its store and keeps copies of the last 11 s; the fault store-restored puts one in force, cuts waiting watches, ends all leases and writes what operators and servers have written again. The soak takes the store away, restores it, at times twice in a row, and restarts a VM meanwhile, unless builds without generations take part. http_server sends the headers of a response.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -62,6 +62,8 @@
             http::field::retry_after,
             std::to_string(
                 std::chrono::ceil<seconds>(response.retry_after).count()));
+    for (const auto& [name, value] : response.headers)
+        beast_response.set(name, value);
     beast_response.keep_alive(keep_alive);
     beast_response.body() = std::move(response.body);
     beast_response.prepare_payload();
--- a/standins/platform_emulator.cpp
+++ b/standins/platform_emulator.cpp
@@ -33,6 +33,7 @@
 constexpr auto silent_call_duration = seconds(60);
 /// Interval at which watches and unresponsive servers check their state.
 constexpr auto poll_interval = milliseconds(5);
+constexpr auto copy_interval = milliseconds(250);
 /// How long an answer that counts as lost is delayed.
 constexpr auto lost_answer_delay = milliseconds(3000);
 /// Maximum number of statements that wait for a slot of a server.
@@ -78,6 +79,7 @@
     store_server_ = std::make_unique<http_server>(
         context, loopback_endpoint(settings_.store_port), http_server_limits{},
         std::move(store_handlers));
+    asio::co_spawn(context, copy_store(), asio::detached);
     http_server_handlers promotion_handlers;
     promotion_handlers.serve = [this](http_request request)
     { return serve_promotion(std::move(request)); };
@@ -117,6 +119,41 @@
 
 platform_emulator::~platform_emulator() = default;
 
+asio::awaitable<void> platform_emulator::copy_store()
+{
+    for (;;)
+    {
+        store_copies_.emplace_back(current_time(), store_);
+        while (current_time() - store_copies_.front().first > max_copy_age)
+            store_copies_.pop_front();
+        co_await sleep_for(copy_interval);
+    }
+}
+
+void platform_emulator::restore_store(milliseconds copy_age)
+{
+    if (store_copies_.empty())
+        return;
+    const auto now = current_time();
+    auto copy = store_copies_.rbegin();
+    while (std::next(copy) != store_copies_.rend() &&
+           now - copy->first < copy_age)
+        ++copy;
+    const auto latest = store_;
+    store_ = copy->second;
+    store_.expire_all_leases(now);
+    store_.discard_history();
+    ++store_generation_;
+    for (const char* prefix : {"op/", "servers/"})
+    {
+        for (const auto& item : store_.read_all(prefix))
+            if (latest.read(item.key).revision == 0)
+                store_.write({}, {{item.key, std::nullopt, 0}}, now);
+        for (const auto& item : latest.read_all(prefix))
+            store_.write({}, {{item.key, item.value, 0}}, now);
+    }
+}
+
 std::string platform_emulator::server_id(std::size_t group_index,
                                          std::size_t server_index) const
 {
@@ -255,6 +292,15 @@
 // When an answer is lost, the client cannot tell whether its call took effect.
 asio::awaitable<http_response>
 platform_emulator::serve_store_call(http_request request)
+{
+    auto response = co_await answer_store_call(std::move(request));
+    response.headers.emplace_back("Store-Era",
+                                  std::to_string(store_generation_));
+    co_return response;
+}
+
+asio::awaitable<http_response>
+platform_emulator::answer_store_call(http_request request)
 {
     ++counters_.store_calls;
     if (configuration_refused_ &&
@@ -335,13 +381,21 @@
                                milliseconds max_wait)
 {
     const auto deadline = current_time() + max_wait;
+    const auto generation = store_generation_;
     std::vector<store_event> events;
     for (;;)
     {
         store_.process_expirations(current_time());
         register_changed_roles();
-        if (store_.events_after(prefix, after_revision, events) !=
-            store_outcome::done)
+        if (generation != store_generation_)
+        {
+            auto cut = make_response(503);
+            cut.close_connection = true;
+            co_return cut;
+        }
+        if (after_revision > store_.revision() ||
+            store_.events_after(prefix, after_revision, events) !=
+                store_outcome::done)
             co_return make_response(410);
         if (!events.empty() || current_time() >= deadline || store_unavailable_)
             break;
--- a/standins/platform_emulator.hpp
+++ b/standins/platform_emulator.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <deque>
 #include <memory>
 #include <random>
 #include <set>
@@ -108,6 +109,13 @@
     /// Returns the names of all faults.
     static std::vector<std::string> fault_names();
 
+    /// Replaces the store by a copy of itself that is about this old, up to
+    /// `max_copy_age`. Its revisions go back, all leases end, waiting watches
+    /// are cut, and the generation that all answers name rises by one. What the
+    /// operators and the servers have written is written again.
+    void restore_store(oleandergrade::milliseconds copy_age);
+    static constexpr oleandergrade::seconds max_copy_age{11};
+
     /// Makes the store unavailable or available. While it is unavailable, new
     /// calls have no effect and fail with status 503 after 3 s. A call that is
     /// in progress when the store becomes unavailable fails in the same way,
@@ -188,6 +196,10 @@
     /// Answers a call to the store, subject to the injected faults.
     boost::asio::awaitable<oleandergrade::http_response>
     serve_store_call(oleandergrade::http_request request);
+    /// Answers a call to the store, without the header that names the store's
+    /// generation.
+    boost::asio::awaitable<oleandergrade::http_response>
+    answer_store_call(oleandergrade::http_request request);
     /// Executes a call to the store.
     boost::asio::awaitable<oleandergrade::http_response>
     execute_store_call(oleandergrade::http_request request);
@@ -224,6 +236,8 @@
     std::string ready_line(server_state& server, server_session& session);
     /// Writes the server's record with its state and role to the store.
     void register_server(server_state& server);
+    /// Takes copies of the store as long as the emulator runs.
+    boost::asio::awaitable<void> copy_store();
     /// Completes promotions that are due and registers again each running
     /// server whose role has changed.
     void register_changed_roles();
@@ -231,6 +245,9 @@
     boost::asio::io_context& context_;
     emulator_settings settings_;
     store_model store_;
+    std::uint64_t store_generation_ = 1;
+    /// Copies of the store and when they were taken, the oldest first.
+    std::deque<std::pair<oleandergrade::time_point, store_model>> store_copies_;
     bool store_unavailable_ = false;
     bool store_silent_ = false;
     bool configuration_refused_ = false;
--- a/standins/platform_emulator_faults.cpp
+++ b/standins/platform_emulator_faults.cpp
@@ -68,6 +68,8 @@
          [](self& p, text domain) { p.set_evacuated(domain, false); }},
         {"store-away", [](self& p, text) { p.set_store_unavailable(true); }},
         {"store-back", [](self& p, text) { p.set_store_unavailable(false); }},
+        {"store-restored", [](self& p, text ms)
+         { p.restore_store(milliseconds(argument_as_number(ms))); }},
         {"reconfigure", [](self& p, text) { p.repeat_configuration(); }},
         {"store-silent", [](self& p, text) { p.set_store_silent(true); }},
         {"store-answering", [](self& p, text) { p.set_store_silent(false); }},
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -338,7 +338,7 @@
 
     void inject_fault()
     {
-        constexpr std::array<fault_injector, 8> faults{
+        constexpr std::array<fault_injector, 9> faults{
             &soak_run::pause_vm,
             &soak_run::kill_and_restart_vm,
             &soak_run::shut_down_and_restart_vm,
@@ -346,6 +346,7 @@
             &soak_run::inject_network_fault,
             &soak_run::inject_platform_fault,
             &soak_run::change_configuration,
+            &soak_run::restore_store,
             &soak_run::inject_server_fault};
         (this->*faults[random_below(faults.size())])();
     }
@@ -504,6 +505,31 @@
                       { request_fault(end_command); });
     }
 
+    /// Takes the store away and brings it back from a copy, at times twice in a
+    /// row. In half of the cases a VM starts meanwhile.
+    void restore_store()
+    {
+        // Builds without generations of the store lose writes then.
+        if (!FLAGS_earlier_programs.empty())
+            return;
+        const auto age = std::to_string(random_below(10'000));
+        const auto absence = milliseconds(random_below(3000));
+        log_to_stderr("the store is restored from a copy " + age +
+                      " ms old in " + std::to_string(absence.count()) + " ms");
+        request_fault("store-away");
+        if (random_below(2) == 0)
+            end_and_restart_vm(random_vm(), SIGTERM);
+        run_after(absence,
+                  [this, age]
+                  {
+                      request_fault("store-restored " + age);
+                      request_fault("store-back");
+                  });
+        if (random_below(3) == 0)
+            run_after(absence + milliseconds(random_below(1500)),
+                      [this] { request_fault("store-restored 500"); });
+    }
+
     /// Changes the configuration. In half of the cases the store stops
     /// answering right after it, when the VMs watch it again.
     void change_configuration()
