--- a/include/oleandergrade/connection/http_message.hpp
+++ b/include/oleandergrade/connection/http_message.hpp
@@ -39,8 +39,8 @@
     /// Value of the Retry-After header; 0 if there is none. Servers send it in
     /// whole seconds, rounded up.
     milliseconds retry_after{0};
-    /// Names and values of all headers that a client has received, or of further
-    /// headers that a server is to send.
+    /// Names and values of all headers that a client has received, or of
+    /// further headers that a server is to send.
     std::vector<std::pair<std::string, std::string>> headers;
 };
 
