Store the replicas of a term while its primary serves

What callers would see: in a service with synchronous replicas, acknowledged commits lost after a primary has crashed, if the replica that has them is cut off, its registration has lapsed, and the leader was elected after that.

Cause: the replicas were stored only with a record that was written for another reason, so the first record of a group named none, and a new leader counted only the targets that it found registered.

Change: the leader writes the record again, with its number, when the replicas have changed. Stored replicas replace those that a VM knew; a drained one is dropped when its successor at the address is registered; a report counts only for the process that sent it.

Evidence: found by reading; replicas_are_stored_while_their_primary_serves failed before (no write) and passes.

--- a/include/oleandergrade/process/failover/commit_quorum.hpp
+++ b/include/oleandergrade/process/failover/commit_quorum.hpp
@@ -50,12 +50,13 @@
 {
 public:
     /// Adds the registered targets of the group, apart from its primary, and
-    /// the number of synchronous replicas that is in force.
+    /// the number of synchronous replicas that is in force. Removes drained
+    /// replicas whose log another target has taken over.
     void observe(const std::vector<target_record>& registered,
                  const std::string& primary,
                  std::uint32_t synchronous_replicas);
-    /// Adds what a stored record says of the term.
-    void merge(const quorum_state& stored);
+    /// Replaces what is known by what a stored record says of its term.
+    void adopt(const quorum_state& stored) { state_ = stored; }
     /// A new term begins, in which `primary` no longer is a replica and
     /// `former_primary` is one.
     void begin_term(const std::string& primary,
--- a/include/oleandergrade/process/failover/group_failover.hpp
+++ b/include/oleandergrade/process/failover/group_failover.hpp
@@ -282,6 +282,8 @@
     /// Whether the recorded primary has just reported that it still leads its
     /// term, since the closed record became binding.
     bool answers_as_primary(time_point now) const;
+    /// Returns null if the target is not registered.
+    const target_record* find_registered(const std::string& id) const;
     /// Returns the replicas of the record's term, which may be a new one.
     commit_quorum quorum_of_term(const primary_record& record) const;
     /// Updates what is known of the replicas that acknowledge commits.
@@ -314,7 +316,8 @@
     bool call_off_replacement(time_point now);
     void write_candidate(const std::string& target,
                          const group_observation& observation, time_point now);
-    /// The target's report; null if it was requested before the log ended.
+    /// The target's report; null if it was requested before the log ended, or
+    /// if the target's process has started again since.
     const target_report* final_report(const std::string& target) const;
     void forget_reports();
     void request_report(const std::string& target, time_point now);
@@ -360,6 +363,7 @@
     /// The registered targets of the group, as last observed.
     std::vector<target_record> registered_;
     commit_quorum quorum_;
+    time_point next_quorum_write_;
     /// Replicas have been fenced, so that reports from before do not count.
     bool has_fenced_ = false;
     std::vector<std::string> awaited_replicas_;
--- a/src/process/failover/commit_quorum.cpp
+++ b/src/process/failover/commit_quorum.cpp
@@ -42,6 +42,16 @@
             state_.replicas.push_back({target.id, target.started_at,
                                        target.address, target.is_draining});
     }
+    std::erase_if(state_.replicas,
+                  [&](const counted_replica& replica)
+                  {
+                      return std::any_of(registered.begin(), registered.end(),
+                                         [&](const target_record& target) {
+                                             return !is_same_process(target,
+                                                                     replica) &&
+                                                    has_log_of(target, replica);
+                                         });
+                  });
     std::sort(state_.replicas.begin(), state_.replicas.end());
     number_in_force_ = synchronous_replicas;
     auto& lowest = state_.synchronous_replicas;
@@ -50,37 +60,16 @@
     lowest = std::min(lowest, synchronous_replicas);
 }
 
-void commit_quorum::merge(const quorum_state& stored)
-{
-    for (const auto& replica : stored.replicas)
-    {
-        const auto found =
-            std::find_if(state_.replicas.begin(), state_.replicas.end(),
-                         [&](const counted_replica& known) {
-                             return known.id == replica.id &&
-                                    known.started_at == replica.started_at;
-                         });
-        if (found == state_.replicas.end())
-            state_.replicas.push_back(replica);
-        else
-            found->has_drained = found->has_drained || replica.has_drained;
-    }
-    std::sort(state_.replicas.begin(), state_.replicas.end());
-    auto& lowest = state_.synchronous_replicas;
-    if (lowest == 0)
-        lowest = stored.synchronous_replicas;
-    else if (stored.synchronous_replicas != 0)
-        lowest = std::min(lowest, stored.synchronous_replicas);
-}
-
 void commit_quorum::begin_term(const std::string& primary,
                                const counted_replica& former_primary)
 {
     state_.synchronous_replicas = number_in_force_;
     std::erase_if(state_.replicas, [&](const counted_replica& replica)
                   { return replica.id == primary; });
-    if (!former_primary.id.empty() && former_primary.id != primary)
-        merge({0, {former_primary}});
+    if (former_primary.id.empty() || former_primary.id == primary)
+        return;
+    state_.replicas.push_back(former_primary);
+    std::sort(state_.replicas.begin(), state_.replicas.end());
 }
 
 std::vector<std::string> commit_quorum::missing(
--- a/src/process/failover/group_failover.cpp
+++ b/src/process/failover/group_failover.cpp
@@ -22,6 +22,8 @@
 /// Interval between requests for the reports that show whether a replica that
 /// is not registered any more can be forgotten.
 constexpr auto departure_request_interval = milliseconds(1000);
+/// Shortest time between two writes of a record whose replicas have changed.
+constexpr auto quorum_write_interval = milliseconds(1000);
 /// Delay after a failed write of the record.
 constexpr auto write_retry_delay = milliseconds(50);
 
@@ -49,11 +51,13 @@
 
 void group_failover::on_stored_record(const stored_primary_record& stored)
 {
-    if (stored.store_revision >= stored_.store_revision)
+    const bool is_outdated = stored.store_revision < stored_.store_revision;
+    if (!is_outdated)
         stored_ = stored;
     on_record(stored.record);
-    if (record_ == stored.record)
-        quorum_.merge(stored.origin.quorum);
+    if (!is_outdated && record_ == stored.record &&
+        stored.origin.quorum.synchronous_replicas != 0)
+        quorum_.adopt(stored.origin.quorum);
 }
 
 void group_failover::on_record(const primary_record& record)
@@ -65,17 +69,23 @@
     record_ = record;
 }
 
+const target_record*
+group_failover::find_registered(const std::string& id) const
+{
+    const auto found = std::find_if(registered_.begin(), registered_.end(),
+                                    [&](const target_record& registered)
+                                    { return registered.id == id; });
+    return found == registered_.end() ? nullptr : &*found;
+}
+
 commit_quorum group_failover::quorum_of_term(const primary_record& record) const
 {
     auto quorum = quorum_;
     if (record.term <= record_.term)
         return quorum;
-    const auto former = std::find_if(registered_.begin(), registered_.end(),
-                                     [&](const target_record& registered) {
-                                         return registered.id == record_.target;
-                                     });
+    const auto* former = find_registered(record_.target);
     quorum.begin_term(record.target,
-                      former == registered_.end()
+                      former == nullptr
                           ? counted_replica{}
                           : counted_replica{former->id, former->started_at,
                                             former->address,
@@ -187,6 +197,13 @@
     check_for_later_primary(observation, *primary, now);
     if (step_ != step::watching || !quorum_.is_synchronous())
         return;
+    // A successor must know replicas whose registrations lapse before its
+    // election. For the VMs the record remains the same.
+    if (quorum_.state() != stored_.origin.quorum && now >= next_quorum_write_)
+    {
+        next_quorum_write_ = now + quorum_write_interval;
+        return write_record(record_, now, record_.revision);
+    }
     resume_replicas(observation, now);
     forget_departed_replicas(observation, now);
 }
@@ -513,12 +530,9 @@
     if (!succeeded(outcome))
         return;
     const auto& report = value_of(outcome);
-    const auto registered = std::find_if(registered_.begin(), registered_.end(),
-                                         [&](const target_record& known)
-                                         { return known.id == target; });
-    reports_[target] = {
-        report, requested_at,
-        registered == registered_.end() ? 0 : registered->started_at};
+    const auto* registered = find_registered(target);
+    reports_[target] = {report, requested_at,
+                        registered == nullptr ? 0 : registered->started_at};
     if (report.term == record_.term)
         furthest_position_ =
             std::max(furthest_position_, report.received_position);
@@ -573,10 +587,13 @@
 group_failover::final_report(const std::string& target) const
 {
     const auto found = reports_.find(target);
-    return found == reports_.end() ||
-                   found->second.requested_at < binding_since_
-               ? nullptr
-               : &found->second.report;
+    if (found == reports_.end() || found->second.requested_at < binding_since_)
+        return nullptr;
+    const auto* registered = find_registered(target);
+    const bool is_same_process =
+        registered == nullptr ||
+        registered->started_at == found->second.started_at;
+    return is_same_process ? &found->second.report : nullptr;
 }
 
 void group_failover::choose_candidate(const group_observation& observation,
--- a/tests/test_failover_logic.cpp
+++ b/tests/test_failover_logic.cpp
@@ -82,6 +82,15 @@
         failover.on_report(target, outcome, now, now);
     }
 
+    /// Makes the group a synchronous one and stores its replicas.
+    void replicate_synchronously()
+    {
+        observation.synchronous_replicas = 1;
+        const auto actions = tick();
+        cr_assert(find_action<write_primary_record>(actions) != nullptr);
+        failover.on_write_result(std::uint64_t(10), now);
+    }
+
     /// Makes the leader and three of five other VMs fail to reach the primary.
     void lose_primary()
     {
@@ -490,8 +499,7 @@
 Test(failover_logic, no_timeout_promotes_before_enough_logs_are_read)
 {
     group_fixture group;
-    group.observation.synchronous_replicas = 1;
-    group.tick();
+    group.replicate_synchronously();
     group.close();
     group.observation.is_record_binding = true;
     group.tick();
@@ -516,12 +524,70 @@
     cr_assert(write != nullptr && write->record.candidate == "r2");
 }
 
+// Guards against a leader that does not count a replica whose registration had
+// lapsed before its election: the replicas were stored only with a new record.
+Test(failover_logic, replicas_are_stored_while_their_primary_serves)
+{
+    group_fixture group;
+    group.observation.synchronous_replicas = 1;
+    group.observation.store_generation = 0;
+    const auto actions = group.tick();
+    const auto* write = find_action<write_primary_record>(actions);
+    cr_assert(write != nullptr);
+    // The same record: no VM has to notice.
+    cr_assert(write->record.is_open && write->origin.revision == 10);
+    cr_assert(write->origin.quorum.replicas.size() == 2);
+    group.failover.on_write_result(std::uint64_t(11), group.now);
+    cr_assert(group.failover.record().revision == 10);
+    cr_assert(find_action<write_primary_record>(group.tick(seconds(3))) ==
+              nullptr);
+    // The successor starts after the replica's registration has lapsed.
+    const auto stored = parse_stored_primary_record(
+        serialize_primary_record(write->record, write->origin), 11);
+    group_fixture successor;
+    successor.failover = group_failover("g");
+    successor.failover.on_stored_record(value_of(stored));
+    successor.observation.synchronous_replicas = 1;
+    successor.observation.targets.pop_back();
+    successor.lose_primary();
+    cr_assert(find_action<write_primary_record>(successor.tick()) != nullptr);
+    successor.failover.on_write_result(std::uint64_t(12), successor.now);
+    successor.observation.is_record_binding = true;
+    successor.tick();
+    for (int i = 0; i < 200; ++i)
+    {
+        successor.report("r1", make_report(false, 1, 5));
+        cr_assert(find_action<write_primary_record>(successor.tick()) ==
+                  nullptr);
+    }
+    cr_assert(successor.failover.awaited_replicas() ==
+              std::vector<std::string>{"r2"});
+}
+
+// Guards against the log of a process that has ended, read just before its
+// identifier was used again by one without that log.
+Test(failover_logic, a_report_counts_only_for_the_process_that_sent_it)
+{
+    group_fixture group;
+    group.replicate_synchronously();
+    group.close();
+    group.observation.is_record_binding = true;
+    group.tick();
+    group.report("r2", make_report(false, 1, 337));
+    group.observation.targets[2].record.started_at = 5;
+    for (int i = 0; i < 100; ++i)
+    {
+        group.report("r1", make_report(false, 1, 5));
+        cr_assert(find_action<write_primary_record>(group.tick()) == nullptr);
+    }
+}
+
 // Guards against fenced replicas that stay so when the primary turns out to
 // serve, or when the leader that has fenced them is gone.
 Test(failover_logic, every_leader_resumes_the_replicas)
 {
     group_fixture group;
-    group.observation.synchronous_replicas = 1;
+    group.replicate_synchronously();
     const auto first = group.tick();
     const auto* resumed = find_action<resume_target>(first);
     cr_assert(resumed != nullptr && resumed->target != "p");
@@ -589,7 +655,7 @@
     cr_assert(missing(quorum) == 0);
     // The next leader knows the term from the stored record.
     commit_quorum successor;
-    successor.merge({1, {{"a", 1, "a:1", false}, {"b", 1, "b:1", false}}});
+    successor.adopt({1, {{"a", 1, "a:1", false}, {"b", 1, "b:1", false}}});
     successor.observe({registered[0], registered[2]}, "p", 1);
     cr_assert(missing(successor) == 1);
 }
