Log lengths and digests of statement texts, as received and as sent

Cause: a target ran a text that no caller had sent, and no log tells what a VM received or sent for a statement that succeeded. Lost bytes where a text is written, lost bytes between VMs, a text of another statement and a name with another meaning could not be told apart.

Change: one in 32 statements, the same at all VMs, has a line for each time that it is forwarded or sent, with lengths and digests of the texts and of the prepared shape; at most 5 lines a second (text_lines). No text is logged.

Ruled out: a line for each statement (volume), texts themselves (callers' data), a digest in the message between VMs (needs both builds to know it).

--- a/include/oleandergrade/process/event_log.hpp
+++ b/include/oleandergrade/process/event_log.hpp
@@ -46,13 +46,18 @@
 /// of their own, so that a large number of them does not suppress lines about
 /// changes of the process's state.
 inline constexpr std::string_view statement_part = "statement";
+/// Value of `part` in lines about the texts of statements, which have a budget
+/// of their own as well.
+inline constexpr std::string_view text_part = "text";
 
-/// Maximum number of lines that are written per second, for single statements
-/// and for everything else. Further lines are counted and left out.
+/// Maximum number of lines that are written per second, for single statements,
+/// for the texts of statements, and for everything else. Further lines are
+/// counted and left out.
 struct event_log_budget
 {
     std::uint32_t statement_lines = 20;
     std::uint32_t event_lines = 50;
+    std::uint32_t text_lines = 5;
 };
 
 /// Starts to write lines of the form
--- a/include/oleandergrade/process/own_settings.hpp
+++ b/include/oleandergrade/process/own_settings.hpp
@@ -31,6 +31,7 @@
 ///     [log]
 ///     statement_lines = 20
 ///     event_lines = 50
+///     text_lines = 5
 struct own_settings
 {
     /// Address on which callers' HTTP requests are accepted; empty if none are.
@@ -46,10 +47,11 @@
     std::size_t lenders_per_domain = 5;
     /// Maximum number of callers' sessions that are open at one VM.
     std::size_t max_sessions = 3500;
-    /// Maximum number of log lines per second, for single statements and for
-    /// everything else.
+    /// Maximum number of log lines per second, for single statements, for
+    /// everything else, and for the texts of statements.
     std::uint32_t statement_lines = 20;
     std::uint32_t event_lines = 50;
+    std::uint32_t text_lines = 5;
 
     bool operator==(const own_settings&) const = default;
 };
--- a/programs/oleander_vm.cpp
+++ b/programs/oleander_vm.cpp
@@ -107,9 +107,10 @@
     }
     if (FLAGS_check)
         return 0;
-    oleandergrade::start_event_log(
-        value_of(settings).name,
-        {value_of(own).statement_lines, value_of(own).event_lines});
+    oleandergrade::start_event_log(value_of(settings).name,
+                                   {value_of(own).statement_lines,
+                                    value_of(own).event_lines,
+                                    value_of(own).text_lines});
     try
     {
         boost::asio::io_context context(1);
--- a/src/process/event_log.cpp
+++ b/src/process/event_log.cpp
@@ -33,6 +33,7 @@
     std::uint64_t dropped_unreported = 0;
     time_point window_start;
     unsigned statements_in_window = 0;
+    unsigned texts_in_window = 0;
     unsigned events_in_window = 0;
 };
 
@@ -117,12 +118,17 @@
     {
         log.window_start = now;
         log.statements_in_window = 0;
+        log.texts_in_window = 0;
         log.events_in_window = 0;
     }
-    auto& used_lines = part == statement_part ? log.statements_in_window
-                                              : log.events_in_window;
-    const auto budget = part == statement_part ? log.budget.statement_lines
-                                               : log.budget.event_lines;
+    const bool is_statement = part == statement_part;
+    const bool is_text = part == text_part;
+    auto& used_lines = is_statement ? log.statements_in_window
+                       : is_text    ? log.texts_in_window
+                                    : log.events_in_window;
+    const auto budget = is_statement ? log.budget.statement_lines
+                        : is_text    ? log.budget.text_lines
+                                     : log.budget.event_lines;
     if (used_lines < budget)
     {
         ++used_lines;
--- a/src/process/own_settings.cpp
+++ b/src/process/own_settings.cpp
@@ -53,6 +53,8 @@
 {
     settings.statement_lines = static_cast<std::uint32_t>(reader.number(
         "statement_lines", settings.statement_lines, 0, max_allowed_log_lines));
+    settings.text_lines = static_cast<std::uint32_t>(reader.number(
+        "text_lines", settings.text_lines, 0, max_allowed_log_lines));
     settings.event_lines = static_cast<std::uint32_t>(reader.number(
         "event_lines", settings.event_lines, 0, max_allowed_log_lines));
 }
--- a/src/process/serving/statement_forwarding.cpp
+++ b/src/process/serving/statement_forwarding.cpp
@@ -3,6 +3,7 @@
 #include "statement_run_state.hpp"
 
 #include <oleandergrade/process/event_log.hpp>
+#include <oleandergrade/process/serving/statement_text_trace.hpp>
 
 #include <utility>
 
@@ -95,6 +96,7 @@
                           forwarded_statement message)
 {
     const stage_stopwatch stopwatch(run.stages, statement_stage::forwarding);
+    trace_forwarded_text(run.call.id, address, run.call.text);
     co_return co_await forwarder_->forward(address, std::move(message),
                                            run.deadline);
 }
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -2,6 +2,7 @@
 
 #include <oleandergrade/process/event_log.hpp>
 #include <oleandergrade/process/serving/prepared_name.hpp>
+#include <oleandergrade/process/serving/statement_text_trace.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -357,6 +358,9 @@
             ? run.call.text
             : codec_.encode_execute(prepared_name_at_target(*run.prepared),
                                     run.call);
+    trace_sent_text(run.call.id, run.outcome.target, run.call.text, text,
+                    run.prepared == nullptr ? std::string_view()
+                                            : run.prepared->shape);
     codec_.append_statement(bytes, run.call.id, text, minimum);
     return bytes;
 }
