Reproduce changed and refused texts of statements, four tests that fail

Cause: not mended here. A target of the emulated platform forgave blanks and kept no text, so no check could see what a caller's text became.

Change: the emulated servers split lines at single blanks, the last field extending to the end, and keep what they ran byte for byte, with a prepared statement in place of its name. Texts are drawn from the grammar, with empty fields, blanks and arbitrary bytes.

Seen on with these tests: an EXECUTE that ends with a blank runs without it, on its first attempt, without any fault; legal texts with an empty or blank last field are refused.

--- a/standins/platform_emulator.cpp
+++ b/standins/platform_emulator.cpp
@@ -518,15 +518,12 @@
 platform_emulator::execute_line(server_state& server, server_session& session,
                                 std::string line)
 {
-    std::istringstream words(line);
-    std::string kind;
-    words >> kind;
-    if (kind == "CONNECT")
+    std::string_view rest = line;
+    if (take_field(rest) == "CONNECT")
     {
-        std::string group;
-        std::string account;
-        std::string id;
-        words >> group >> account >> id;
+        const auto group = take_field(rest);
+        const auto account = take_field(rest);
+        const auto id = take_field(rest);
         if (group != server.group.name() || (!id.empty() && id != server.id))
             co_return "ERROR WRONGNODE " + server.id + "\r\n";
         if (server.sessions.size() > settings_.max_connections_per_server)
@@ -534,17 +531,14 @@
             ++counters_.refused_connections;
             co_return "ERROR CONNLIMIT " + server.id + "\r\n";
         }
-        if (account != "-" && !account_names_.contains(account))
-            ++counters_.foreign_accounts;
         session.account = account;
+        if (account != "-" && !account_names_.contains(session.account))
+            ++counters_.foreign_accounts;
         co_return ready_line(server, session);
     }
-    std::string id;
-    words >> id;
-    std::string text;
-    std::getline(words, text);
-    auto reply = co_await run_statement(server, session,
-                                        text.substr(text.empty() ? 0 : 1));
+    const std::string id(take_field(rest));
+    const std::string text(rest);
+    auto reply = co_await run_statement(server, session, id, text);
     co_return reply + ready_line(server, session);
 }
 
@@ -562,17 +556,18 @@
 
 asio::awaitable<std::string>
 platform_emulator::run_statement(server_state& server, server_session& session,
-                                 std::string text)
+                                 const std::string& id, const std::string& text)
 {
     server.group.complete_due_promotions(current_time());
-    std::istringstream words(text);
-    std::string verb;
-    words >> verb;
+    std::string_view statement = text;
+    auto rest = statement;
+    auto verb = take_field(rest);
     auto* model = server.group.find_server(server.id);
     if (verb == "AFTER")
     {
-        std::string position;
-        words >> position >> verb;
+        const std::string position(take_field(rest));
+        statement = rest;
+        verb = take_field(rest);
         log_position minimum;
         char dot = 0;
         std::istringstream(position) >> minimum.term >> dot >> minimum.index;
@@ -583,13 +578,13 @@
     if (verb == "RESET")
     {
         session.session_values.clear();
-        session.writes_by_prepared_name.clear();
+        session.prepared_statements.clear();
         co_return command_completion;
     }
     if (verb == "STATUS" || verb == "PAUSE" || verb == "DEMOTE")
     {
         std::uint64_t term = 0;
-        words >> term;
+        std::istringstream(std::string(rest)) >> term;
         if (verb == "DEMOTE")
             server.group.demote(*model, term);
         const auto last_position =
@@ -604,25 +599,19 @@
     }
     if (verb == "SET")
     {
-        std::string name;
-        std::string value;
-        words >> name >> value;
-        session.session_values[name] = value;
+        const std::string name(take_field(rest));
+        session.session_values[name] = rest;
         co_return command_completion;
     }
     if (verb == "PREPARE")
     {
-        std::string name;
-        std::string kind;
-        words >> name >> kind;
-        session.writes_by_prepared_name[name] = kind == "WRITE";
+        const std::string name(take_field(rest));
+        session.prepared_statements[name] = rest;
         co_return command_completion;
     }
     if (verb == "BEGIN")
     {
-        std::string kind;
-        words >> kind;
-        session.read_only = kind == "READ";
+        session.read_only = rest == "READ";
         if (!session.read_only && !model->is_primary)
             co_return "ERROR READONLY " + server.id + "\r\n";
         session.transaction = transaction_state::open;
@@ -648,14 +637,17 @@
     ++counters_.statements;
     ++server.statements;
     bool writes = verb == "WRITE";
+    std::string prepared;
     if (verb == "EXECUTE")
     {
-        std::string name;
-        words >> name;
-        if (!session.writes_by_prepared_name.contains(name))
+        const auto found =
+            session.prepared_statements.find(std::string(take_field(rest)));
+        if (found == session.prepared_statements.end())
             co_return "ERROR NOSUCHSTMT " + server.id + "\r\n";
-        writes = session.writes_by_prepared_name[name];
+        prepared = found->second;
+        writes = prepared.starts_with("WRITE ");
     }
+    received_.add({id, server.id, without_prepared_name(statement, prepared)});
     const std::string statement_completion = "COMPLETE " + server.id + "\r\n";
     const auto now = current_time();
     if (verb == "COMMIT")
@@ -667,9 +659,9 @@
             co_return "ERROR READONLY " + server.id + "\r\n";
         co_return statement_completion;
     }
-    std::string item;
-    std::string data;
-    words >> item >> data;
+    // The last field extends to the end of the text.
+    const std::string item(writes ? take_field(rest) : rest);
+    const std::string data(rest);
     if (!writes)
         co_return "ROW " + server.group.read(*model, item, now) + "\r\n" +
             statement_completion;
--- a/standins/platform_emulator.hpp
+++ b/standins/platform_emulator.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "group_model.hpp"
+#include "received_statements.hpp"
 #include "store_model.hpp"
 
 #include <oleandergrade/connection/http_server.hpp>
@@ -169,14 +170,18 @@
     group_model& group(std::size_t index) { return *groups_[index]; }
     store_model& store() { return store_; }
     const emulator_counters& counters() const { return counters_; }
+    /// The statements that have run at the servers; those that the proxy sends
+    /// by itself have the identifier "-".
+    const received_statements& received() const { return received_; }
     /// Writes or deletes the operators' order to evacuate a failure domain.
     void set_evacuated(const std::string& domain, bool evacuated);
     /// Number of statements that took a slot of this server.
     std::uint64_t statement_count(const std::string& id);
 
     /// Returns the writes in the log of the group's primary with the highest
-    /// term, one "ITEM DATA" line each; empty if the group is unknown or has no
-    /// primary.
+    /// term, one "ITEM DATA" line each, with blanks and other special bytes
+    /// escaped as in URLs and "%" for an empty field; empty if the group is
+    /// unknown or has no primary.
     std::string primary_log_text(const std::string& group_name) const;
     /// Returns the id of a server by its group's and its own number, both from
     /// 0.
@@ -230,7 +235,8 @@
     /// Executes one statement and returns the answer without the READY line.
     boost::asio::awaitable<std::string> run_statement(server_state& server,
                                                       server_session& session,
-                                                      std::string text);
+                                                      const std::string& id,
+                                                      const std::string& text);
     /// Returns the READY line: the state of the transaction and the position
     /// that the server has applied.
     std::string ready_line(server_state& server, server_session& session);
@@ -261,6 +267,7 @@
     oleandergrade::route_table configuration_;
     std::set<std::string> account_names_;
     emulator_counters counters_;
+    received_statements received_;
     std::unique_ptr<oleandergrade::http_server> store_server_;
     std::unique_ptr<oleandergrade::http_server> promotion_server_;
 };
--- a/standins/platform_emulator_servers.hpp
+++ b/standins/platform_emulator_servers.hpp
@@ -33,8 +33,8 @@
     std::vector<std::pair<std::string, std::string>> pending_writes;
     /// Session values by name, from SET. Statements don't use them.
     std::map<std::string, std::string> session_values;
-    /// Whether a prepared statement writes, by its name.
-    std::map<std::string, bool> writes_by_prepared_name;
+    /// What was prepared, from READ or WRITE on, by its name.
+    std::map<std::string, std::string> prepared_statements;
 };
 
 /// A database server: its listening socket, its load and its sessions. The data
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -6,6 +6,7 @@
 /// Each scenario is a function outside its test, because GCC 12 cannot compile
 /// coroutines inside Criterion's test functions.
 #include "../platform/platform_parts.hpp"
+#include "fakes/random_statement_texts.hpp"
 #include "fakes/selective_store.hpp"
 #include "platform_emulator.hpp"
 #include "soak/loopback_proxy.hpp"
@@ -79,8 +80,16 @@
     /// Sends a statement and returns the VM's answer.
     asio::awaitable<std::string> send_statement(std::string text)
     {
-        auto line = "QUERY " + std::to_string(++last_statement_number_) + " " +
-                    text + "\r\n";
+        auto reply = co_await send_statement_as(
+            std::to_string(++last_statement_number_), std::move(text));
+        co_return reply;
+    }
+
+    /// Sends a statement under an identifier and returns the VM's answer.
+    asio::awaitable<std::string> send_statement_as(std::string id,
+                                                   std::string text)
+    {
+        auto line = "QUERY " + id + " " + text + "\r\n";
         auto reply = co_await exchange(std::move(line));
         co_return reply;
     }
@@ -1979,3 +1988,143 @@
     test_fleet fleet(28, {.vm_count = 14, .vm_domains = {"a", "b", "c"}});
     fleet.run(scenario_a_large_fleet_paces_its_calls);
 }
+
+namespace
+{
+
+constexpr unsigned texts_per_vm = 60;
+constexpr unsigned statements_per_transaction = 4;
+
+/// Sends statements to one VM and keeps what must have arrived at the servers.
+class text_sender
+{
+public:
+    text_sender(test_fleet& fleet, unsigned vm)
+        : caller_(fleet.make_caller(vm)), prefix_(std::to_string(vm) + "-"),
+          texts_(vm + 1)
+    {
+    }
+
+    asio::awaitable<void> run(unsigned count)
+    {
+        co_await caller_.open_session("strict-0", "key-1");
+        for (unsigned i = 0; i < count; ++i)
+        {
+            if (i % statements_per_transaction == 0)
+                co_await caller_.send_statement(is_in_transaction_ ? "COMMIT"
+                                                                   : "BEGIN");
+            if (i % statements_per_transaction == 0)
+                is_in_transaction_ = !is_in_transaction_;
+            co_await send(texts_.draw(true));
+        }
+    }
+
+    const std::map<std::string, std::string>& expected() const
+    {
+        return expected_;
+    }
+
+private:
+    asio::awaitable<void> send(fakes::drawn_statement drawn)
+    {
+        if (!drawn.preparation.empty())
+        {
+            const auto reply = co_await caller_.send_statement_as(
+                prefix_ + "p", drawn.preparation);
+            cr_assert(contains(reply, "COMPLETE -"), "'%s': %s",
+                      drawn.preparation.c_str(), reply.c_str());
+        }
+        // An identifier is a word of any bytes, too.
+        const auto id =
+            prefix_ + std::to_string(++last_number_) + "-" + texts_.draw_word();
+        const auto reply = co_await caller_.send_statement_as(id, drawn.text);
+        cr_assert(contains(reply, "COMPLETE i-0-"), "'%s': %s",
+                  drawn.text.c_str(), reply.c_str());
+        expected_[id] =
+            standins::without_prepared_name(drawn.text, drawn.prepared);
+    }
+
+    test_caller caller_;
+    std::string prefix_;
+    fakes::random_statement_texts texts_;
+    std::map<std::string, std::string> expected_;
+    unsigned last_number_ = 0;
+    bool is_in_transaction_ = false;
+};
+
+} // namespace
+
+static asio::awaitable<void> scenario_texts_are_sent(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    fleet.emulator->put_configuration(2, {{"shore", "key-1"}}, 100'000);
+    co_await sleep_for(milliseconds(1500));
+    std::map<std::string, std::string> expected;
+    for (unsigned vm = 0; vm < fleet.daemons.size(); ++vm)
+    {
+        text_sender sender(fleet, vm);
+        co_await sender.run(texts_per_vm);
+        expected.insert(sender.expected().begin(), sender.expected().end());
+    }
+    for (const auto& [id, text] : expected)
+    {
+        const auto received = fleet.emulator->received().find(id);
+        cr_assert(received.size() == 1, "%s: received %zu times", id.c_str(),
+                  received.size());
+        cr_assert(received.front().text == text, "%s: '%s' became '%s'",
+                  id.c_str(), text.c_str(), received.front().text.c_str());
+    }
+}
+
+static asio::awaitable<void>
+scenario_executes_end_with_a_blank(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    auto caller = fleet.make_caller(0);
+    co_await caller.open_session("own-0", "key-1");
+    co_await caller.send_statement("PREPARE s1 READ q2");
+    co_await caller.send_statement("PREPARE s2 WRITE q-3");
+    const std::vector<std::pair<std::string, std::string>> texts{
+        {"EXECUTE s1 a17 ", "EXECUTE (READ q2) a17 "},
+        {"EXECUTE s1 a17", "EXECUTE (READ q2) a17"},
+        {"EXECUTE s2 a17 ", "EXECUTE (WRITE q-3) a17 "},
+        {"EXECUTE s2 a17 data ", "EXECUTE (WRITE q-3) a17 data "}};
+    unsigned last_number = 0;
+    for (const bool in_transaction : {false, true})
+    {
+        if (in_transaction)
+            co_await caller.send_statement("BEGIN");
+        for (const auto& [text, expected] : texts)
+        {
+            const auto id = "e" + std::to_string(++last_number);
+            const auto reply = co_await caller.send_statement_as(id, text);
+            cr_assert(contains(reply, "COMPLETE i-0-"), "%s", reply.c_str());
+            const auto received = fleet.emulator->received().find(id);
+            cr_assert(received.size() == 1);
+            cr_assert(received.front().text == expected, "'%s' became '%s'",
+                      text.c_str(), received.front().text.c_str());
+        }
+    }
+}
+
+// Guards against an EXECUTE that runs without the blank before an empty last
+// field.
+Test(fleet, an_execute_keeps_the_blank_before_empty_data)
+{
+    test_fleet fleet(38);
+    fleet.run(scenario_executes_end_with_a_blank);
+}
+
+// Guards against statements that run with other bytes than their caller sent.
+Test(fleet, texts_of_statements_arrive_unchanged)
+{
+    test_fleet fleet(36);
+    fleet.run(scenario_texts_are_sent);
+}
+
+// Guards against bytes that are lost on the way from one VM to another.
+Test(fleet, texts_of_forwarded_statements_arrive_unchanged)
+{
+    test_fleet fleet(37, sharing_options);
+    fleet.run(scenario_texts_are_sent);
+}
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -5,6 +5,7 @@
 #include "../platform/line_codec.hpp"
 #include "../platform/server_record_decoder.hpp"
 #include "../platform/settings_file.hpp"
+#include "fakes/random_statement_texts.hpp"
 
 #include <criterion/criterion.h>
 
@@ -78,6 +79,42 @@
     cr_assert(set.name == "zone" && set.data == "negombo");
 }
 
+// Guards against legal statements that are refused, each time that their caller
+// repeats them, because of blanks in the last field or because it is empty.
+Test(platform_codec, last_fields_extend_to_the_end_of_the_line)
+{
+    const std::vector<std::pair<std::string, session_verb>> texts{
+        {"READ ", session_verb::read},
+        {"READ  item", session_verb::read},
+        {"READ an  item ", session_verb::read},
+        {"WRITE item ", session_verb::write},
+        {"WRITE item  data", session_verb::write},
+        {"WRITE item some  data", session_verb::write},
+        {"SET zone ", session_verb::set_value},
+        {"SET zone  negombo", session_verb::set_value},
+        {"PREPARE s1 READ ", session_verb::prepare},
+        {"PREPARE s1 WRITE  two  blanks ", session_verb::prepare},
+        {"EXECUTE s1 ", session_verb::execute},
+        {"EXECUTE s1  item", session_verb::execute},
+        {"EXECUTE s1 item ", session_verb::execute},
+        {"EXECUTE s1 item some  data", session_verb::execute}};
+    for (const auto& [text, verb] : texts)
+    {
+        const auto statement = statement_of("QUERY 7 " + text);
+        cr_assert(statement.verb == verb, "'%s'", text.c_str());
+        cr_assert(statement.text == text, "'%s'", text.c_str());
+    }
+    fakes::random_statement_texts random(3);
+    for (int iteration = 0; iteration < 20'000; ++iteration)
+    {
+        const auto drawn = random.draw(true);
+        for (const auto& text : {drawn.preparation, drawn.text})
+            cr_assert(text.empty() || statement_of("QUERY 7 " + text).verb !=
+                                          session_verb::unknown,
+                      "'%s'", text.c_str());
+    }
+}
+
 Test(platform_codec, statements_that_lack_words_are_unknown)
 {
     for (const auto* line :
