Keep the text of an EXECUTE as its caller sent it

Cause: an EXECUTE was the only statement that was written anew, from its parsed item and data. Empty data cannot be told from absent data there, and the blank before it was left out.

Evidence: an_execute_keeps_the_blank_before_empty_data, on: 'EXECUTE s1 a17 ' became 'EXECUTE (READ q2) a17', at the first attempt and without a fault.

Change: the name is replaced in the received text, and nothing else is written.

--- a/include/oleandergrade/connection/session_codec.hpp
+++ b/include/oleandergrade/connection/session_codec.hpp
@@ -68,11 +68,10 @@
                                    const std::string& value) const = 0;
     virtual std::string encode_prepare(const std::string& name, bool writes,
                                        const std::string& shape) const = 0;
-    /// Runs the statement prepared under `name`, with item and data of
-    /// `statement`.
-    virtual std::string
-    encode_execute(const std::string& name,
-                   const session_statement& statement) const = 0;
+    /// Returns the text of a caller's EXECUTE with `name` in place of the name
+    /// of the prepared statement. All other bytes stay as they are.
+    virtual std::string rename_prepared(const std::string& text,
+                                        const std::string& name) const = 0;
     virtual std::string encode_rollback() const = 0;
     virtual std::string encode_commit() const = 0;
     virtual std::string encode_read(const std::string& item) const = 0;
--- a/include/oleandergrade/connection/session_message.hpp
+++ b/include/oleandergrade/connection/session_message.hpp
@@ -112,15 +112,15 @@
     /// EXECUTE, DEALLOC).
     std::string name;
     /// The item that is read or written; for PREPARE, the shape of the prepared
-    /// statement.
+    /// statement; for EXECUTE, everything that follows the name.
     std::string item_or_shape;
     /// The session value to set, or the data to write.
     std::string data;
     /// For PREPARE: the prepared statement writes.
     bool prepares_write = false;
-    /// The text of the whole statement. It is sent to the target unchanged, but
-    /// for EXECUTE, where the target has its own name for the prepared
-    /// statement.
+    /// The text of the whole statement as received. It is sent to the target
+    /// unchanged, but for EXECUTE, where the target has its own name for the
+    /// prepared statement.
     std::string text;
     /// Timeout that the caller requested, which can only shorten the timeout
     /// of the route; zero if it requested none.
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -356,8 +356,8 @@
     const auto text =
         run.prepared == nullptr
             ? run.call.text
-            : codec_.encode_execute(prepared_name_at_target(*run.prepared),
-                                    run.call);
+            : codec_.rename_prepared(run.call.text,
+                                     prepared_name_at_target(*run.prepared));
     trace_sent_text(run.call.id, run.outcome.target, run.call.text, text,
                     run.prepared == nullptr ? std::string_view()
                                             : run.prepared->shape);
