Send texts between VMs with the NUL bytes that they hold

Callers saw: a statement that another VM ran had another identifier than the caller's, cut at its first NUL byte; session values whose names differ after a NUL byte were one.

Cause: std::string becomes a text of Cap'n Proto by its c_str(), so the length is lost. Bytes fields were not affected, so no text of a statement was.

Change: every string goes through text_to_wire(), which keeps the length, in all messages.

--- a/src/connection/fleet_message_codec.cpp
+++ b/src/connection/fleet_message_codec.cpp
@@ -18,21 +18,21 @@
 
 void write(wire::PrimaryState::Builder out, const primary_state& in)
 {
-    out.setGroup(in.record.group);
+    out.setGroup(text_to_wire(in.record.group));
     out.setTerm(in.record.term);
-    out.setTarget(in.record.target);
+    out.setTarget(text_to_wire(in.record.target));
     out.setIsOpen(in.record.is_open);
     out.setIsPlanned(in.record.is_planned);
     out.setRevision(in.record.revision);
     out.setHasPosition(in.has_position);
     out.setPosition(in.position);
     out.setPositionAge(milliseconds_to_wire(in.position_age));
-    out.setCandidate(in.record.candidate);
+    out.setCandidate(text_to_wire(in.record.candidate));
     out.setKnownTerm(in.record.known_position.term);
     out.setKnownIndex(in.record.known_position.index);
     auto awaited = out.initAwaitedReplicas(size_of(in.awaited_replicas));
     for (unsigned i = 0; i < in.awaited_replicas.size(); ++i)
-        awaited.set(i, in.awaited_replicas[i]);
+        awaited.set(i, text_to_wire(in.awaited_replicas[i]));
 }
 
 primary_state read(wire::PrimaryState::Reader in)
@@ -74,7 +74,7 @@
 {
     for (unsigned i = 0; i < in.size(); ++i)
     {
-        out[i].setKey(in[i].key);
+        out[i].setKey(text_to_wire(in[i].key));
         out[i].setValue(bytes_to_wire(in[i].value));
     }
 }
@@ -93,7 +93,7 @@
 {
     for (unsigned i = 0; i < in.size(); ++i)
     {
-        out[i].setAccount(in[i].account);
+        out[i].setAccount(text_to_wire(in[i].account));
         out[i].setRate(in[i].rate);
         out[i].setBurst(in[i].burst);
     }
@@ -115,13 +115,13 @@
     auto lenders = out.initLenders(size_of(in.lenders));
     for (unsigned i = 0; i < in.lenders.size(); ++i)
     {
-        lenders[i].setVm(in.lenders[i].vm);
-        lenders[i].setAddress(in.lenders[i].address);
-        lenders[i].setDomain(in.lenders[i].failure_domain);
+        lenders[i].setVm(text_to_wire(in.lenders[i].vm));
+        lenders[i].setAddress(text_to_wire(in.lenders[i].address));
+        lenders[i].setDomain(text_to_wire(in.lenders[i].failure_domain));
     }
     auto former = out.initFormerLenders(size_of(in.former_lenders));
     for (unsigned i = 0; i < in.former_lenders.size(); ++i)
-        former.set(i, in.former_lenders[i]);
+        former.set(i, text_to_wire(in.former_lenders[i]));
 }
 
 lender_table read(wire::LenderTable::Reader in)
@@ -142,14 +142,14 @@
 
 void write(wire::FleetReport::Builder out, const fleet_report& in)
 {
-    out.setVm(in.vm);
+    out.setVm(text_to_wire(in.vm));
     out.setIncarnation(in.incarnation);
     out.setIsRegistered(in.is_registered);
     out.setToken(in.highest_token);
     out.setConfigurationVersion(in.configuration_version);
     out.setEcho(in.echoed_stamp);
     out.setGrantAge(milliseconds_to_wire(in.other_leader_grant_age));
-    out.setLostRelay(in.lost_relay);
+    out.setLostRelay(text_to_wire(in.lost_relay));
     out.setOmitsDemands(in.omits_demands);
     out.setHoldersVersion(in.holders_version);
     out.setIsStopping(in.is_stopping);
@@ -157,14 +157,15 @@
     auto failing_targets = out.initTroubles(size_of(in.failing_targets));
     for (unsigned i = 0; i < in.failing_targets.size(); ++i)
     {
-        failing_targets[i].setTarget(in.failing_targets[i].target);
+        failing_targets[i].setTarget(
+            text_to_wire(in.failing_targets[i].target));
         failing_targets[i].setSince(
             milliseconds_to_wire(in.failing_targets[i].failing_for));
     }
     auto demands = out.initDemands(size_of(in.demands));
     for (unsigned i = 0; i < in.demands.size(); ++i)
     {
-        demands[i].setAccount(in.demands[i].account);
+        demands[i].setAccount(text_to_wire(in.demands[i].account));
         demands[i].setWanted(in.demands[i].wanted_rate);
         demands[i].setHeld(in.demands[i].held_rate);
     }
@@ -201,19 +202,19 @@
     out.setToken(in.token);
     out.setValidity(milliseconds_to_wire(in.validity));
     out.setMembers(in.member_count);
-    out.setHolder(in.leader_address);
+    out.setHolder(text_to_wire(in.leader_address));
     out.setStamp(in.stamp);
     out.setTargetsDigest(in.targets_digest);
     out.setStoreAge(milliseconds_to_wire(in.store_age));
     out.setConfigurationVersion(in.configuration_version);
     write(out.initPrimaries(size_of(in.primaries)), in.primaries);
     write(out.initShares(size_of(in.shares)), in.shares);
-    out.setRelay(in.relay_address);
+    out.setRelay(text_to_wire(in.relay_address));
     if (in.holders.version != 0)
         write(out.initHolders(), in.holders);
     auto domains = out.initEvacuatedDomains(size_of(in.evacuated_domains));
     for (unsigned i = 0; i < in.evacuated_domains.size(); ++i)
-        domains.set(i, in.evacuated_domains[i]);
+        domains.set(i, text_to_wire(in.evacuated_domains[i]));
     if (in.lenders.version != 0)
         write(out.initLenders(), in.lenders);
     out.setLevel(in.level);
@@ -248,7 +249,7 @@
     auto grants = out.initGrants(size_of(in.grants));
     for (unsigned i = 0; i < in.grants.size(); ++i)
     {
-        grants[i].setVm(in.grants[i].vm);
+        grants[i].setVm(text_to_wire(in.grants[i].vm));
         grants[i].setAccepted(in.grants[i].accepted);
         write(grants[i].initShares(size_of(in.grants[i].shares)),
               in.grants[i].shares);
@@ -271,11 +272,11 @@
 void write(wire::PrimaryNotice::Builder out, const primary_notice& in)
 {
     out.setToken(in.token);
-    out.setHolder(in.leader_address);
+    out.setHolder(text_to_wire(in.leader_address));
     write(out.initPrimaries(size_of(in.primaries)), in.primaries);
     auto groups = out.initInquiredGroups(size_of(in.inquired_groups));
     for (unsigned i = 0; i < in.inquired_groups.size(); ++i)
-        groups.set(i, in.inquired_groups[i]);
+        groups.set(i, text_to_wire(in.inquired_groups[i]));
 }
 
 primary_notice read(wire::PrimaryNotice::Reader in)
@@ -291,7 +292,7 @@
 
 void write(wire::NoticeReceipt::Builder out, const notice_receipt& in)
 {
-    out.setVm(in.vm);
+    out.setVm(text_to_wire(in.vm));
     out.setIncarnation(in.incarnation);
     out.setToken(in.token);
     out.setAccepted(in.accepted);
@@ -322,8 +323,8 @@
 
 void write(wire::BorrowRequest::Builder out, const borrow_request& in)
 {
-    out.setVm(in.vm);
-    out.setAccount(in.account);
+    out.setVm(text_to_wire(in.vm));
+    out.setAccount(text_to_wire(in.account));
     out.setOperations(in.operations);
 }
 
--- a/src/connection/forwarded_statement_codec.cpp
+++ b/src/connection/forwarded_statement_codec.cpp
@@ -39,7 +39,7 @@
 template <typename Builder>
 void write_session(Builder out, const forwarded_session_id& in)
 {
-    out.setVm(in.vm);
+    out.setVm(text_to_wire(in.vm));
     out.setIncarnation(in.incarnation);
     out.setSession(in.session);
 }
@@ -59,12 +59,12 @@
     for (const auto& [group, holders] : in.groups)
     {
         auto entry = groups[index++];
-        entry.setGroup(group);
+        entry.setGroup(text_to_wire(group));
         auto slices = entry.initSlices(static_cast<unsigned>(holders.size()));
         for (unsigned i = 0; i < holders.size(); ++i)
         {
-            slices[i].setHolder(holders[i].holder);
-            slices[i].setStandby(holders[i].standby);
+            slices[i].setHolder(text_to_wire(holders[i].holder));
+            slices[i].setStandby(text_to_wire(holders[i].standby));
         }
     }
 }
@@ -86,10 +86,10 @@
 void write(wire::ForwardedStatement::Builder out, const forwarded_statement& in)
 {
     write_session(out, in.session);
-    out.setRequest(in.statement.id);
+    out.setRequest(text_to_wire(in.statement.id));
     out.setVerb(static_cast<std::uint8_t>(in.statement.verb));
-    out.setName(in.statement.name);
-    out.setItem(in.statement.item_or_shape);
+    out.setName(text_to_wire(in.statement.name));
+    out.setItem(text_to_wire(in.statement.item_or_shape));
     out.setData(bytes_to_wire(in.statement.data));
     out.setText(bytes_to_wire(in.statement.text));
     out.setHasPrepared(in.prepared.has_value());
@@ -103,12 +103,12 @@
     unsigned index = 0;
     for (const auto& [name, value] : in.session_values)
     {
-        values[index].setName(name);
+        values[index].setName(text_to_wire(name));
         values[index++].setValue(bytes_to_wire(value));
     }
-    out.setAccount(in.account);
-    out.setDatabase(in.matched_route.database);
-    out.setGroup(in.matched_route.group);
+    out.setAccount(text_to_wire(in.account));
+    out.setDatabase(text_to_wire(in.matched_route.database));
+    out.setGroup(text_to_wire(in.matched_route.group));
     out.setConsistency(static_cast<std::uint8_t>(in.matched_route.consistency));
     out.setMaxAge(milliseconds_to_wire(in.matched_route.max_age));
     out.setPriority(in.matched_route.priority);
@@ -165,8 +165,8 @@
     out.setAccepted(in.accepted);
     out.setAnswer(bytes_to_wire(in.answer));
     out.setFailure(static_cast<std::uint8_t>(in.failure));
-    out.setReason(in.reason);
-    out.setTarget(in.target);
+    out.setReason(text_to_wire(in.reason));
+    out.setTarget(text_to_wire(in.target));
     out.setAttempts(in.attempts);
     out.setRetryAfter(milliseconds_to_wire(in.retry_after));
     out.setTransaction(static_cast<std::uint8_t>(in.transaction));
--- a/src/connection/wire_values.hpp
+++ b/src/connection/wire_values.hpp
@@ -30,6 +30,13 @@
     return {reinterpret_cast<const kj::byte*>(value.data()), value.size()};
 }
 
+/// Returns the text to send, NUL bytes included. The result refers to `value`
+/// and does not copy it.
+inline capnp::Text::Reader text_to_wire(const std::string& value)
+{
+    return {value.c_str(), value.size()};
+}
+
 /// Converts a received number of milliseconds. It is limited to about 31 years,
 /// so that adding it to a time does not overflow.
 inline milliseconds milliseconds_from_wire(std::uint64_t value)
