Claim the ports of test programs and soak runs for each run

Cause: test_fleet, test_target_pool and one test of test_store_following took constant ports, and the soak 30000 + 400 a slot. Two trees on one machine then bound the same ports, or reached each other's servers and proxies: tests failed, and soaks reported broken guarantees that were none.

Change: tests/fakes/port_block claims consecutive ports, in units of 400 from 2100 to 32099, below what the kernel assigns. Each unit has a lock port that stays bound while the block is in use. The kernel closes it however the process ends. A unit with any port in use is passed over.

Ruled out: files with flock. Their folder depends on TMPDIR, and files of another user cannot be opened for creation in a sticky folder.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -12,7 +12,7 @@
 state=build/soak
 mkdir -p "$state"
 run_seed() {
-    local seed=$1 slot=$2
+    local seed=$1
     local folder=$state/seed-$seed
     rm -rf "$folder" && mkdir -p "$folder"
     local fleet=(--vms=6 --domains=a,b,c)
@@ -27,7 +27,7 @@
     fi
     if build/release/tests/oleander-soak --programs=build/release \
         --folder="$folder" --seed="$seed" --seconds="$seconds" "${fleet[@]}" \
-        --base_port=$((30000 + slot * 400)) 2>"$folder/soak.log"; then
+        2>"$folder/soak.log"; then
         tail -1 "$folder/soak.log"
         rm -rf "$folder"
     else
@@ -37,8 +37,4 @@
 }
 export -f run_seed
 export state seconds
-# Seeds that run at the same time have different slots, and each slot has its
-# own range of ports.
-seq "$first" $((first + count - 1)) |
-    xargs -P "$jobs" --process-slot-var=SLOT -I{} \
-        bash -c 'run_seed {} "$SLOT"'
+seq "$first" $((first + count - 1)) | xargs -P "$jobs" -I{} bash -c 'run_seed {}'
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -3,6 +3,7 @@
 /// Checks that the answers which callers received agree with the consistency of
 /// their routes and with the logs of the databases.
 #include "../../platform/platform_parts.hpp"
+#include "../fakes/port_block.hpp"
 #include "child_process.hpp"
 #include "loopback_proxy.hpp"
 
@@ -41,8 +42,9 @@
 DEFINE_string(
     folder, "",
     "folder for settings files and logs; created if missing, never deleted");
-DEFINE_uint32(base_port, 30000,
-              "lowest port; about 300 ports from here on are used");
+DEFINE_uint32(base_port, 0,
+              "lowest port; about 400 ports from here on are used; 0: ports "
+              "that no other run uses");
 
 namespace
 {
@@ -54,6 +56,7 @@
 constexpr unsigned group_count = 3;
 constexpr unsigned servers_per_group = 3;
 constexpr unsigned ports_per_vm = 10;
+constexpr unsigned ports_per_run = 400;
 /// The port of a server's proxy is the server's port plus this offset.
 constexpr unsigned proxy_port_offset = 100;
 /// Maximum time from the start of the VMs until every database is served.
@@ -733,6 +736,9 @@
                             "[--seed N] [--seconds N]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::filesystem::create_directories(FLAGS_folder);
+    std::optional<fakes::port_block> ports;
+    if (FLAGS_base_port == 0)
+        FLAGS_base_port = ports.emplace(ports_per_run).first_port();
     soak_run run;
     const auto problems = run.run();
     for (const auto& problem : problems)
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -6,6 +6,7 @@
 /// Each scenario is a function outside its test, because GCC 12 cannot compile
 /// coroutines inside Criterion's test functions.
 #include "../platform/platform_parts.hpp"
+#include "fakes/port_block.hpp"
 #include "fakes/random_statement_texts.hpp"
 #include "fakes/selective_store.hpp"
 #include "platform_emulator.hpp"
@@ -41,9 +42,10 @@
 {
 
 /// Number of ports reserved for each test. Criterion runs several tests at the
-/// same time, so each needs its own range of ports.
+/// same time, so each needs its own range of ports. Tests with many VMs take
+/// ports of the next test, whose number must then be left out.
 constexpr unsigned short ports_per_test = 60;
-constexpr unsigned short first_port = 21000;
+constexpr unsigned max_test_index = 44;
 constexpr unsigned ports_per_vm = 5;
 /// VMs in each fleet, unless a scenario needs more.
 constexpr unsigned default_vm_count = 3;
@@ -169,10 +171,11 @@
     /// Creates the platform and the VMs without starting the VMs. `test_index`
     /// is the test's number; each test of this file needs a different one.
     explicit test_fleet(unsigned test_index, test_fleet_options options = {})
-        : base_port_(static_cast<unsigned short>(first_port +
+        : base_port_(static_cast<unsigned short>(fakes::first_port_of_tests() +
                                                  test_index * ports_per_test)),
           options_(options)
     {
+        cr_assert(test_index <= max_test_index);
         standins::emulator_settings settings;
         settings.statement_duration = options.statement_duration;
         settings.server_domains = options.server_domains;
@@ -323,6 +326,11 @@
 
 } // namespace
 
+ReportHook(PRE_ALL)(criterion_test_set*)
+{
+    fakes::claim_ports_of_tests((max_test_index + 2) * ports_per_test);
+}
+
 static asio::awaitable<void>
 scenario_sessions_are_served_and_read_their_own_writes(test_fleet& fleet)
 {
--- a/tests/test_store_following.cpp
+++ b/tests/test_store_following.cpp
@@ -2,6 +2,7 @@
 /// network connections, except for one that is about a connection.
 #include "../platform/platform_parts.hpp"
 #include "../platform/store_client.hpp"
+#include "port_block.hpp"
 #include "silent_store.hpp"
 #include "soak/loopback_proxy.hpp"
 
@@ -77,6 +78,11 @@
 
 } // namespace
 
+ReportHook(PRE_ALL)(criterion_test_set*)
+{
+    fakes::claim_ports_of_tests(1);
+}
+
 // Guards against an outdated configuration after a watch that was not answered.
 Test(store_following, a_configuration_is_in_force_in_time_after_a_lost_watch)
 {
@@ -627,7 +633,7 @@
     constexpr std::size_t record_bytes = 390'000;
     // The proxy forwards 8 KB at a time, hence 2 Mbit/s for each connection.
     constexpr auto delay_per_chunk = milliseconds(32);
-    constexpr unsigned short proxy_port = 20'950;
+    const auto proxy_port = fakes::first_port_of_tests();
     copying_vm vm;
     copy_source source(vm.context, 2, record_bytes);
     soak::loopback_proxy proxy(vm.context, proxy_port, source.port());
--- a/tests/test_target_pool.cpp
+++ b/tests/test_target_pool.cpp
@@ -4,6 +4,7 @@
 /// Each scenario is a function outside its test, because GCC 12 cannot compile
 /// coroutines inside Criterion's test functions.
 #include "../platform/line_codec.hpp"
+#include "fakes/port_block.hpp"
 #include "platform_emulator.hpp"
 
 #include <oleandergrade/connection/async_event.hpp>
@@ -25,8 +26,8 @@
 {
 
 /// Criterion runs several tests at the same time, so each needs its own ports.
-constexpr unsigned short first_port = 23000;
 constexpr unsigned short ports_per_test = 20;
+constexpr unsigned max_test_index = 19;
 constexpr std::uint32_t slots_per_target = 3;
 const std::string group = "group-0";
 const std::vector<std::string> target_ids{"i-0-0", "i-0-1", "i-0-2"};
@@ -53,7 +54,8 @@
                           milliseconds statement_duration = milliseconds(10))
     {
         const auto port = static_cast<unsigned short>(
-            first_port + test_index * ports_per_test);
+            fakes::first_port_of_tests() + test_index * ports_per_test);
+        cr_assert(test_index <= max_test_index);
         standins::emulator_settings settings;
         settings.group_names = {group};
         settings.store_port = port;
@@ -265,6 +267,11 @@
 
 } // namespace
 
+ReportHook(PRE_ALL)(criterion_test_set*)
+{
+    fakes::claim_ports_of_tests((max_test_index + 1) * ports_per_test);
+}
+
 // More statements than slots would wait at the target, where their order cannot
 // be changed, or be rejected.
 Test(target_pool, a_slot_limit_bounds_the_statements_at_each_target)
