Refuse statements that are too long for a target before they are sent

What callers saw (emulated servers that close a connection on a message over 1 MiB; three VMs, sessions shared or not): an EXECUTE of 1048526 bytes, within the limit, left the VM with 1048590 and got INDOUBT. The VM took the lost session for a failing target: for its other statements of the group it answered BUSY "the primary is being replaced" for about a second, the 10 reads, writes and EXECUTEs that followed in the test. A PREPARE that no target takes was accepted.

Cause: the limit was checked where a line comes in only. A name at a target has up to 66 bytes and AFTER up to 48 more.

Change: before a statement is admitted, the lines that it needs at a target (statement, PREPARE, values) are measured; one that is too long is answered MALFORMED with its size. Nothing is sent, the operation is not counted, no session is lost, and an open transaction has failed as after other refused statements. A PREPARE is measured when it comes. A read that has no room for a position runs at the primary. A VM that runs statements of others measures them again, since another build may have accepted them. Only lines within 256 bytes of the limit are written to be measured.

Ruled out: refusing at the entry VM alone (builds differ); shorter names (a digest that cannot be cut without collisions, and AFTER stays).

--- a/include/oleandergrade/process/serving/statement_runner.hpp
+++ b/include/oleandergrade/process/serving/statement_runner.hpp
@@ -244,6 +244,24 @@
     /// or has the other VM that runs the transaction roll it back.
     void release_pinned_session(served_session& session);
     placement_request make_placement_request(const run_state& run) const;
+    /// Number of bytes of the line with which a statement is sent, without its
+    /// line end.
+    std::size_t line_size(const std::string& id, const std::string& text,
+                          const std::optional<log_position>& minimum) const;
+    /// If the line is too long for a target, answers the caller's statement
+    /// with an error that says how long which `kind` of line is, and returns
+    /// true.
+    bool refuse_long_line(run_state& run, const char* kind,
+                          const std::string& id, const std::string& text);
+    /// Does the same for the line that prepares a statement at a target.
+    bool refuse_long_preparation(run_state& run,
+                                 const prepared_statement& prepared);
+    /// Does the same for all lines that a statement needs, and then marks its
+    /// open transaction as failed. Determines whether the statement's line has
+    /// room for a position.
+    bool refuse_long_statement(run_state& run);
+    /// Returns the text that is sent to targets for the caller's statement.
+    std::string text_at_target(const run_state& run) const;
     /// Encodes the statement for the target. `minimum` is the position that the
     /// target's log must have reached.
     std::string encode_statement(const run_state& run,
--- a/src/process/serving/statement_run_state.hpp
+++ b/src/process/serving/statement_run_state.hpp
@@ -50,6 +50,9 @@
     bool is_from_other_vm = false;
     /// The statement may write.
     bool writes = false;
+    /// The statement cannot be sent with a position that the target's log must
+    /// have reached, since its line would be too long.
+    bool is_too_long_for_position = false;
     /// Identifiers of targets that further attempts must not use.
     std::set<std::string> excluded_targets;
     /// The encoded answer to the caller, as far as it is complete.
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -5,6 +5,7 @@
 #include <oleandergrade/process/serving/statement_text_trace.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace oleandergrade
@@ -45,12 +46,28 @@
 /// primary.
 constexpr double primary_wait_fraction = 0.6;
 
+/// A line has fewer bytes than this beside those that a caller chose: keywords,
+/// a position and the name of a prepared statement at a target.
+constexpr std::size_t max_line_growth = 256;
+
+/// The position whose encoding is the longest.
+constexpr log_position longest_position{
+    std::numeric_limits<std::uint64_t>::max(),
+    std::numeric_limits<std::uint64_t>::max()};
+
 milliseconds fraction_of(milliseconds total, double fraction)
 {
     return milliseconds(static_cast<std::int64_t>(
         static_cast<double>(total.count()) * fraction));
 }
 
+/// Whether a line whose variable fields have this size may be longer than
+/// targets read.
+bool may_be_too_long(std::size_t size)
+{
+    return size + max_line_growth > max_session_message_bytes;
+}
+
 } // namespace
 
 statement_runner::statement_runner(const session_codec& codec,
@@ -246,8 +263,69 @@
     co_return false;
 }
 
+std::size_t
+statement_runner::line_size(const std::string& id, const std::string& text,
+                            const std::optional<log_position>& minimum) const
+{
+    std::string line;
+    codec_.append_statement(line, id, text, minimum);
+    return line.size() - session_line_end.size();
+}
+
+bool statement_runner::refuse_long_line(run_state& run, const char* kind,
+                                        const std::string& id,
+                                        const std::string& text)
+{
+    const auto size = line_size(id, text, std::nullopt);
+    if (size <= max_session_message_bytes)
+        return false;
+    fail(run, session_error::malformed,
+         std::string(kind) + " has " + std::to_string(size) +
+             " bytes as a target gets it, at most " +
+             std::to_string(max_session_message_bytes) + " are allowed");
+    return true;
+}
+
+bool statement_runner::refuse_long_preparation(
+    run_state& run, const prepared_statement& prepared)
+{
+    return may_be_too_long(prepared.shape.size()) &&
+           refuse_long_line(
+               run, "the prepared statement", codec_.proxy_statement_id(),
+               codec_.encode_prepare(prepared_name_at_target(prepared),
+                                     prepared.writes, prepared.shape));
+}
+
+bool statement_runner::refuse_long_statement(run_state& run)
+{
+    if (run.prepared != nullptr)
+        refuse_long_preparation(run, *run.prepared);
+    // Another build may have accepted longer values than this one.
+    for (const auto& [name, value] : run.session.caller_state.values())
+        if (!run.answered && may_be_too_long(name.size() + value.size()))
+            refuse_long_line(run, "a session value",
+                             codec_.proxy_statement_id(),
+                             codec_.encode_set(name, value));
+    if (!run.answered &&
+        may_be_too_long(run.call.id.size() + run.call.text.size()))
+    {
+        const auto text = text_at_target(run);
+        run.is_too_long_for_position =
+            line_size(run.call.id, text, longest_position) >
+            max_session_message_bytes;
+        refuse_long_line(run, "the statement", run.call.id, text);
+    }
+    if (run.answered)
+        run.session.caller_state.fail_transaction();
+    return run.answered;
+}
+
 void statement_runner::apply_session_statement(run_state& run)
 {
+    if (run.call.verb == session_verb::prepare &&
+        refuse_long_preparation(
+            run, {run.call.prepares_write, run.call.item_or_shape}))
+        return;
     const auto failure = run.session.caller_state.apply(run.call);
     if (failure == session_error::none)
         return codec_.append_proxy_completion(run.reply);
@@ -265,7 +343,7 @@
     request.account = run.account;
     // A transaction that was not begun as read-only may write later.
     request.needs_primary =
-        run.writes ||
+        run.writes || (!in_transaction && run.is_too_long_for_position) ||
         (in_transaction && !caller_state.is_transaction_read_only());
     request.consistency = run.matched_route->consistency;
     request.max_age = run.matched_route->max_age;
@@ -348,16 +426,20 @@
     co_return false;
 }
 
+std::string statement_runner::text_at_target(const run_state& run) const
+{
+    return run.prepared == nullptr
+               ? run.call.text
+               : codec_.rename_prepared(run.call.text,
+                                        prepared_name_at_target(*run.prepared));
+}
+
 std::string
 statement_runner::encode_statement(const run_state& run,
                                    const std::optional<log_position>& minimum)
 {
     std::string bytes;
-    const auto text =
-        run.prepared == nullptr
-            ? run.call.text
-            : codec_.rename_prepared(run.call.text,
-                                     prepared_name_at_target(*run.prepared));
+    const auto text = text_at_target(run);
     trace_sent_text(run.call.id, run.outcome.target, run.call.text, text,
                     run.prepared == nullptr ? std::string_view()
                                             : run.prepared->shape);
@@ -467,11 +549,14 @@
     }
     run.writes = run.prepared != nullptr ? run.prepared->writes
                                          : run.call.verb == session_verb::write;
+    if (refuse_long_statement(run))
+        co_return;
     if (!run.is_from_other_vm)
     {
         const bool is_admitted =
-            co_await admit(run, run.writes || run.matched_route->consistency ==
-                                                  read_consistency::current);
+            co_await admit(run, run.writes || run.is_too_long_for_position ||
+                                    run.matched_route->consistency ==
+                                        read_consistency::current);
         if (!is_admitted)
             co_return;
     }
--- a/src/process/serving/statement_transactions.cpp
+++ b/src/process/serving/statement_transactions.cpp
@@ -77,6 +77,8 @@
     }
     run.writes = run.prepared != nullptr ? run.prepared->writes
                                          : run.call.verb == session_verb::write;
+    if (refuse_long_statement(run))
+        co_return;
     const bool was_forwarded = co_await forward_in_transaction(run);
     if (was_forwarded)
         co_return;
@@ -152,6 +154,11 @@
         co_return fail(run, session_error::aborted,
                        "the transaction had failed");
     }
+    if (refuse_long_line(run, "the statement", run.call.id, run.call.text))
+    {
+        co_await abandon_transaction(session);
+        co_return;
+    }
     const bool was_forwarded = co_await forward_in_transaction(run);
     if (was_forwarded)
         co_return;
--- a/standins/platform_emulator.cpp
+++ b/standins/platform_emulator.cpp
@@ -495,10 +495,14 @@
             asio::redirect_error(asio::use_awaitable, failure));
         if (failure)
             break;
+        const auto search_begin = buffer.empty() ? 0 : buffer.size() - 1;
         buffer.append(chunk.data(), size);
-        for (auto end = buffer.find(session_line_end); end != std::string::npos;
+        for (auto end = buffer.find(session_line_end, search_begin);
+             end != std::string::npos && keep_open;
              end = buffer.find(session_line_end))
         {
+            if (end > max_session_message_bytes)
+                break;
             auto line = buffer.substr(0, end);
             buffer.erase(0, end + session_line_end.size());
             auto reply =
@@ -510,6 +514,12 @@
                 asio::redirect_error(asio::use_awaitable, failure));
             keep_open = !failure && !session->account.empty();
         }
+        const bool has_partial_end = buffer.ends_with(session_line_end.front());
+        if (buffer.size() - has_partial_end > max_session_message_bytes)
+        {
+            ++counters_.overlong_messages;
+            break;
+        }
     }
     server.sessions.erase(session);
 }
--- a/standins/platform_emulator.hpp
+++ b/standins/platform_emulator.hpp
@@ -68,6 +68,9 @@
     std::uint64_t connections = 0;
     /// Sessions refused because a server had too many connections.
     std::uint64_t refused_connections = 0;
+    /// Messages longer than the protocol allows, for which a server closed the
+    /// connection. This must never happen.
+    std::uint64_t overlong_messages = 0;
     /// Calls to the store, including those that were not answered.
     std::uint64_t store_calls = 0;
 };
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -2136,3 +2136,102 @@
     test_fleet fleet(37, sharing_options);
     fleet.run(scenario_texts_are_sent);
 }
+
+namespace
+{
+
+/// Sends statements as long as the protocol allows or longer than that, and
+/// checks the answers.
+class long_statement_sender
+{
+public:
+    long_statement_sender(test_fleet& fleet, unsigned vm)
+        : caller_(fleet.make_caller(vm))
+    {
+    }
+
+    asio::awaitable<void> open(std::string database)
+    {
+        co_await caller_.open_session(std::move(database), "key-1");
+        co_await check("PREPARE s1 WRITE q-2", "COMPLETE -", "READY I");
+    }
+
+    /// Pads the statement until its line is this much longer than a message may
+    /// be, or shorter if `excess` is negative.
+    asio::awaitable<void> check_padded(std::string text, int excess,
+                                       std::string expected, std::string state)
+    {
+        const std::string_view rest_of_line = "QUERY 1 ";
+        const auto size = static_cast<int>(max_session_message_bytes) + excess;
+        text.resize(static_cast<std::size_t>(size) - rest_of_line.size(), 'x');
+        co_await check(std::move(text), std::move(expected), std::move(state));
+    }
+
+    asio::awaitable<void> check(std::string text, std::string expected,
+                                std::string state)
+    {
+        const auto begin = text.substr(0, 20);
+        const auto reply =
+            co_await caller_.send_statement_as("1", std::move(text));
+        cr_assert(contains(reply, expected.c_str()) &&
+                      contains(reply, state.c_str()),
+                  "'%s': %s", begin.c_str(), reply.substr(0, 200).c_str());
+    }
+
+private:
+    test_caller caller_;
+};
+
+/// A name at a target and the position of a read take fewer bytes than this.
+constexpr int longer_at_target = -50;
+/// Bytes that the name of "q-2" at a target is longer than "s1".
+constexpr int longer_name = 64;
+
+} // namespace
+
+static asio::awaitable<void>
+scenario_long_statements_are_sent_or_refused(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    for (unsigned vm = 0; vm < fleet.daemons.size(); ++vm)
+    {
+        long_statement_sender sender(fleet, vm);
+        co_await sender.open("aged-0");
+        const std::string refused = "ERROR MALFORMED the statement has ";
+        const std::string ran = "COMPLETE i-0-";
+        co_await sender.check_padded("EXECUTE s1 item ", longer_at_target,
+                                     refused, "READY I");
+        co_await sender.check_padded("EXECUTE s1 item ", -longer_name, ran,
+                                     "READY I");
+        co_await sender.check_padded("WRITE item ", 0, ran, "READY I");
+        for (int i = 0; i < 4; ++i)
+            co_await sender.check_padded("READ item", 0, ran, "READY I");
+        co_await sender.check_padded("PREPARE s2 READ q", longer_at_target,
+                                     "ERROR MALFORMED the prepared statement",
+                                     "READY I");
+        co_await sender.check("EXECUTE s2 item", "ERROR NOSUCHSTMT", "READY I");
+        co_await sender.check("BEGIN", "COMPLETE -", "READY T");
+        co_await sender.check("WRITE item undone", ran, "READY T");
+        co_await sender.check_padded("EXECUTE s1 item ", longer_at_target,
+                                     refused, "READY E");
+        co_await sender.check("ROLLBACK", "COMPLETE -", "READY I");
+        co_await sender.check("WRITE item data", ran, "READY I");
+    }
+    cr_assert(fleet.emulator->counters().overlong_messages == 0);
+    cr_assert(count_in_log(fleet, "undone") == 0);
+}
+
+// Guards against messages that become longer than targets read on their way,
+// for which a target closes the session.
+Test(fleet, statements_too_long_for_a_target_are_refused)
+{
+    test_fleet fleet(39);
+    fleet.run(scenario_long_statements_are_sent_or_refused);
+}
+
+// Guards against the same at the VM that sends the statements of others.
+Test(fleet, forwarded_statements_too_long_for_a_target_are_refused)
+{
+    test_fleet fleet(40, sharing_options);
+    fleet.run(scenario_long_statements_are_sent_or_refused);
+}
