Check that statements and forwarded texts keep every byte

Cause: nothing compared a statement's text before and after a VM. The fuzz target parsed and never wrote, so an EXECUTE that lost a blank was no failure, and no test sent NUL bytes through the messages between VMs.

Change: tests/fakes/rewritten_statement parses a caller's line, writes it as it is sent to a target, and compares with bytes cut together from the line, not with the codec's own idea of them; then parses the written text and compares the operands. The fuzz target runs it on each session message, and checks that the text of an HTTP request is one line that says what the request says. Two property tests draw statements from the grammar, and forwarded statements whose text fields have arbitrary bytes.

--- a/tests/fuzz/fuzz_outside_bytes.cpp
+++ b/tests/fuzz/fuzz_outside_bytes.cpp
@@ -1,11 +1,13 @@
 /// Coverage-guided fuzz target for the parsers of data that comes from outside
 /// the process. The first byte of an input chooses the group of parsers, the
-/// other bytes are the data. A sanitizer report, a crash or a peer message that
-/// changes when it is encoded and decoded again is a failure.
+/// other bytes are the data. A sanitizer report, a crash, or a peer message or
+/// a caller's statement that changes when it is read and written again is a
+/// failure.
 #include "../../platform/configuration_decoder.hpp"
 #include "../../platform/line_codec.hpp"
 #include "../../platform/server_record_decoder.hpp"
 #include "../../platform/settings_file.hpp"
+#include "../fakes/rewritten_statement.hpp"
 
 #include <oleandergrade/connection/http_statement.hpp>
 #include <oleandergrade/connection/peer_message.hpp>
@@ -18,6 +20,7 @@
 
 #include <cstdint>
 #include <cstdlib>
+#include <iostream>
 #include <string>
 
 using namespace oleandergrade;
@@ -27,11 +30,22 @@
 
 const platform::line_codec codec;
 
+/// Ends the process if the problem is not empty.
+void abort_if(const std::string& problem)
+{
+    if (problem.empty())
+        return;
+    std::cerr << problem << "\n";
+    std::abort();
+}
+
 /// Messages of the session protocol: from callers, from targets, and the
-/// targets' reports on themselves.
+/// targets' reports on themselves. A statement must be sent to targets with the
+/// bytes that its caller sent.
 void fuzz_session_messages(const std::string& bytes)
 {
-    (void)codec.parse_caller_message(bytes);
+    abort_if(fakes::find_changed_statement(
+        codec, bytes.substr(0, bytes.find(session_line_end))));
     const auto message = codec.parse_target_message(bytes);
     if (succeeded(message))
         if (const auto* row = std::get_if<target_row>(&value_of(message)))
@@ -39,12 +53,25 @@
     (void)codec.parse_target_report(bytes);
 }
 
-/// Statements and session positions in HTTP requests of callers.
+/// Statements and session positions in HTTP requests of callers. The text that
+/// is written for a target must be one line that says the same.
 void fuzz_http_requests(const std::string& bytes)
 {
     for (const auto verb :
          {session_verb::read, session_verb::write, session_verb::commit})
-        (void)parse_http_statement(verb, bytes, codec);
+    {
+        const auto request = parse_http_statement(verb, bytes, codec);
+        if (!succeeded(request))
+            continue;
+        const auto& call = value_of(request).call;
+        if (call.text.find(session_line_end) != std::string::npos)
+            abort_if("an HTTP request writes more than one line");
+        const auto line = codec.parse_caller_message("QUERY 1 " + call.text);
+        const auto& parsed = std::get<session_statement>(value_of(line));
+        if (parsed.verb != verb || parsed.item_or_shape != call.item_or_shape ||
+            parsed.data != call.data)
+            abort_if("'" + call.text + "' is not what the request says");
+    }
     (void)parse_session_token(bytes, "database");
 }
 
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -6,6 +6,9 @@
 #include "../platform/server_record_decoder.hpp"
 #include "../platform/settings_file.hpp"
 #include "fakes/random_statement_texts.hpp"
+#include "fakes/rewritten_statement.hpp"
+
+#include <oleandergrade/connection/peer_message.hpp>
 
 #include <criterion/criterion.h>
 
@@ -116,6 +119,58 @@
     }
 }
 
+// Guards against bytes of a statement that are lost or added between the
+// caller's line and the target's, other than the name of a prepared statement.
+Test(platform_codec, statements_leave_as_they_came_but_for_the_name)
+{
+    fakes::random_statement_texts random(5);
+    for (int iteration = 0; iteration < 20'000; ++iteration)
+    {
+        const auto drawn = random.draw(true);
+        const std::vector<std::string> texts{
+            drawn.text, drawn.preparation,
+            "SET " + random.draw_word() + " " + random.draw_last_field(),
+            "DEALLOC " + random.draw_last_field()};
+        for (const auto& text : texts)
+        {
+            if (text.empty())
+                continue;
+            const auto line = "QUERY " + random.draw_word() + " " + text;
+            cr_assert(statement_of(line).verb != session_verb::unknown, "'%s'",
+                      line.c_str());
+            const auto change = fakes::find_changed_statement(codec, line);
+            cr_assert(change.empty(), "%s", change.c_str());
+        }
+    }
+}
+
+// Guards against bytes of a statement, a session value or a name that are lost
+// between VMs, such as those from a NUL byte on.
+Test(platform_codec, forwarded_statements_keep_all_bytes)
+{
+    fakes::random_statement_texts random(6);
+    for (int iteration = 0; iteration < 5'000; ++iteration)
+    {
+        forwarded_statement sent;
+        sent.session = {"vm-1", 2, 3};
+        auto& call = sent.statement;
+        call.verb = session_verb::execute;
+        for (auto* field :
+             {&call.id, &call.name, &call.item_or_shape, &call.data, &call.text,
+              &sent.account, &sent.matched_route.database,
+              &sent.matched_route.group})
+            *field = random.draw_last_field();
+        sent.prepared = {iteration % 2 == 0, random.draw_last_field()};
+        for (int value = 0; value < 3; ++value)
+            sent.session_values[random.draw_word()] = random.draw_last_field();
+        const auto received =
+            decode_peer_message(encode_peer_message({7, sent}));
+        cr_assert(succeeded(received));
+        cr_assert(value_of(received) == (peer_message{7, sent}),
+                  "iteration %d: text '%s'", iteration, call.text.c_str());
+    }
+}
+
 Test(platform_codec, statements_that_lack_words_are_unknown)
 {
     for (const auto* line :
