Offer what the emulated servers received, and compare it with what was sent

Cause: the emulated servers keep what they ran, but only tests in the same process can read it, so neither the soak nor the load tool saw a text that its caller had not sent.

A lost answer is asked for again, and a number that is missing shows that the record has lost statements. text_check compares them with what callers sent.

Ruled out: length and digest instead of the text (the message would not show what was lost); discarding on hand-out (a lost answer loses statements); comparing once at the end (a long run exceeds the limit of the record).

--- a/standins/emulator_control.cpp
+++ b/standins/emulator_control.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include <charconv>
+
 namespace standins
 {
 namespace asio = boost::asio;
@@ -24,6 +26,7 @@
 asio::awaitable<http_response> emulator_control::serve(http_request request)
 {
     constexpr std::string_view log_path = "/log/";
+    constexpr std::string_view received_path = "/received/";
     http_response response;
     response.content_type = "text/plain";
     if (request.path == "/fault")
@@ -40,6 +43,21 @@
             emulator_.primary_log_text(request.path.substr(log_path.size()));
         co_return response;
     }
+    if (request.path.starts_with(received_path))
+    {
+        std::uint64_t first = 0;
+        const auto* end = request.path.data() + request.path.size();
+        const auto parsed = std::from_chars(
+            request.path.data() + received_path.size(), end, first);
+        if (parsed.ec != std::errc() || parsed.ptr != end)
+        {
+            response.status = 400;
+            co_return response;
+        }
+        emulator_.received().discard_before(first);
+        response.body = emulator_.received().to_text(first, max_page_bytes);
+        co_return response;
+    }
     const auto& counters = emulator_.counters();
     response.content_type = "application/json";
     response.body = boost::json::serialize(boost::json::object{
@@ -48,6 +66,7 @@
         {"connections", counters.connections},
         {"refused_connections", counters.refused_connections},
         {"store_calls", counters.store_calls},
+        {"next_received", emulator_.received().next_number()},
         {"configuration_version", emulator_.configuration_version()}});
     co_return response;
 }
--- a/standins/platform_emulator.hpp
+++ b/standins/platform_emulator.hpp
@@ -175,7 +175,7 @@
     const emulator_counters& counters() const { return counters_; }
     /// The statements that have run at the servers; those that the proxy sends
     /// by itself have the identifier "-".
-    const received_statements& received() const { return received_; }
+    received_statements& received() { return received_; }
     /// Writes or deletes the operators' order to evacuate a failure domain.
     void set_evacuated(const std::string& domain, bool evacuated);
     /// Number of statements that took a slot of this server.
--- a/standins/platform_emulator_faults.cpp
+++ b/standins/platform_emulator_faults.cpp
@@ -3,6 +3,7 @@
 #include "platform_emulator_servers.hpp"
 
 #include <oleandergrade/connection/listener.hpp>
+#include <oleandergrade/operations/text_check.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -36,27 +37,6 @@
     return number;
 }
 
-/// Returns the text as one word of printable ASCII characters: other bytes,
-/// blanks and "%" as "%" and two digits, and an empty text as "%".
-std::string escape_word(const std::string& text)
-{
-    constexpr char digits[] = "0123456789abcdef";
-    std::string word = text.empty() ? "%" : "";
-    for (const char c : text)
-    {
-        const auto byte = static_cast<unsigned char>(c);
-        if (c > ' ' && c < 0x7f && c != '%')
-        {
-            word += c;
-            continue;
-        }
-        word += '%';
-        word += digits[byte >> 4];
-        word += digits[byte & 15];
-    }
-    return word;
-}
-
 } // namespace
 
 const std::vector<platform_emulator::injectable_fault>&
@@ -241,7 +221,7 @@
     std::string text;
     if (primary != nullptr)
         for (const auto& commit : primary->log)
-            text += escape_word(commit.item) + " " + escape_word(commit.data) +
+            text += escape_text(commit.item) + " " + escape_text(commit.data) +
                     "\n";
     return text;
 }
--- a/standins/received_statements.cpp
+++ b/standins/received_statements.cpp
@@ -1,5 +1,8 @@
 #include "received_statements.hpp"
 
+#include <oleandergrade/operations/text_check.hpp>
+
+#include <algorithm>
 #include <utility>
 
 namespace standins
@@ -31,10 +34,36 @@
     text_bytes_ += statement.text.size();
     statements_.push_back(std::move(statement));
     while (statements_.size() > max_count || text_bytes_ > max_text_bytes)
+        discard_first();
+}
+
+void received_statements::discard_first()
+{
+    text_bytes_ -= statements_.front().text.size();
+    statements_.pop_front();
+    ++first_number_;
+}
+
+void received_statements::discard_before(std::uint64_t number)
+{
+    while (!statements_.empty() && first_number_ < number)
+        discard_first();
+}
+
+std::string received_statements::to_text(std::uint64_t first,
+                                         std::size_t max_bytes) const
+{
+    std::string text;
+    for (auto number = std::max(first, first_number_);
+         number < next_number() && text.size() <= max_bytes; ++number)
     {
-        text_bytes_ -= statements_.front().text.size();
-        statements_.pop_front();
+        const auto& statement = statements_[number - first_number_];
+        text += std::to_string(number) + " " +
+                oleandergrade::escape_text(statement.id) + " " +
+                statement.server + " " +
+                oleandergrade::escape_text(statement.text) + "\n";
     }
+    return text;
 }
 
 std::vector<received_statement>
--- a/standins/received_statements.hpp
+++ b/standins/received_statements.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <string>
@@ -33,7 +34,8 @@
     std::string text;
 };
 
-/// Keeps the latest statements up to a limit. Not thread-safe.
+/// Keeps the latest statements up to a limit, numbered from 0 in the order in
+/// which they were received. Not thread-safe.
 class received_statements
 {
 public:
@@ -44,10 +46,25 @@
     void add(received_statement statement);
     /// Returns the statements with this identifier, the earliest first.
     std::vector<received_statement> find(const std::string& id) const;
-    const std::deque<received_statement>& all() const { return statements_; }
+    /// Returns the statements from a number on, as one line "NUMBER ID SERVER
+    /// TEXT" each, with identifier and text escaped by escape_text(). Ends with
+    /// the first line with which the text is longer than `max_bytes`. The first
+    /// number is higher if the statement is no longer kept.
+    std::string to_text(std::uint64_t first, std::size_t max_bytes) const;
+    /// The number of the statement that is received next.
+    std::uint64_t next_number() const
+    {
+        return first_number_ + statements_.size();
+    }
+    /// Discards the statements with lower numbers.
+    void discard_before(std::uint64_t number);
 
 private:
+    void discard_first();
+
     std::deque<received_statement> statements_;
+    /// Number of the earliest statement that is kept.
+    std::uint64_t first_number_ = 0;
     std::size_t text_bytes_ = 0;
 };
 
--- a/tests/test_operations.cpp
+++ b/tests/test_operations.cpp
@@ -1,9 +1,11 @@
 /// Tests of log lines, request explanations, load reports and the checks of
 /// answers in load tools.
 #include "../platform/platform_parts.hpp"
+#include "received_statements.hpp"
 
 #include <oleandergrade/operations/load_report.hpp>
 #include <oleandergrade/operations/request_explanation.hpp>
+#include <oleandergrade/operations/text_check.hpp>
 #include <oleandergrade/operations/verifying_caller.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -95,3 +97,70 @@
     cr_assert(find_log_violations(caller, "item 1\nitem 2\nitem 1\n").size() ==
               1);
 }
+
+namespace
+{
+
+/// Returns a check of an EXECUTE that ends with a blank, which was answered.
+text_check check_of_execute(session_error failure)
+{
+    text_check check;
+    check.add_sent("c-1", {"EXECUTE s1 a17 ", "EXECUTE (READ q) a17 ", ""});
+    check.add_answer("c-1", failure);
+    return check;
+}
+
+/// Returns the only violation after these statements were received.
+std::string violation_after(const std::string& page, session_error failure)
+{
+    auto check = check_of_execute(failure);
+    check.add_received(page);
+    const auto violations = check.violations();
+    cr_assert(violations.size() == 1, "%zu violations", violations.size());
+    return violations.front();
+}
+
+} // namespace
+
+// Guards against a check that passes over a text that lost its last blank, over
+// an identifier that nobody used, a statement that never ran or was refused, or
+// a record with gaps.
+Test(operations, texts_that_arrive_changed_are_violations)
+{
+    const std::string equal = "0 c-1 i-0-0 EXECUTE%20(READ%20q)%20a17%20\n";
+    const auto none = session_error::none;
+    auto check = check_of_execute(none);
+    cr_assert(check.add_received(equal) == 1);
+    cr_assert(check.violations().empty());
+    cr_assert(violation_after("0 c-1 i-0-0 EXECUTE%20(READ%20q)%20a17\n", none)
+                  .ends_with("received \"EXECUTE%20(READ%20q)%20a17\""));
+    cr_assert(
+        violation_after("0 c-1 i-0-0 EXECUTE%20(READ%20r)%20a17%20\n", none)
+            .starts_with("c-1: sent"));
+    cr_assert(violation_after(equal + "1 c- i-0-0 READ%20a\n", none)
+                  .ends_with("which no caller sent"));
+    cr_assert(violation_after("", none).ends_with("no server received it"));
+    cr_assert(violation_after("", session_error::malformed)
+                  .ends_with("was refused: malformed"));
+    cr_assert(violation_after("2" + equal.substr(1), none)
+                  .find("has lost 2 statements") != std::string::npos);
+}
+
+// Guards against received statements that a reader loses unnoticed, after a
+// lost answer or because of the limit.
+Test(operations, received_statements_are_read_in_pages)
+{
+    standins::received_statements received;
+    for (const auto* text : {"READ a", "READ ", ""})
+        received.add({"c\n", "i-0-0", text});
+    const std::string first = "0 c%0a i-0-0 READ%20a\n";
+    cr_assert(received.to_text(0, 0) == first);
+    cr_assert(received.to_text(0, 100) ==
+              first + "1 c%0a i-0-0 READ%20\n2 c%0a i-0-0 %\n");
+    received.discard_before(1);
+    cr_assert(received.to_text(0, 0) == "1 c%0a i-0-0 READ%20\n");
+    received.discard_before(10);
+    cr_assert(received.to_text(0, 100).empty());
+    received.add({"c", "i-0-0", "COMMIT"});
+    cr_assert(received.to_text(0, 0) == "3 c i-0-0 COMMIT\n");
+}
