Soak: send random texts and compare them with what the servers received

Cause: callers sent two forms of READ and WRITE and checked effects only. No EXECUTE was sent, and no check compared texts.

Change: callers also prepare statements, set values and send texts drawn from the grammar, in transactions and outside, with items of their own. Each text that a server received must be the one that was sent under its identifier, but for the name of a prepared statement, for which what the caller prepared must stand. No other identifier may occur, what succeeded must have been received, and no valid statement may be refused as invalid. The check covers the former operations, too.

Ruled out: fewer of the former operations: the new ones come on top (3 of 13).

--- a/include/oleandergrade/operations/verifying_caller.hpp
+++ b/include/oleandergrade/operations/verifying_caller.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <oleandergrade/connection/target_session.hpp>
+#include <oleandergrade/operations/text_check.hpp>
 #include <oleandergrade/version/route_table.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -10,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -42,6 +44,11 @@
     duration latency{0};
 };
 
+/// Returns the statements of an operation, for the session with this number;
+/// the sessions of a caller are numbered from 1.
+using statement_source =
+    std::function<std::vector<caller_statement>(std::uint64_t session)>;
+
 /// Writes increasing numbers to one item of a database and reads them back. No
 /// other caller may write the item. Not thread-safe: all members must run on
 /// one executor, and only one operation may be in progress at a time.
@@ -64,6 +71,14 @@
     /// Writes the next two numbers in one transaction; either both or neither
     /// must take effect.
     boost::asio::awaitable<caller_outcome> write_in_transaction();
+    /// Sends the statements of an operation until one fails. They must be valid
+    /// in the session and must not write the caller's item. Closes the session
+    /// unless only the last one has failed, outside a transaction.
+    boost::asio::awaitable<caller_outcome> run(statement_source source);
+
+    /// Records the texts of all further statements in `check`, which must
+    /// outlive the caller.
+    void record_texts(text_check& check) { text_check_ = &check; }
 
     const write_history& history() const { return history_; }
     const std::string& item() const { return item_; }
@@ -78,7 +93,8 @@
     /// session is open.
     boost::asio::awaitable<bool> ensure_session();
     /// Sends a statement and waits for its answer.
-    boost::asio::awaitable<result<target_answer>> exchange(std::string text);
+    boost::asio::awaitable<result<target_answer>>
+    exchange(caller_statement statement);
     /// Records the outcome of the write of a number.
     void record_write(unsigned number, session_error failure);
     /// Returns the lowest number that a read begun at this time may return.
@@ -96,6 +112,9 @@
     /// Highest number acknowledged on the current session.
     unsigned last_acknowledged_in_session_ = 0;
     std::uint64_t last_statement_number_ = 0;
+    std::uint64_t session_number_ = 0;
+    /// Null if texts are not recorded.
+    text_check* text_check_ = nullptr;
     write_history history_;
     std::vector<std::string> violations_;
 };
--- a/src/operations/verifying_caller.cpp
+++ b/src/operations/verifying_caller.cpp
@@ -25,6 +25,15 @@
     return number;
 }
 
+/// Returns a statement that a target must receive as it is.
+caller_statement target_statement(std::string text)
+{
+    caller_statement statement;
+    statement.text = std::move(text);
+    statement.text_at_target = statement.text;
+    return statement;
+}
+
 } // namespace
 
 verifying_caller::verifying_caller(asio::any_io_executor executor,
@@ -49,6 +58,7 @@
     if (session_ != nullptr && session_->is_connection_usable())
         co_return true;
     last_acknowledged_in_session_ = 0;
+    ++session_number_;
     session_ = std::make_shared<target_session>(
         executor_, codec_, target_session_key{"", route_.database, key_});
     const auto opened = co_await session_->open(vm_, open_timeout);
@@ -56,16 +66,22 @@
 }
 
 asio::awaitable<result<target_answer>>
-verifying_caller::exchange(std::string text)
+verifying_caller::exchange(caller_statement statement)
 {
     std::string bytes;
-    const auto id = item_ + "-" + std::to_string(++last_statement_number_);
-    codec_.append_statement(bytes, id, text, std::nullopt);
+    const auto id = item_ + "-" + std::to_string(++last_statement_number_) +
+                    statement.id_suffix;
+    codec_.append_statement(bytes, id, statement.text, std::nullopt);
+    if (text_check_ != nullptr)
+        text_check_->add_sent(id, statement);
     auto outcome = co_await session_->exchange(
         std::move(bytes), 1, route_.statement_timeout + answer_timeout_margin);
     if (!succeeded(outcome))
         co_return error_of(outcome);
-    co_return std::move(value_of(outcome).front());
+    auto& answer = value_of(outcome).front();
+    if (text_check_ != nullptr)
+        text_check_->add_answer(id, answer.failure);
+    co_return std::move(answer);
 }
 
 void verifying_caller::record_write(unsigned number, session_error failure)
@@ -98,7 +114,7 @@
         co_return outcome;
     }
     auto text = codec_.encode_write(item_, std::to_string(number));
-    const auto answer = co_await exchange(std::move(text));
+    const auto answer = co_await exchange(target_statement(std::move(text)));
     outcome.latency = current_time() - started_at;
     outcome.lost_session = !succeeded(answer);
     outcome.failure =
@@ -115,16 +131,18 @@
     caller_outcome outcome;
     const bool is_open = co_await ensure_session();
     bool reached_commit = false;
-    std::vector<std::string> texts{
-        codec_.encode_begin(false),
-        codec_.encode_write(item_, std::to_string(first_number)),
-        codec_.encode_write(item_, std::to_string(second_number)),
-        codec_.encode_commit()};
+    std::vector<caller_statement> statements{
+        {codec_.encode_begin(false), std::nullopt, ""},
+        target_statement(
+            codec_.encode_write(item_, std::to_string(first_number))),
+        target_statement(
+            codec_.encode_write(item_, std::to_string(second_number))),
+        target_statement(codec_.encode_commit())};
     outcome.lost_session = !is_open;
-    for (std::size_t i = 0; is_open && i < texts.size(); ++i)
+    for (std::size_t i = 0; is_open && i < statements.size(); ++i)
     {
-        reached_commit = i + 1 == texts.size();
-        const auto answer = co_await exchange(texts[i]);
+        reached_commit = i + 1 == statements.size();
+        const auto answer = co_await exchange(statements[i]);
         outcome.lost_session = !succeeded(answer);
         outcome.failure = succeeded(answer) ? value_of(answer).failure
                                             : session_error::in_doubt;
@@ -149,6 +167,30 @@
     co_return outcome;
 }
 
+asio::awaitable<caller_outcome> verifying_caller::run(statement_source source)
+{
+    const auto started_at = current_time();
+    caller_outcome outcome;
+    const bool is_open = co_await ensure_session();
+    outcome.lost_session = !is_open;
+    const auto statements =
+        is_open ? source(session_number_) : std::vector<caller_statement>();
+    for (std::size_t i = 0;
+         i < statements.size() && outcome.failure == session_error::none; ++i)
+    {
+        const auto answer = co_await exchange(statements[i]);
+        outcome.lost_session = !succeeded(answer);
+        outcome.failure = succeeded(answer) ? value_of(answer).failure
+                                            : session_error::in_doubt;
+        const bool is_last = i + 1 == statements.size();
+        if (outcome.failure != session_error::none &&
+            (!is_last || session_->transaction() != transaction_state::none))
+            session_->close();
+    }
+    outcome.latency = current_time() - started_at;
+    co_return outcome;
+}
+
 asio::awaitable<caller_outcome> verifying_caller::read()
 {
     const auto started_at = current_time();
@@ -161,7 +203,7 @@
     }
     const auto min_number = min_number_for_read(started_at);
     auto text = codec_.encode_read(item_);
-    const auto answer = co_await exchange(std::move(text));
+    const auto answer = co_await exchange(target_statement(std::move(text)));
     outcome.latency = current_time() - started_at;
     outcome.lost_session = !succeeded(answer);
     outcome.failure =
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,9 +1,11 @@
 /// Randomized soak test: runs real VM processes and the emulated platform on
 /// loopback and injects faults into the processes and the network between them.
 /// Checks that the answers which callers received agree with the consistency of
-/// their routes and with the logs of the databases.
+/// their routes and with the logs of the databases, and that the databases
+/// received the texts that the callers sent.
 #include "../../platform/platform_parts.hpp"
 #include "../fakes/port_block.hpp"
+#include "caller_texts.hpp"
 #include "child_process.hpp"
 #include "loopback_proxy.hpp"
 
@@ -68,6 +70,9 @@
 constexpr auto recovery_timeout = seconds(12);
 /// Upper limit of a caller's pause between two requests.
 constexpr auto max_caller_pause = milliseconds(30);
+/// Interval at which the statements that the servers received are compared with
+/// those that the callers sent.
+constexpr auto text_check_interval = milliseconds(500);
 /// Database of each group's only route. The databases differ in their read
 /// consistency, and the callers are distributed evenly over them.
 constexpr std::array databases{"strict", "own", "aged"};
@@ -274,10 +279,11 @@
         callers_stopping_ = true;
         co_await sleep_for(seconds(4));
         co_await check_guarantees();
+        co_await check_texts();
     }
 
-    /// Starts callers that write and read one item each, distributed over the
-    /// databases and the VMs.
+    /// Starts callers that write and read one item each and send random texts,
+    /// distributed over the databases and the VMs.
     void start_callers()
     {
         std::ifstream file(FLAGS_folder + "/fleet.ini");
@@ -292,25 +298,61 @@
                 "item" + std::to_string(i)));
             callers_.back()->switch_to_vm(
                 loopback_endpoint(vm_port(i % FLAGS_vms)));
-            asio::co_spawn(context_, run_caller(*callers_.back()),
-                           asio::detached);
+            callers_.back()->record_texts(text_check_);
+            asio::co_spawn(
+                context_,
+                run_caller(*callers_.back(),
+                           std::make_unique<soak::caller_texts>(random_())),
+                asio::detached);
         }
+        asio::co_spawn(context_, collect_texts(), asio::detached);
+    }
+
+    /// Compares what the servers receive, since the emulator keeps a limited
+    /// number of statements.
+    asio::awaitable<void> collect_texts()
+    {
+        http_client control(context_.get_executor(),
+                            loopback_address(FLAGS_base_port + 2));
+        while (!callers_stopping_)
+        {
+            co_await text_check_.collect(control);
+            co_await sleep_for(text_check_interval);
+        }
+    }
+
+    /// Adds a problem for each text that arrived otherwise than it was sent.
+    asio::awaitable<void> check_texts()
+    {
+        const auto collected = co_await text_check_.collect(emulator_control_);
+        if (!succeeded(collected))
+            problems_.push_back(
+                "the emulator did not return what its servers received: " +
+                to_string(error_of(collected)));
+        for (const auto& violation : text_check_.violations())
+            problems_.push_back(violation);
+        log_to_stderr(std::to_string(text_check_.compared()) +
+                      " texts compared");
     }
 
     /// Sends random requests until the test stops. After a lost session, the
     /// caller continues at a random VM.
-    asio::awaitable<void> run_caller(verifying_caller& caller)
+    asio::awaitable<void> run_caller(verifying_caller& caller,
+                                     std::unique_ptr<soak::caller_texts> texts)
     {
         while (!callers_stopping_)
         {
             caller_outcome outcome;
-            const auto operation_choice = random_below(10);
+            const auto operation_choice = random_below(13);
             if (operation_choice < 4)
                 outcome = co_await caller.write();
             else if (operation_choice < 6)
                 outcome = co_await caller.write_in_transaction();
-            else
+            else if (operation_choice < 10)
                 outcome = co_await caller.read();
+            else
+                outcome = co_await caller.run([&texts](std::uint64_t session)
+                                              { return texts->draw(session); });
             const bool is_served =
                 outcome.failure == session_error::none && !outcome.lost_session;
             ++(is_served ? succeeded_requests_ : failed_requests_);
@@ -715,6 +757,7 @@
     std::vector<std::unique_ptr<soak::loopback_proxy>> store_proxies_;
     std::vector<std::unique_ptr<soak::loopback_proxy>> peer_proxies_;
     std::vector<std::unique_ptr<soak::child_process>> vms_;
+    text_check text_check_;
     std::vector<std::unique_ptr<verifying_caller>> callers_;
     /// Groups of which a server has had a fault in the last nine seconds.
     std::set<std::uint64_t> recently_faulty_groups_;
