oleander-load compares the texts that the servers receive

Cause: the load tool checked what it read and never looked at texts, and sent no EXECUTE.

Every 16th request prepares a statement and executes it with empty data, so that its text ends with a blank.

--- a/programs/oleander_load.cpp
+++ b/programs/oleander_load.cpp
@@ -14,8 +14,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -35,7 +37,10 @@
 DEFINE_string(json, "", "write the report as JSON to this file");
 DEFINE_string(plot, "", "write the report as an SVG image to this file");
 DEFINE_string(control, "",
-              "control address of the platform emulator; needed for --faults");
+              "control address of the platform emulator; needed for --faults. "
+              "Without --other_fleet, the texts that its servers receive are "
+              "compared with those that were sent; the fleet must have no "
+              "other callers then");
 DEFINE_string(faults, "",
               "faults to inject, \"SECONDS FAULT; SECONDS FAULT\", such as "
               "\"3 crash i-0-0; 6 restart i-0-0\"");
@@ -54,6 +59,11 @@
 /// Requests that are in progress at the end of the run have this long to
 /// finish.
 constexpr auto finish_timeout = seconds(5);
+/// Interval at which texts are compared.
+constexpr auto text_check_interval = milliseconds(500);
+/// If texts are compared, every request with a number divisible by this
+/// executes a prepared statement.
+constexpr std::uint64_t prepared_request_interval = 16;
 
 /// The callers for one database at one fleet.
 struct caller_pool
@@ -87,6 +97,10 @@
             keys_.push_back(key);
     }
 
+    /// Records the texts of all statements in `check`, which must outlive this
+    /// object, and executes prepared statements now and then.
+    void record_texts(text_check& check) { text_check_ = &check; }
+
     /// Returns whether there is at least one VM address and one route.
     bool has_vms_and_routes() const
     {
@@ -138,6 +152,8 @@
                 keys_[number % keys_.size()],
                 sample_.name + "-" + database + "-" + std::to_string(number)));
             pool.callers.back()->switch_to_vm(vms_[number % vms_.size()]);
+            if (text_check_ != nullptr)
+                pool.callers.back()->record_texts(*text_check_);
             pool.idle.push_back(pool.callers.back().get());
         }
         if (pool.idle.empty())
@@ -147,6 +163,17 @@
         return caller;
     }
 
+    /// Returns a PREPARE, and an EXECUTE of it whose data is empty.
+    std::vector<caller_statement> prepared_read(const std::string& item) const
+    {
+        const std::string name = "by-item";
+        const std::string shape = "q1";
+        const auto operands = " " + item + " ";
+        return {{codec_.encode_prepare(name, false, shape), std::nullopt, ""},
+                {"EXECUTE " + name + operands,
+                 "EXECUTE (" + codec_.encode_read(shape) + ")" + operands, ""}};
+    }
+
     /// Sends one request; `arrival_offset` is the time since the start of the
     /// run at which it was due.
     asio::awaitable<void> send(duration arrival_offset)
@@ -162,7 +189,13 @@
             co_return;
         }
         caller_outcome outcome;
-        if (writes)
+        ++last_request_;
+        if (text_check_ != nullptr &&
+            last_request_ % prepared_request_interval == 0)
+            outcome =
+                co_await caller->run([this, caller](std::uint64_t)
+                                     { return prepared_read(caller->item()); });
+        else if (writes)
             outcome = co_await caller->write();
         else
             outcome = co_await caller->read();
@@ -185,8 +218,44 @@
     std::vector<std::string> databases_;
     std::vector<std::string> keys_;
     std::map<std::string, caller_pool> pools_;
+    std::uint64_t last_request_ = 0;
+    /// Null if texts are not compared.
+    text_check* text_check_ = nullptr;
 };
 
+/// Compares the texts that the emulator's servers receive until the process
+/// ends. Reports to standard error if the emulator does not answer.
+asio::awaitable<void> collect_texts(text_check& check)
+{
+    http_client control(co_await asio::this_coro::executor, FLAGS_control);
+    while (true)
+    {
+        const auto collected = co_await check.collect(control);
+        if (!succeeded(collected))
+            std::cerr << to_string(error_of(collected)) << "\n";
+        co_await sleep_for(text_check_interval);
+    }
+}
+
+using received_reader =
+    asio::awaitable<result<bool>> (text_check::*)(http_client&);
+
+/// Reads what the emulator's servers have received, while no caller runs.
+/// Returns false, with a message on standard error, if the emulator does not
+/// answer.
+bool read_received(text_check& check, received_reader reader)
+{
+    asio::io_context context(1);
+    http_client control(context.get_executor(), FLAGS_control);
+    auto outcome =
+        asio::co_spawn(context, (check.*reader)(control), asio::use_future);
+    context.run();
+    const auto received = outcome.get();
+    if (!succeeded(received))
+        std::cerr << to_string(error_of(received)) << "\n";
+    return succeeded(received);
+}
+
 /// Parses --faults; parts without a fault are ignored.
 std::vector<injected_fault> parse_faults()
 {
@@ -254,6 +323,11 @@
                      "to list its problems\n";
         return exit_usage_error;
     }
+    text_check texts;
+    const bool compares_texts =
+        !FLAGS_control.empty() && FLAGS_other_fleet.empty();
+    if (compares_texts && !read_received(texts, &text_check::skip))
+        return exit_usage_error;
     asio::io_context context(1);
     const auto codec = platform::make_session_codec();
     std::vector<std::unique_ptr<fleet_load>> fleets;
@@ -262,6 +336,11 @@
     if (!FLAGS_other_fleet.empty())
         fleets.push_back(std::make_unique<fleet_load>(
             context, *codec, *table, "other", FLAGS_other_fleet));
+    if (compares_texts)
+    {
+        fleets.front()->record_texts(texts);
+        asio::co_spawn(context, collect_texts(texts), asio::detached);
+    }
     for (const auto& fleet : fleets)
     {
         if (!fleet->has_vms_and_routes())
@@ -279,13 +358,20 @@
     if (!report.faults.empty())
         asio::co_spawn(context, inject_faults(report.faults), asio::detached);
     context.run_for(seconds(FLAGS_seconds) + finish_timeout);
-    bool has_no_violations = true;
     for (const auto& fleet : fleets)
-    {
         report.fleets.push_back(fleet->sample());
-        has_no_violations =
-            has_no_violations && report.fleets.back().violations.empty();
+    if (compares_texts)
+    {
+        auto& violations = report.fleets.front().violations;
+        if (!read_received(texts, &text_check::collect))
+            violations.emplace_back("the last texts could not be compared");
+        const auto found = texts.violations();
+        violations.insert(violations.end(), found.begin(), found.end());
+        std::cerr << texts.compared() << " texts compared\n";
     }
+    const bool has_no_violations = std::all_of(
+        report.fleets.begin(), report.fleets.end(),
+        [](const fleet_sample& sample) { return sample.violations.empty(); });
     std::cout << report.to_text();
     if (!FLAGS_json.empty())
         std::ofstream(FLAGS_json) << report.to_json() << "\n";
