--- a/tests/test_statement_runner.cpp
+++ b/tests/test_statement_runner.cpp
@@ -78,9 +78,13 @@
     }
 
     statement_outcome run(session_verb verb)
+    {
+        return run(make_statement(verb));
+    }
+
+    statement_outcome run(const session_statement& statement)
     {
         std::optional<statement_reply> reply;
-        const auto statement = make_statement(verb);
         asio::co_spawn(
             context,
             [&]() -> asio::awaitable<void>
@@ -154,3 +158,30 @@
     const auto left = other.operations_left();
     cr_assert(left >= expected, "%d of %d", left, expected);
 }
+
+// Guards against statements that no target could read but that use up the limit
+// of their account.
+Test(statement_runner, statements_too_long_for_a_target_leave_the_limit_alone)
+{
+    runner_fixture vm;
+    const auto expected = vm.operations_left();
+    runner_fixture other;
+    other.put_record(1, true);
+    auto statement = make_statement(session_verb::prepare);
+    statement.name = "s1";
+    statement.item_or_shape = "q-2";
+    cr_assert(other.run(statement).failure == session_error::none);
+    statement.verb = session_verb::execute;
+    statement.text = "EXECUTE s1 item ";
+    // The line of the caller is as long as a line may be.
+    statement.text.resize(max_session_message_bytes - 8, 'x');
+    for (int i = 0; i < 5; ++i)
+    {
+        const auto outcome = other.run(statement);
+        cr_assert(outcome.failure == session_error::malformed, "%s",
+                  outcome.reason.c_str());
+        cr_assert(outcome.attempts == 0);
+    }
+    const auto left = other.operations_left();
+    cr_assert(left >= expected, "%d of %d", left, expected);
+}
