Count the length of a line exactly

What callers saw: a line of 1 MiB and 1 byte was read as a statement and answered as such; up to 4 KB more were accepted, depending on how the bytes arrived.

Cause: the reader compared what it had buffered, at each read of 4 KB, and only while the line end was missing.

Change: a line is too long if it has more than 1 MiB without its line end, whether the end has arrived or not; a CR at the end of the input may be half of a line end and is not counted yet. The answer stays "the message is too long" and a close.

Ruled out: limiting the bytes that one read returns (the next lines of the caller arrive with them).

--- a/src/connection/line_reader.cpp
+++ b/src/connection/line_reader.cpp
@@ -27,16 +27,22 @@
         {
             const std::string_view line(buffer_.data() + unread_begin_,
                                         end - unread_begin_);
+            line_too_long_ = line.size() > max_session_message_bytes;
+            if (line_too_long_)
+                co_return std::nullopt;
             unread_begin_ = end + session_line_end.size();
             co_return line;
         }
         buffer_.erase(0, unread_begin_);
         unread_begin_ = 0;
         const auto unread_bytes = buffer_.size();
-        line_too_long_ = unread_bytes > max_session_message_bytes;
+        // The last byte may be the first of the two bytes of a line end.
+        const std::size_t line_end_bytes =
+            buffer_.ends_with(session_line_end.front()) ? 1 : 0;
+        line_too_long_ =
+            unread_bytes - line_end_bytes > max_session_message_bytes;
         if (line_too_long_)
             co_return std::nullopt;
-        // The last byte may be the first of the two bytes of a line end.
         search_begin = unread_bytes > 0 ? unread_bytes - 1 : 0;
         buffer_.resize(unread_bytes + max_read_bytes);
         const auto received_bytes = co_await socket_.async_read_some(
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -2216,6 +2216,8 @@
                                      refused, "READY E");
         co_await sender.check("ROLLBACK", "COMPLETE -", "READY I");
         co_await sender.check("WRITE item data", ran, "READY I");
+        co_await sender.check_padded(
+            "WRITE item ", 1, "ERROR MALFORMED the message is too long", "");
     }
     cr_assert(fleet.emulator->counters().overlong_messages == 0);
     cr_assert(count_in_log(fleet, "undone") == 0);
