Refuse a message that is too large for a frame before it is sent

What callers saw: a write of a session with 9 values of 1 MiB, forwarded to the holder, got INDOUBT "the connection was closed before the reply arrived", and so does each statement of other callers that is under way on this link; open transactions at the holder are rolled back.

Cause: a frame has at most 8 MiB at its receiver, which closes the link for a larger one. The sender did not measure.

Change: a call whose frame is larger fails with kind `invalid`, before anything is queued. Its statement has not run, so the entry VM runs it; the holder is not counted as failing. Replies are not measured: an answer of a target is limited to about 6 MiB.

Ruled out: a larger limit at the receiver (old builds keep theirs).

Before: the link's open transaction was lost (test fails).

--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -74,8 +74,8 @@
     asio::awaitable<bool> read_frame(std::string& frame);
     asio::awaitable<void> handle_request(peer_message message);
     asio::awaitable<void> write_loop(std::uint64_t own_connection_number);
-    /// Queues a message for the write loop.
-    void send(const peer_message& message);
+    /// Queues an encoded message for the write loop.
+    void send(const std::string& frame);
     /// Passes a reply to the call that waits for it. A late reply, whose call
     /// has timed out, is discarded.
     void deliver(peer_message message);
@@ -216,12 +216,11 @@
     reply.id = message.id;
     reply.body = co_await handler(std::move(message.body));
     if (is_open && connection_number == own_connection_number)
-        send(reply);
+        send(encode_peer_message(reply));
 }
 
-void peer_link::state::send(const peer_message& message)
+void peer_link::state::send(const std::string& frame)
 {
-    const auto frame = encode_peer_message(message);
     std::array<unsigned char, length_prefix_bytes> prefix{};
     boost::endian::store_little_u32(prefix.data(),
                                     static_cast<std::uint32_t>(frame.size()));
@@ -317,9 +316,17 @@
     if (!succeeded(opened))
         co_return error_of(opened);
     const auto id = state->next_message_id++;
+    const auto frame = encode_peer_message({id, std::move(body)});
+    // The other VM would close the connection, which other calls use.
+    if (frame.size() > max_peer_frame_bytes)
+        co_return error{error_kind::invalid, "call", state->address,
+                        "the message has " + std::to_string(frame.size()) +
+                            " bytes, at most " +
+                            std::to_string(max_peer_frame_bytes) +
+                            " are allowed"};
     auto pending = std::make_shared<pending_call>(state->socket.get_executor());
     state->pending_calls[id] = pending;
-    state->send({id, std::move(body)});
+    state->send(frame);
     const auto latest_deadline = started_at + max_reply_duration;
     auto deadline = started_at + timeout;
     while (!pending->reply && !pending->connection_closed &&
--- a/src/process/forwarding/forwarding_policy.cpp
+++ b/src/process/forwarding/forwarding_policy.cpp
@@ -66,8 +66,10 @@
         return value_of(outcome).accepted ? forwarding_step::deliver_answer
                                           : next_step_if_not_run(facts);
     const auto kind = error_of(outcome).kind;
-    return kind == error_kind::unreachable ? next_step_if_not_run(facts)
-                                           : next_step_if_unknown(kind, facts);
+    const bool was_sent =
+        kind != error_kind::unreachable && kind != error_kind::invalid;
+    return was_sent ? next_step_if_unknown(kind, facts)
+                    : next_step_if_not_run(facts);
 }
 
 } // namespace oleandergrade
--- a/src/process/forwarding/statement_forwarder.cpp
+++ b/src/process/forwarding/statement_forwarder.cpp
@@ -174,10 +174,13 @@
     if (!succeeded(*pending->outcome))
     {
         const auto& failure = error_of(*pending->outcome);
-        const bool was_sent = failure.kind != error_kind::unreachable;
+        // Not the other VM's fault.
+        const bool is_too_large = failure.kind == error_kind::invalid;
+        const bool was_sent =
+            failure.kind != error_kind::unreachable && !is_too_large;
         // A statement may take longer than its caller waits; whether the VM
         // answers at all is for the probes to find out.
-        if (failure.kind != error_kind::timeout)
+        if (failure.kind != error_kind::timeout && !is_too_large)
             selector_.record_failure(address, current_time());
         ++(was_sent ? counts.lost : counts.not_run);
         outcome.result =
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -2237,3 +2237,37 @@
     test_fleet fleet(40, sharing_options);
     fleet.run(scenario_long_statements_are_sent_or_refused);
 }
+
+static asio::awaitable<void>
+scenario_a_large_statement_leaves_the_link_open(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    peer_link link(fleet.context.get_executor(),
+                   loopback_address(
+                       static_cast<unsigned short>(fleet.session_port(0) + 2)));
+    auto message = forwarded_write(fleet, 1, 1, "kept");
+    auto answer = co_await call_holder(link, message);
+    cr_assert(answer.transaction == transaction_state::open);
+    auto large = forwarded_write(fleet, 1, 2, "large");
+    large.session_values["v"] = std::string(max_peer_frame_bytes, 'x');
+    peer_body body = std::move(large);
+    const auto refusal = co_await link.call(std::move(body), seconds(2));
+    cr_assert(!succeeded(refusal));
+    cr_assert(error_of(refusal).kind == error_kind::invalid, "%s",
+              to_string(error_of(refusal)).c_str());
+    message.begins_transaction = false;
+    message.statement.verb = session_verb::commit;
+    message.statement.text = "COMMIT";
+    answer = co_await call_holder(link, message);
+    cr_assert(answer.failure == session_error::none, "%s",
+              answer.reason.c_str());
+    cr_assert(count_in_log(fleet, "kept") == 1);
+}
+
+// Guards against a message that the other VM does not read and therefore closes
+// the link, on which the statements of other callers are lost.
+Test(fleet, a_statement_too_large_for_a_frame_leaves_the_link_open)
+{
+    test_fleet fleet(41);
+    fleet.run(scenario_a_large_statement_leaves_the_link_open);
+}
