Close a session at a target that has sent more than the answers

Cause: whether a session at a target may be used again was read from its socket only.

Change: after an exchange, a session whose reader has bytes left is closed.

--- a/include/oleandergrade/connection/line_reader.hpp
+++ b/include/oleandergrade/connection/line_reader.hpp
@@ -26,6 +26,8 @@
     /// `max_session_message_bytes` bytes arrived without a line end.
     boost::asio::awaitable<std::optional<std::string_view>> read_line();
 
+    /// Whether bytes have been received that no call has returned.
+    bool has_unread() const { return unread_begin_ < buffer_.size(); }
     /// Whether the last call failed because the line was too long.
     bool is_line_too_long() const { return line_too_long_; }
     /// The error with which the connection ended; success if it has not.
--- a/include/oleandergrade/connection/target_session.hpp
+++ b/include/oleandergrade/connection/target_session.hpp
@@ -71,7 +71,8 @@
 
     /// Sends `count` statements, encoded one after another in `statements`, and
     /// reads the answer to each. After an error the session is closed, and any
-    /// of the statements may have run.
+    /// of the statements may have run. If the target has sent more than the
+    /// answers, they are returned, and the session is closed.
     boost::asio::awaitable<result<std::vector<target_answer>>>
     exchange(std::string statements, std::size_t count, milliseconds timeout);
 
--- a/src/connection/target_session.cpp
+++ b/src/connection/target_session.cpp
@@ -145,6 +145,9 @@
         close();
         co_return make_error("send", failure.message());
     }
+    // Whatever follows the last answer would be taken for the next one.
+    if (reader_.has_unread())
+        close();
     co_return answers;
 }
 
--- a/tests/test_target_pool.cpp
+++ b/tests/test_target_pool.cpp
@@ -12,15 +12,19 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <map>
 
 using namespace oleandergrade;
 namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
 
 namespace
 {
@@ -322,3 +326,64 @@
     cr_assert(fixture.counts.max_busy[target_ids.front()] <= slots_per_target,
               "%u", fixture.counts.max_busy[target_ids.front()]);
 }
+
+namespace
+{
+
+/// Accepts one session, and answers its first statement twice.
+asio::awaitable<void> answer_twice(tcp::acceptor& acceptor)
+{
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    std::array<char, 256> chunk{};
+    co_await socket.async_read_some(asio::buffer(chunk), asio::use_awaitable);
+    const std::string greeting = "READY I 1.1\r\n";
+    co_await asio::async_write(socket, asio::buffer(greeting),
+                               asio::use_awaitable);
+    co_await socket.async_read_some(asio::buffer(chunk), asio::use_awaitable);
+    const std::string answers = "ROW first\r\nCOMPLETE m1\r\nREADY I 1.1\r\n"
+                                "ROW second\r\nCOMPLETE m2\r\nREADY I 1.1\r\n";
+    co_await asio::async_write(socket, asio::buffer(answers),
+                               asio::use_awaitable);
+    co_await sleep_for(seconds(2));
+}
+
+asio::awaitable<void> exchange_once(asio::io_context& context,
+                                    tcp::endpoint endpoint, std::string& row,
+                                    bool& is_usable)
+{
+    const platform::line_codec codec;
+    const auto session = std::make_shared<target_session>(
+        context.get_executor(), codec, target_session_key{"i-1", "g", "shore"});
+    const auto opened = co_await session->open(endpoint, seconds(1));
+    cr_assert(succeeded(opened));
+    const auto answers =
+        co_await session->exchange("QUERY 1 READ a\r\n", 1, seconds(1));
+    cr_assert(succeeded(answers));
+    row = value_of(answers).front().rows;
+    is_usable = session->is_open() || session->is_connection_usable();
+    context.stop();
+}
+
+} // namespace
+
+// Guards against an answer that nobody has asked for and that the next caller
+// of a session at a target receives as its own.
+Test(target_pool, a_session_with_an_answer_too_many_is_not_used_again)
+{
+    constexpr unsigned test_index = max_test_index;
+    asio::io_context context;
+    tcp::acceptor acceptor(
+        context, {asio::ip::address_v4::loopback(),
+                  static_cast<unsigned short>(fakes::first_port_of_tests() +
+                                              test_index * ports_per_test)});
+    std::string row;
+    bool is_usable = true;
+    asio::co_spawn(context, answer_twice(acceptor), asio::detached);
+    asio::co_spawn(
+        context,
+        exchange_once(context, acceptor.local_endpoint(), row, is_usable),
+        asio::detached);
+    context.run_for(seconds(3));
+    cr_assert(row == "ROW first\r\n", "%s", row.c_str());
+    cr_assert(!is_usable);
+}
