Accept empty and blank last fields in HTTP requests

Cause: values of writes and keys of reads had to be words, though they are the last field of their line, which extends to the line's end. Such a request was refused with 400 each time that its caller repeated it. An absent value could not be told from an empty one.

Change: they may be empty and hold any character but CR and LF. The key of a write stays a word. An absent field, and one that is no string, is refused with a message that says so, also a statement that would not fit into a message with its identifier and a position.

Ruled out: leaving the length to the limit of request bodies, which is as long as a message, so that the identifier and the position would exceed it.

--- a/src/connection/http_statement.cpp
+++ b/src/connection/http_statement.cpp
@@ -15,6 +15,10 @@
 
 /// Maximum length of the fields database, session and transaction.
 constexpr std::size_t max_text_field_bytes = 256;
+/// Maximum length of a statement's text. Leaves room in the message for the
+/// statement's identifier and for a position that precedes the text.
+constexpr std::size_t max_statement_text_bytes =
+    max_session_message_bytes - 256;
 /// Maximum timeout that a caller may request.
 constexpr std::uint64_t max_timeout_ms = 30'000;
 /// Begins every session token and contains the version of its format.
@@ -26,9 +30,8 @@
     return {error_kind::invalid, "parse request", "", message};
 }
 
-/// Whether the text is one word without blanks and control characters. Items
-/// and data must be such words, because the session protocol separates the
-/// words of a line by blanks.
+/// Whether the text is one word without blanks and control characters, because
+/// the session protocol separates the fields of a line by blanks.
 bool is_word_without_blanks(const std::string& text)
 {
     return !text.empty() &&
@@ -36,6 +39,13 @@
                         [](unsigned char c) { return c <= ' ' || c == 0x7f; });
 }
 
+/// Whether the text can be the last field of a line, which extends to the
+/// line's end and may be empty.
+bool is_last_field(const std::string& text)
+{
+    return text.find_first_of(session_line_end) == std::string::npos;
+}
+
 /// The HTTP status with which an error is answered.
 struct status_mapping
 {
@@ -100,16 +110,26 @@
     const auto* statement_fields = fields.if_contains("statement");
     if (statement_fields == nullptr || !statement_fields->is_object())
         return "'statement' must be a JSON object";
-    statement.item_or_shape =
-        string_field(statement_fields->as_object(), "key");
+    const auto& object = statement_fields->as_object();
+    const bool writes = statement.verb == session_verb::write;
+    for (const char* name : {"key", "value"})
+    {
+        const auto* value = object.if_contains(name);
+        const bool is_needed = writes || std::string_view(name) == "key";
+        if (is_needed && (value == nullptr || !value->is_string()))
+            return std::string("'statement.") + name + "' must be a string";
+    }
+    statement.item_or_shape = string_field(object, "key");
+    if (!writes)
+        return is_last_field(statement.item_or_shape)
+                   ? ""
+                   : "'statement.key' must not contain a line break";
     if (!is_word_without_blanks(statement.item_or_shape))
         return "'statement.key' must be a word without blanks";
-    if (statement.verb != session_verb::write)
-        return "";
-    statement.data = string_field(statement_fields->as_object(), "value");
-    return is_word_without_blanks(statement.data)
+    statement.data = string_field(object, "value");
+    return is_last_field(statement.data)
                ? ""
-               : "'statement.value' must be a word without blanks";
+               : "'statement.value' must not contain a line break";
 }
 
 /// Returns the text of the statement for targets.
@@ -184,6 +204,10 @@
         request.transaction_id.empty())
         return invalid_request("'transaction' is missing");
     request.call.text = encode_statement_text(request.call, codec);
+    if (request.call.text.size() > max_statement_text_bytes)
+        return invalid_request("'statement' takes more than the " +
+                               std::to_string(max_statement_text_bytes) +
+                               " bytes that the databases accept");
     return request;
 }
 
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -630,6 +630,15 @@
         R"({"database":"own-0","statement":{"key":"a b","value":"v"}})");
     cr_assert(string_field(answer, "message").find("statement.key") !=
               std::string::npos);
+    answer = co_await send_post(
+        fleet, 0, "/v1/write",
+        R"({"database":"own-0","statement":{"key":"k","value":" v  2 "}})");
+    cr_assert(string_field(answer, "run") == "ran");
+    const auto received =
+        fleet.emulator->received().find(string_field(answer, "request"));
+    cr_assert(received.size() == 1);
+    cr_assert(received.front().text == "WRITE k  v  2 ", "'%s'",
+              received.front().text.c_str());
     cr_assert(fleet.emulator->counters().foreign_accounts == 0);
 }
 
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -8,6 +8,8 @@
 #include "fakes/random_statement_texts.hpp"
 #include "fakes/rewritten_statement.hpp"
 
+#include <oleandergrade/connection/http_statement.hpp>
+#include <oleandergrade/connection/json_fields.hpp>
 #include <oleandergrade/connection/peer_message.hpp>
 
 #include <criterion/criterion.h>
@@ -31,6 +33,23 @@
     return *call;
 }
 
+/// Parses an HTTP request with these fields of a statement.
+result<http_statement> parse_http(session_verb verb, boost::json::object fields)
+{
+    const boost::json::object body{{"database", "d"},
+                                   {"statement", std::move(fields)}};
+    return parse_http_statement(verb, boost::json::serialize(body), codec);
+}
+
+/// Returns whether the request is refused with a message that names the field.
+bool is_refused_for(session_verb verb, boost::json::object fields,
+                    const char* field)
+{
+    const auto parsed = parse_http(verb, std::move(fields));
+    return !succeeded(parsed) &&
+           error_of(parsed).message.find(field) != std::string::npos;
+}
+
 const std::string settings_text = R"(
 NodeName = "edge-a-1"
 Role = "entry"
@@ -171,6 +190,53 @@
     }
 }
 
+// Guards against HTTP requests that are refused, each time that they are
+// repeated, though the session protocol allows their texts.
+Test(platform_codec, last_fields_of_http_requests_may_be_empty_or_have_blanks)
+{
+    for (const std::string field :
+         {"", " ", "a b", " two  blanks ", "tab\t", "AFTER 3.17", "b\xc3\xa9"})
+    {
+        const auto read = parse_http(session_verb::read, {{"key", field}});
+        cr_assert(succeeded(read), "'%s'", field.c_str());
+        cr_assert(value_of(read).call.text == "READ " + field);
+        const auto write =
+            parse_http(session_verb::write, {{"key", "k"}, {"value", field}});
+        cr_assert(succeeded(write), "'%s'", field.c_str());
+        const auto& text = value_of(write).call.text;
+        cr_assert(text == "WRITE k " + field);
+        cr_assert(statement_of("QUERY 7 " + text).data == field);
+    }
+}
+
+// Guards against HTTP requests that send further lines to a target, or lines
+// that are too long, and against absent fields that are taken for empty ones.
+Test(platform_codec, http_requests_that_make_no_line_are_refused)
+{
+    constexpr auto read = session_verb::read;
+    constexpr auto write = session_verb::write;
+    for (const auto* field : {"a\r\nQUERY 1 COMMIT", "a\r", "\na"})
+    {
+        cr_assert(is_refused_for(read, {{"key", field}}, "statement.key"));
+        cr_assert(is_refused_for(write, {{"key", "k"}, {"value", field}},
+                                 "statement.value"));
+        cr_assert(is_refused_for(write, {{"key", field}, {"value", "v"}},
+                                 "statement.key"));
+    }
+    cr_assert(is_refused_for(read, {}, "statement.key"));
+    cr_assert(is_refused_for(write, {{"key", "k"}}, "statement.value"));
+    cr_assert(is_refused_for(write, {{"value", "v"}}, "statement.key"));
+    cr_assert(
+        is_refused_for(write, {{"key", "k"}, {"value", 7}}, "statement.value"));
+    for (const auto* key : {"", "a b"})
+        cr_assert(is_refused_for(write, {{"key", key}, {"value", "v"}},
+                                 "statement.key"));
+    const std::string long_field(max_session_message_bytes, 'x');
+    cr_assert(is_refused_for(read, {{"key", long_field}}, "bytes"));
+    cr_assert(
+        is_refused_for(write, {{"key", "k"}, {"value", long_field}}, "bytes"));
+}
+
 Test(platform_codec, statements_that_lack_words_are_unknown)
 {
     for (const auto* line :
