--- a/src/process/serving/target_pool.cpp
+++ b/src/process/serving/target_pool.cpp
@@ -1,6 +1,7 @@
 #include <oleandergrade/process/serving/target_pool.hpp>
 
 #include <oleandergrade/connection/endpoint.hpp>
+#include <oleandergrade/invariant.hpp>
 #include <oleandergrade/process/event_log.hpp>
 #include <oleandergrade/process/serving/placement_deadline.hpp>
 #include <oleandergrade/process/serving/slot_policy.hpp>
@@ -522,6 +523,9 @@
 
 void target_pool::release(const target_session_ptr& session)
 {
+    check_invariant(!session->is_exchanging(),
+                    "a session is released after its exchange",
+                    session->key().target);
     auto& entry = targets_[session->key().target];
     --entry.busy_sessions;
     std::erase_if(
