Leave a session at a target to the statement or rollback that uses it

Cause: when a caller leaves, serve() cancelled the idle timer and waited for the answer to ROLLBACK. The handler of a timer that has expired can't be cancelled any more; it found `busy` false and fail_transaction() gave the session back, whose last reference the pool then dropped while its exchange was suspended. fail_transactions() at a planned stop looks at `busy` only and did the same.

Change: a caller's session is marked as in use while a statement or a rollback of it is under way, and fail_transaction() does nothing then; a statement that ends its transaction itself uses close_transaction(). So one coroutine at a time owns the session at the target, whoever calls and in whatever order. Behind this: an exchange keeps its target_session alive and refuses a second one beside it, and the pool never offers a session with an exchange under way to another caller. The timer of a caller's session is stopped by moving its expiry to the far future, which its handlers check, as target_session does; so also a queued handler of the opening timeout no longer closes a session that was opened in time (by reading; not shown in a run).

Ruled out: the timer alone.

--- a/include/oleandergrade/connection/target_session.hpp
+++ b/include/oleandergrade/connection/target_session.hpp
@@ -54,7 +54,8 @@
 
 /// A connection to a target that carries the statements of one caller after
 /// another, all of the same client account. Call all members on the executor
-/// given to the constructor; only one exchange may be in progress at a time.
+/// given to the constructor; only one exchange may be in progress at a time. It
+/// keeps the object alive. Must be owned by a shared_ptr.
 class target_session : public std::enable_shared_from_this<target_session>
 {
 public:
--- a/include/oleandergrade/process/serving/statement_runner.hpp
+++ b/include/oleandergrade/process/serving/statement_runner.hpp
@@ -50,6 +50,9 @@
     /// The open transaction occupies a session at a target, here or at another
     /// VM.
     bool occupies_target() const { return pinned_placement || forwarded; }
+    /// A statement or the rollback of the transaction is under way. Nothing
+    /// else uses or releases the session at the target until it has ended.
+    bool is_in_use = false;
     /// A write of the open transaction has been sent to the target.
     bool has_written = false;
     /// The route and the account under which the open transaction began; both
@@ -147,7 +150,7 @@
     boost::asio::awaitable<void> abandon_transaction(served_session& session);
     /// Rolls back the open transaction, if any, by closing its target session,
     /// and marks it as failed, so that the caller's next statement of it fails.
-    /// No statement of it may be under way.
+    /// Does nothing while a statement or a rollback of it is under way.
     void fail_transaction(served_session& session);
 
 private:
@@ -240,6 +243,8 @@
     bool can_retry(const run_state& run) const;
     attempt_facts make_attempt_facts(const run_state& run,
                                      bool primary_remained_usable) const;
+    /// Does what fail_transaction() does, also during a statement.
+    void close_transaction(served_session& session);
     /// Gives back the session that the open transaction was bound to, if any,
     /// or has the other VM that runs the transaction roll it back.
     void release_pinned_session(served_session& session);
--- a/include/oleandergrade/process/serving/target_pool.hpp
+++ b/include/oleandergrade/process/serving/target_pool.hpp
@@ -151,6 +151,7 @@
 
     /// Releases a session. It is kept for reuse if it is open, has no
     /// transaction and its target is still registered; otherwise it is closed.
+    /// No exchange may be in progress.
     void release(const target_session_ptr& session);
 
     /// Closes all sessions in use at a target, which fails their exchanges.
--- a/src/connection/target_session.cpp
+++ b/src/connection/target_session.cpp
@@ -1,6 +1,7 @@
 #include <oleandergrade/connection/target_session.hpp>
 
 #include <oleandergrade/connection/socket_options.hpp>
+#include <oleandergrade/invariant.hpp>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -80,6 +81,7 @@
 asio::awaitable<result<bool>>
 target_session::open(const tcp::endpoint& endpoint, milliseconds timeout)
 {
+    const auto self = shared_from_this();
     start_exchange_timer(timeout);
     error_code failure;
     co_await socket_.async_connect(
@@ -119,8 +121,13 @@
 target_session::exchange(std::string statements, std::size_t count,
                          milliseconds timeout)
 {
+    const auto self = shared_from_this();
     if (!is_open_)
         co_return make_error("exchange", "the session is closed");
+    check_invariant(!is_exchanging_, "a session has one exchange at a time",
+                    key_.target);
+    if (is_exchanging_)
+        co_return make_error("exchange", "another exchange is in progress");
     start_exchange_timer(timeout);
     error_code failure;
     co_await asio::async_write(
--- a/src/process/serving/session_server.cpp
+++ b/src/process/serving/session_server.cpp
@@ -56,7 +56,7 @@
     {
     }
 
-    /// Closes the connection after `time`, unless the timer is cancelled or set
+    /// Closes the connection after `delay`, unless the timer is stopped or set
     /// again before.
     void close_after(milliseconds delay)
     {
@@ -65,10 +65,17 @@
             [weak = weak_from_this()](error_code cancelled)
             {
                 const auto self = weak.lock();
-                if (!cancelled && self)
+                if (!cancelled && self && self->has_timer_expired())
                     self->close();
             });
     }
+    void stop_timer() { timer.expires_at(time_point::max()); }
+    /// The handler of an expired wait may run only after the timer was stopped
+    /// or set again; the expiry time then lies ahead.
+    bool has_timer_expired() const
+    {
+        return timer.expiry() <= asio::steady_timer::clock_type::now();
+    }
     void close()
     {
         error_code ignored;
@@ -155,7 +162,7 @@
         start_idle_transaction_timer(live);
         keep_open = co_await serve_next_statement(*live);
     }
-    live->timer.cancel();
+    live->stop_timer();
     co_await runner_.abandon_transaction(live->session);
     co_await drain_input(*live);
     live->close();
@@ -166,7 +173,7 @@
 {
     live.close_after(limits_.opening_timeout);
     const auto line = co_await live.reader.read_line();
-    live.timer.cancel();
+    live.stop_timer();
     if (!line)
         co_return false;
     const auto message = codec_.parse_caller_message(*line);
@@ -278,7 +285,7 @@
         co_await live.socket.async_read_some(
             asio::buffer(discarded),
             asio::redirect_error(asio::use_awaitable, failure));
-    live.timer.cancel();
+    live.stop_timer();
 }
 
 // An open transaction occupies a session at a target. If it stays idle for
@@ -295,10 +302,8 @@
         [this, weak = std::weak_ptr(live)](error_code cancelled)
         {
             const auto self = weak.lock();
-            if (cancelled || !self || self->busy ||
-                self->timer.expiry() > asio::steady_timer::clock_type::now())
-                return;
-            runner_.fail_transaction(self->session);
+            if (!cancelled && self && !self->busy && self->has_timer_expired())
+                runner_.fail_transaction(self->session);
         });
 }
 
--- a/src/process/serving/statement_run_state.hpp
+++ b/src/process/serving/statement_run_state.hpp
@@ -24,15 +24,36 @@
         min_exchange_timeout);
 }
 
+/// Marks a caller's session as in use while the object exists. Uses may be
+/// nested.
+class session_use_mark
+{
+public:
+    explicit session_use_mark(served_session& session)
+        : session_(session), was_in_use_(session.is_in_use)
+    {
+        session_.is_in_use = true;
+    }
+    ~session_use_mark() { session_.is_in_use = was_in_use_; }
+    session_use_mark(const session_use_mark&) = delete;
+    session_use_mark& operator=(const session_use_mark&) = delete;
+
+private:
+    served_session& session_;
+    bool was_in_use_;
+};
+
 /// The state of one statement while it is under way.
 struct statement_runner::run_state
 {
     run_state(served_session& owner, const session_statement& statement)
-        : session(owner), call(statement), arrived_at(current_time())
+        : session(owner), use(owner), call(statement),
+          arrived_at(current_time())
     {
     }
 
     served_session& session;
+    session_use_mark use;
     const session_statement& call;
     /// When the statement was received.
     time_point arrived_at;
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -161,7 +161,7 @@
         return fail(run, session_error::busy, "this VM is stopping",
                     stopping_retry_after);
     // The end of a failed transaction is answered as usual.
-    fail_transaction(run.session);
+    close_transaction(run.session);
     const bool ends = run.call.verb == session_verb::commit ||
                       run.call.verb == session_verb::rollback;
     if (transaction == transaction_state::open && !ends)
--- a/src/process/serving/statement_transactions.cpp
+++ b/src/process/serving/statement_transactions.cpp
@@ -219,6 +219,12 @@
 }
 
 void statement_runner::fail_transaction(served_session& session)
+{
+    if (!session.is_in_use)
+        close_transaction(session);
+}
+
+void statement_runner::close_transaction(served_session& session)
 {
     if (session.caller_state.transaction() != transaction_state::open)
         return;
@@ -231,6 +237,7 @@
 asio::awaitable<void>
 statement_runner::abandon_transaction(served_session& session)
 {
+    const session_use_mark use(session);
     if (session.forwarded)
         co_await roll_back_forwarded(session);
     if (session.pinned_placement &&
--- a/src/process/serving/target_pool.cpp
+++ b/src/process/serving/target_pool.cpp
@@ -540,7 +540,7 @@
         });
     const auto* target = view_.registry.find(session->key().target);
     const bool is_reusable =
-        session->is_open() &&
+        session->is_open() && !session->is_exchanging() &&
         session->transaction() == transaction_state::none &&
         target != nullptr &&
         !view_.evacuations.contains(target->failure_domain);
