Give each connection of a link between VMs a socket of its own

What callers saw: a statement that was forwarded, or a report or grant, right after the link to its VM was closed and opened again could be lost: the new connection got cut messages and was closed too. Calls then end as "the connection was closed before the reply arrived", for a write an unknown outcome.

Cause: the old and the new connection shared one socket object. A read that had completed before the close went on for the rest of its message, on the new connection, and took its bytes. Loops that were spawned took the socket and the object only when they started, when both could have changed.

Change: each connection has its own socket, held by its loops; spawned loops get the object, the socket and the number as parameters. The timer of an attempt to connect closes only the socket of that attempt, and a connection that was closed before its opener ran on does not count as open.

--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -59,21 +59,35 @@
 {
     state(const asio::any_io_executor& executor, std::string peer_address,
           milliseconds timeout)
-        : socket(executor), address(std::move(peer_address)),
+        : executor(executor), address(std::move(peer_address)),
           connect_timeout(timeout)
     {
     }
 
-    explicit state(tcp::socket accepted) : socket(std::move(accepted)) {}
+    explicit state(tcp::socket accepted)
+        : executor(accepted.get_executor()),
+          socket(std::make_shared<tcp::socket>(std::move(accepted)))
+    {
+    }
 
     /// Opens the connection unless it is open. Concurrent callers share one
     /// attempt.
     asio::awaitable<result<bool>> open();
-    asio::awaitable<void> read_loop(std::uint64_t own_connection_number);
+    /// Like all coroutines that are spawned, it takes what it needs as
+    /// parameters: the object and the connection may have changed before it
+    /// starts.
+    asio::awaitable<void> read_loop(std::shared_ptr<state> self,
+                                    std::shared_ptr<tcp::socket> connection,
+                                    std::uint64_t own_connection_number);
     /// Returns false if the connection failed or the frame is too large.
-    asio::awaitable<bool> read_frame(std::string& frame);
-    asio::awaitable<void> handle_request(peer_message message);
-    asio::awaitable<void> write_loop(std::uint64_t own_connection_number);
+    asio::awaitable<bool> read_frame(tcp::socket& connection,
+                                     std::string& frame);
+    asio::awaitable<void> handle_request(std::shared_ptr<state> self,
+                                         peer_message message,
+                                         std::uint64_t own_connection_number);
+    asio::awaitable<void> write_loop(std::shared_ptr<state> self,
+                                     std::shared_ptr<tcp::socket> connection,
+                                     std::uint64_t own_connection_number);
     /// Queues an encoded message for the write loop.
     void send(const std::string& frame);
     /// Passes a reply to the call that waits for it. A late reply, whose call
@@ -82,7 +96,10 @@
     /// Closes the connection and fails all calls that wait for a reply.
     void disconnect();
 
-    tcp::socket socket;
+    asio::any_io_executor executor;
+    /// Each connection has a socket of its own, which the loops of the
+    /// connection share: what they read or write never reaches a later one.
+    std::shared_ptr<tcp::socket> socket;
     /// Address of the other VM; empty for an accepted connection.
     std::string address;
     milliseconds connect_timeout{0};
@@ -119,8 +136,8 @@
     error_code failure;
     if (is_connecting)
     {
-        auto waiter = std::make_shared<asio::steady_timer>(
-            socket.get_executor(), connect_timeout);
+        auto waiter =
+            std::make_shared<asio::steady_timer>(executor, connect_timeout);
         connect_waiters.push_back(waiter);
         co_await waiter->async_wait(
             asio::redirect_error(asio::use_awaitable, failure));
@@ -131,26 +148,31 @@
             "the connection attempt that another call began has failed"};
     }
     is_connecting = true;
-    socket = tcp::socket(socket.get_executor());
-    asio::steady_timer timer(socket.get_executor(), connect_timeout);
+    const auto connection = std::make_shared<tcp::socket>(executor);
+    socket = connection;
+    asio::steady_timer timer(executor, connect_timeout);
     timer.async_wait(
-        [self](error_code timer_error)
+        [self, connection](error_code timer_error)
         {
-            if (!timer_error && self->is_connecting)
+            if (!timer_error && self->is_connecting &&
+                self->socket == connection)
             {
                 error_code ignored;
-                self->socket.close(ignored);
+                connection->close(ignored);
             }
         });
-    co_await socket.async_connect(
+    co_await connection->async_connect(
         value_of(endpoint), asio::redirect_error(asio::use_awaitable, failure));
     is_connecting = false;
+    // The connection may have been closed after it was established.
+    if (!failure && !connection->is_open())
+        failure = asio::error::operation_aborted;
     if (!failure)
     {
         is_open = true;
         ++connection_number;
-        enable_dead_peer_detection(socket);
-        asio::co_spawn(socket.get_executor(), read_loop(connection_number),
+        enable_dead_peer_detection(*socket);
+        asio::co_spawn(executor, read_loop(self, socket, connection_number),
                        asio::detached);
     }
     for (const auto& waiter : std::exchange(connect_waiters, {}))
@@ -161,12 +183,13 @@
     co_return true;
 }
 
-asio::awaitable<bool> peer_link::state::read_frame(std::string& frame)
+asio::awaitable<bool> peer_link::state::read_frame(tcp::socket& connection,
+                                                   std::string& frame)
 {
     std::array<unsigned char, length_prefix_bytes> prefix{};
     error_code failure;
     co_await asio::async_read(
-        socket, asio::buffer(prefix),
+        connection, asio::buffer(prefix),
         asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
         co_return false;
@@ -176,7 +199,7 @@
     frame.resize(size);
     for (std::size_t received = 0; received < size && !failure;)
     {
-        received += co_await socket.async_read_some(
+        received += co_await connection.async_read_some(
             asio::buffer(frame) + received,
             asio::redirect_error(asio::use_awaitable, failure));
         last_part_at = clock::now();
@@ -185,11 +208,12 @@
 }
 
 asio::awaitable<void>
-peer_link::state::read_loop(std::uint64_t own_connection_number)
+peer_link::state::read_loop(std::shared_ptr<state> self,
+                            std::shared_ptr<tcp::socket> connection,
+                            std::uint64_t own_connection_number)
 {
-    const auto self = shared_from_this();
     std::string frame;
-    while (co_await read_frame(frame))
+    while (co_await read_frame(*connection, frame))
     {
         if (connection_number != own_connection_number)
             co_return;
@@ -200,18 +224,20 @@
         if (is_reply(value_of(message).body))
             deliver(std::move(value_of(message)));
         else if (handler)
-            asio::co_spawn(socket.get_executor(),
-                           handle_request(std::move(value_of(message))),
+            asio::co_spawn(executor,
+                           handle_request(self, std::move(value_of(message)),
+                                          own_connection_number),
                            asio::detached);
     }
     if (connection_number == own_connection_number)
         disconnect();
 }
 
-asio::awaitable<void> peer_link::state::handle_request(peer_message message)
+asio::awaitable<void>
+peer_link::state::handle_request([[maybe_unused]] std::shared_ptr<state> self,
+                                 peer_message message,
+                                 std::uint64_t own_connection_number)
 {
-    const auto self = shared_from_this();
-    const auto own_connection_number = connection_number;
     peer_message reply;
     reply.id = message.id;
     reply.body = co_await handler(std::move(message.body));
@@ -230,21 +256,23 @@
     if (is_writing)
         return;
     is_writing = true;
-    asio::co_spawn(socket.get_executor(), write_loop(connection_number),
+    asio::co_spawn(executor,
+                   write_loop(shared_from_this(), socket, connection_number),
                    asio::detached);
 }
 
 // Writes all frames that have been queued meanwhile with one system call.
 asio::awaitable<void>
-peer_link::state::write_loop(std::uint64_t own_connection_number)
+peer_link::state::write_loop([[maybe_unused]] std::shared_ptr<state> self,
+                             std::shared_ptr<tcp::socket> connection,
+                             std::uint64_t own_connection_number)
 {
-    const auto self = shared_from_this();
     while (!unsent_frames.empty() && connection_number == own_connection_number)
     {
         const auto batch = std::exchange(unsent_frames, {});
         error_code failure;
         co_await asio::async_write(
-            socket, asio::buffer(batch),
+            *connection, asio::buffer(batch),
             asio::redirect_error(asio::use_awaitable, failure));
         if (failure)
         {
@@ -274,7 +302,8 @@
     ++connection_number;
     unsent_frames.clear();
     error_code ignored;
-    socket.close(ignored);
+    if (socket != nullptr)
+        socket->close(ignored);
     for (const auto& [id, call] : std::exchange(pending_calls, {}))
     {
         call->connection_closed = true;
@@ -302,9 +331,10 @@
 
 void peer_link::start()
 {
-    asio::co_spawn(state_->socket.get_executor(),
-                   state_->read_loop(state_->connection_number),
-                   asio::detached);
+    asio::co_spawn(
+        state_->executor,
+        state_->read_loop(state_, state_->socket, state_->connection_number),
+        asio::detached);
 }
 
 asio::awaitable<result<peer_body>>
@@ -324,7 +354,7 @@
                             " bytes, at most " +
                             std::to_string(max_peer_frame_bytes) +
                             " are allowed"};
-    auto pending = std::make_shared<pending_call>(state->socket.get_executor());
+    auto pending = std::make_shared<pending_call>(state->executor);
     state->pending_calls[id] = pending;
     state->send(frame);
     const auto latest_deadline = started_at + max_reply_duration;
