Give the session of a failed transaction back at its idle time-out

What callers saw: a transaction that the target had failed kept its session at the target for as long as its caller was idle, past TxIdleMs. One that came over HTTP kept it for good: its entry was erased, and the pool counted the session as in use from then on.

Cause: fail_transaction() returned at once unless the transaction was open.

Change: the session is closed and released whatever the state; the state changes only if the transaction is open, as before.

Ruled out: that something else releases it; serve() does so only when the caller leaves, and http_statement_server never.

--- a/include/oleandergrade/process/serving/statement_runner.hpp
+++ b/include/oleandergrade/process/serving/statement_runner.hpp
@@ -150,7 +150,8 @@
     boost::asio::awaitable<void> abandon_transaction(served_session& session);
     /// Rolls back the open transaction, if any, by closing its target session,
     /// and marks it as failed, so that the caller's next statement of it fails.
-    /// Does nothing while a statement or a rollback of it is under way.
+    /// One that has failed already gives its target session back as well. Does
+    /// nothing while a statement or a rollback of it is under way.
     void fail_transaction(served_session& session);
 
 private:
--- a/src/process/serving/statement_transactions.cpp
+++ b/src/process/serving/statement_transactions.cpp
@@ -226,8 +226,6 @@
 
 void statement_runner::close_transaction(served_session& session)
 {
-    if (session.caller_state.transaction() != transaction_state::open)
-        return;
     if (session.pinned_placement)
         session.pinned_placement->session->close();
     release_pinned_session(session);
--- a/tests/test_session_events.cpp
+++ b/tests/test_session_events.cpp
@@ -161,6 +161,18 @@
     cr_assert(session.caller_state.transaction() == transaction_state::none);
 }
 
+asio::awaitable<void> time_out_after_failure(session_fixture& vm)
+{
+    served_session session;
+    session.database = "surveys";
+    co_await run_statement(vm, session, "BEGIN");
+    co_await run_statement(vm, session, "WRITE item data");
+    // As after an answer of the target that says so.
+    session.caller_state.fail_transaction();
+    vm.runner.fail_transaction(session);
+    cr_assert(vm.pool.busy_count(target) == 0);
+}
+
 /// A caller that begins transactions and ends or leaves them near the idle
 /// time-out.
 asio::awaitable<void> run_caller(session_fixture& vm)
@@ -231,3 +243,11 @@
     session_fixture vm(1);
     vm.run(disturb_callers);
 }
+
+// Guards against a failed transaction that keeps its session at the target for
+// as long as its caller is idle, or for good if its caller used HTTP.
+Test(session_events, a_failed_transaction_gives_its_session_back)
+{
+    session_fixture vm(2);
+    vm.run(time_out_after_failure);
+}
