Stop the idle timer of a transaction that has ended

What callers saw: the transaction after a commit or rollback was ended early, between its BEGIN and its first statement, by the time-out of the one before.

Cause: the timer was set again or cancelled only once the next transaction occupied a session at a target.

Change: the timer is stopped after each statement and set again if the session occupies a target.

Ruled out: the stop, which the test doesn't call.

--- a/src/process/serving/session_server.cpp
+++ b/src/process/serving/session_server.cpp
@@ -294,6 +294,7 @@
 void session_server::start_idle_transaction_timer(
     const std::shared_ptr<live_session>& live)
 {
+    live->stop_timer();
     if (!live->session.occupies_target())
         return;
     live->timer.expires_after(
--- a/tests/test_session_events.cpp
+++ b/tests/test_session_events.cpp
@@ -173,6 +173,27 @@
     cr_assert(vm.pool.busy_count(target) == 0);
 }
 
+asio::awaitable<void> rest_after_second_begin(session_fixture& vm)
+{
+    tcp::socket socket(vm.context);
+    co_await socket.async_connect(vm.caller_endpoint(), asio::use_awaitable);
+    std::string received;
+    for (const std::string line :
+         {"CONNECT surveys -", "QUERY 1 BEGIN", "QUERY 2 WRITE item data",
+          "QUERY 3 COMMIT", "QUERY 4 BEGIN", "QUERY 5 READ item"})
+    {
+        if (line.starts_with("QUERY 5"))
+            co_await sleep_for(idle_timeout + milliseconds(5));
+        co_await asio::async_write(socket, asio::buffer(line + "\r\n"),
+                                   asio::use_awaitable);
+        co_await asio::async_read_until(socket, asio::dynamic_buffer(received),
+                                        "READY", asio::use_awaitable);
+        cr_assert(received.find("ERROR") == std::string::npos, "%s",
+                  received.c_str());
+        received.clear();
+    }
+}
+
 /// A caller that begins transactions and ends or leaves them near the idle
 /// time-out.
 asio::awaitable<void> run_caller(session_fixture& vm)
@@ -251,3 +272,11 @@
     session_fixture vm(2);
     vm.run(time_out_after_failure);
 }
+
+// Guards against a transaction that is ended by the idle time-out of the one
+// before.
+Test(session_events, a_time_out_ends_no_later_transaction)
+{
+    session_fixture vm(3);
+    vm.run(rest_after_second_begin);
+}
