Leave the length of HTTP statements to the check before they run

Cause: measures each line exactly before a statement is admitted, those of HTTP requests as well.

Change: the parser has no limit of its own. A body over 1 MiB is refused with 413, as before, and a text that does not fit into a message with 400.

Ruled out for the test that goes with it: a line over 1 MiB cannot be made over HTTP without a position, because the body takes more bytes than the line.

--- a/src/connection/http_statement.cpp
+++ b/src/connection/http_statement.cpp
@@ -15,10 +15,6 @@
 
 /// Maximum length of the fields database, session and transaction.
 constexpr std::size_t max_text_field_bytes = 256;
-/// Maximum length of a statement's text. Leaves room in the message for the
-/// statement's identifier and for a position that precedes the text.
-constexpr std::size_t max_statement_text_bytes =
-    max_session_message_bytes - 256;
 /// Maximum timeout that a caller may request.
 constexpr std::uint64_t max_timeout_ms = 30'000;
 /// Begins every session token and contains the version of its format.
@@ -204,10 +200,6 @@
         request.transaction_id.empty())
         return invalid_request("'transaction' is missing");
     request.call.text = encode_statement_text(request.call, codec);
-    if (request.call.text.size() > max_statement_text_bytes)
-        return invalid_request("'statement' takes more than the " +
-                               std::to_string(max_statement_text_bytes) +
-                               " bytes that the databases accept");
     return request;
 }
 
