Free the input buffer of an idle session

What callers saw: nothing, until the VM was out of memory. Each session keeps the memory of the longest line that it has sent.

Change: a buffer without unread bytes keeps at most 16 KiB.

--- a/src/connection/line_reader.cpp
+++ b/src/connection/line_reader.cpp
@@ -14,6 +14,8 @@
 
 /// Maximum number of bytes that one read from the socket returns.
 constexpr std::size_t max_read_bytes = 4096;
+/// A buffer without unread bytes keeps at most this much memory.
+constexpr std::size_t max_idle_bytes = 4 * max_read_bytes;
 
 } // namespace
 
@@ -35,6 +37,8 @@
         }
         buffer_.erase(0, unread_begin_);
         unread_begin_ = 0;
+        if (buffer_.empty() && buffer_.capacity() > max_idle_bytes)
+            std::string().swap(buffer_);
         const auto unread_bytes = buffer_.size();
         // The last byte may be the first of the two bytes of a line end.
         const std::size_t line_end_bytes =
