Forget large values of idle sessions at targets

What callers saw: nothing, until the VM was out of memory. A session at a target keeps a copy of the values of its last caller, up to 256 of 1 MiB, and the names of all statements that were ever prepared in it.

Change: a session that is released with more than 64 KiB of values or more than 1024 names forgets them. Its next user sends RESET first, in the same write as what it prepares.

Ruled out: closing such sessions (a new one costs a third of a statement and a connection of the group); digests of the values (each statement would have to compute them).

--- a/include/oleandergrade/connection/target_session.hpp
+++ b/include/oleandergrade/connection/target_session.hpp
@@ -98,6 +98,10 @@
     /// The names of the statements that are prepared at the target. Kept up to
     /// date by the user of the session.
     std::set<std::string> prepared_names;
+    /// Discards the above if it takes much memory. What is set or prepared at
+    /// the target is then unknown, and the next user has to reset it.
+    void forget_large_state();
+    bool needs_reset = false;
     /// When its last user released the session to the pool.
     time_point idle_since;
 
--- a/src/connection/target_session.cpp
+++ b/src/connection/target_session.cpp
@@ -16,6 +16,16 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+namespace
+{
+
+/// Maximum number of bytes of values that an idle session remembers.
+constexpr std::size_t max_idle_value_bytes = 64 * 1024;
+/// Maximum number of names that an idle session remembers.
+constexpr std::size_t max_idle_prepared_names = 1024;
+
+} // namespace
+
 target_session::target_session(const asio::any_io_executor& executor,
                                const session_codec& codec,
                                target_session_key key)
@@ -26,6 +36,19 @@
 
 target_session::~target_session() = default;
 
+void target_session::forget_large_state()
+{
+    std::size_t bytes = 0;
+    for (const auto& [name, value] : session_values)
+        bytes += name.size() + value.size();
+    if (bytes <= max_idle_value_bytes &&
+        prepared_names.size() <= max_idle_prepared_names)
+        return;
+    session_values.clear();
+    prepared_names.clear();
+    needs_reset = true;
+}
+
 error target_session::make_error(const char* step,
                                  const std::string& message) const
 {
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -469,8 +469,9 @@
                     acquired_session.session_values.end(),
                     [&](const auto& value)
                     { return !caller_values.contains(value.first); });
-    if (has_extra_values)
+    if (has_extra_values || acquired_session.needs_reset)
     {
+        acquired_session.needs_reset = false;
         add(codec_.encode_reset(), std::nullopt);
         acquired_session.session_values.clear();
         acquired_session.prepared_names.clear();
--- a/src/process/serving/target_pool.cpp
+++ b/src/process/serving/target_pool.cpp
@@ -547,6 +547,7 @@
     if (is_reusable)
     {
         session->idle_since = current_time();
+        session->forget_large_state();
         entry.idle_sessions.push_back(session);
         close_surplus_idle(entry, session->key().group);
     }
--- a/tests/test_target_pool.cpp
+++ b/tests/test_target_pool.cpp
@@ -387,3 +387,18 @@
     cr_assert(row == "ROW first\r\n", "%s", row.c_str());
     cr_assert(!is_usable);
 }
+
+// Guards against idle sessions at targets that keep what their last caller set.
+Test(target_pool, idle_sessions_forget_large_values_and_are_reset)
+{
+    asio::io_context context;
+    const platform::line_codec codec;
+    target_session session(context.get_executor(), codec,
+                           {"i-0", "group-0", "shore"});
+    session.session_values["small"] = "value";
+    session.forget_large_state();
+    cr_assert(session.session_values.size() == 1 && !session.needs_reset);
+    session.session_values["large"] = std::string(1024 * 1024, 'x');
+    session.forget_large_state();
+    cr_assert(session.session_values.empty() && session.needs_reset);
+}
