Bound what a session and a VM hold for callers, in bytes

What callers saw: one client's 256 PREPAREs of 1 MiB held the memory of the whole VM; beyond that every caller of the VM lost its session.

Cause: names were counted, bytes were not. A replaced text kept the memory of the longest one before.

Change: values, prepared statements and their names take at most 4 MiB a session, beyond which SET and PREPARE are MALFORMED with the sizes, and 64 MiB a VM ([sessions] held_mib), beyond which they are BUSY with a time to come back. A session that is refused keeps what it has. Statements that run for other VMs are counted until their transaction ends; their values and shape are dropped after each statement. If another build forwards more than a session may hold, the statement is refused (without that it would run without some of the values). With 4 MiB, a forwarded statement with all values, the shape and the longest text fits into a frame, also with the bytes that its encoding makes longest (test). Over a route that needs no key, a key that no account has is kept up to 1 KiB; a longer one is MALFORMED (no test).

Ruled out: closing the sessions that hold most (their callers have done nothing wrong); counting statements under way (not bounded here).

--- a/include/oleandergrade/connection/caller_session.hpp
+++ b/include/oleandergrade/connection/caller_session.hpp
@@ -33,13 +33,25 @@
     /// Maximum number of values that one session may hold, and likewise of
     /// prepared statements.
     static constexpr std::size_t max_names = 256;
+    /// Maximum number of bytes that one session may hold, as counted by
+    /// bytes_held(). A statement that is forwarded with all of them, and with
+    /// the longest text, fits into a frame between VMs.
+    static constexpr std::size_t max_bytes = 4 * 1024 * 1024;
 
     /// Executes a statement that needs no target: SET, PREPARE or DEALLOC.
     /// Returns `none` on success, `unknown_prepared` if the name to deallocate
     /// is not prepared, and `malformed` for any other statement, in a failed
-    /// transaction, and if the session holds too many names already.
+    /// transaction, and if the session would hold too many names or bytes.
     session_error apply(const session_statement& statement);
 
+    /// Number of bytes that names, values and shapes take, with what the
+    /// containers need for each.
+    std::size_t bytes_held() const { return bytes_held_; }
+    /// Returns what bytes_held() will be after apply() has succeeded.
+    std::size_t bytes_held_after(const session_statement& statement) const;
+    /// Discards all values and prepared statements.
+    void forget_names();
+
     /// Returns the statement that the caller prepared under this name; null if
     /// there is none. The pointer is valid until the next call of apply().
     const prepared_statement* find_prepared(const std::string& name) const;
@@ -79,6 +91,7 @@
 private:
     std::map<std::string, std::string> values_;
     std::map<std::string, prepared_statement> prepared_statements_;
+    std::size_t bytes_held_ = 0;
     transaction_state transaction_ = transaction_state::none;
     bool transaction_read_only_ = false;
     /// The caller knows the state of its transaction.
--- a/include/oleandergrade/process/own_settings.hpp
+++ b/include/oleandergrade/process/own_settings.hpp
@@ -28,6 +28,7 @@
 ///     lenders_per_domain = 5
 ///     [sessions]
 ///     most = 3500
+///     held_mib = 64
 ///     [log]
 ///     statement_lines = 20
 ///     event_lines = 50
@@ -47,6 +48,8 @@
     std::size_t lenders_per_domain = 5;
     /// Maximum number of callers' sessions that are open at one VM.
     std::size_t max_sessions = 3500;
+    /// Maximum number of MiB that their values and prepared statements take.
+    std::size_t held_mib = 64;
     /// Maximum number of log lines per second, for single statements, for
     /// everything else, and for the texts of statements.
     std::uint32_t statement_lines = 20;
--- a/include/oleandergrade/process/serving/statement_runner.hpp
+++ b/include/oleandergrade/process/serving/statement_runner.hpp
@@ -7,6 +7,7 @@
 #include <oleandergrade/process/forwarding/statement_forwarder.hpp>
 #include <oleandergrade/process/limits/operation_limiter.hpp>
 #include <oleandergrade/process/serving/attempt_policy.hpp>
+#include <oleandergrade/process/serving/byte_quota.hpp>
 #include <oleandergrade/process/serving/serving_metrics.hpp>
 #include <oleandergrade/process/serving/target_pool.hpp>
 #include <oleandergrade/process/stop_schedule.hpp>
@@ -14,6 +15,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,6 +43,8 @@
     std::string key;
     /// Values, prepared statements, transaction state and log position.
     caller_session caller_state;
+    /// What the session takes of the memory that the VM has for all of them.
+    byte_reservation held_bytes;
     /// The session at a target that the open transaction is bound to. Set from
     /// the transaction's first statement until it ends.
     std::optional<placement> pinned_placement;
@@ -104,7 +108,8 @@
 
     /// Checks the database and the key of a new session. Returns `none` if the
     /// database has a route and the key an account (or the route needs no key),
-    /// `busy` if there is no configuration yet.
+    /// `malformed` if a key that is not needed is too long to be kept, `busy`
+    /// if there is no configuration yet.
     session_error check_opening(const session_opening& opening) const;
 
     /// Borrows an operation for an account from another VM. Called
@@ -120,6 +125,10 @@
         stop_schedule_ = schedule;
     }
 
+    /// Limits what the values and prepared statements of all callers take,
+    /// those included whose statements are run for other VMs.
+    void set_max_held_bytes(std::size_t bytes) { held_bytes_->limit = bytes; }
+
     bool is_stopping() const { return stop_schedule_.has_value(); }
 
     /// Statements are forwarded as this object chooses from now on. It must
@@ -266,6 +275,9 @@
     /// open transaction as failed. Determines whether the statement's line has
     /// room for a position.
     bool refuse_long_statement(run_state& run);
+    /// Answers a statement of another VM's caller with an error if its session
+    /// holds too much.
+    void refuse_large_session(run_state& run, bool is_within_session_limits);
     /// Returns the text that is sent to targets for the caller's statement.
     std::string text_at_target(const run_state& run) const;
     /// Encodes the statement for the target. `minimum` is the position that the
@@ -279,6 +291,9 @@
     target_pool& pool_;
     operation_limiter& limiter_;
     serving_metrics& metrics_;
+    /// Shared by all sessions. Unlimited unless set.
+    std::shared_ptr<byte_quota> held_bytes_ = std::make_shared<byte_quota>(
+        byte_quota{.limit = std::numeric_limits<std::size_t>::max()});
     /// Set once the VM is stopping.
     std::optional<stop_schedule> stop_schedule_;
     /// Null if statements are not forwarded.
--- a/src/process/own_settings.cpp
+++ b/src/process/own_settings.cpp
@@ -7,6 +7,7 @@
 {
 
 constexpr std::uint64_t max_allowed_sessions = 1'000'000;
+constexpr std::uint64_t max_allowed_held_mib = 65'536;
 constexpr std::uint64_t max_allowed_log_lines = 100'000;
 constexpr std::uint64_t max_allowed_relay_from = 1'000'000;
 constexpr std::uint64_t max_allowed_dedicated_sessions = 1000;
@@ -47,6 +48,8 @@
 {
     settings.max_sessions =
         reader.number("most", settings.max_sessions, 1, max_allowed_sessions);
+    settings.held_mib =
+        reader.number("held_mib", settings.held_mib, 1, max_allowed_held_mib);
 }
 
 void parse_log(ini_section_reader& reader, own_settings& settings)
--- a/src/process/serving/statement_forwarding.cpp
+++ b/src/process/serving/statement_forwarding.cpp
@@ -20,17 +20,22 @@
 /// Longest wait for the rollback at the holder that a caller has requested.
 constexpr auto forwarded_rollback_timeout = milliseconds(500);
 
-/// Returns the state of a caller's session as its entry VM has described it.
-caller_session make_caller_session(const forwarded_statement& message)
+/// Stores the state of a caller's session as its entry VM has described it.
+/// Returns false if it is more than a session may hold; something is missing
+/// then.
+bool restore_caller_session(const forwarded_statement& message,
+                            caller_session& state)
 {
-    caller_session state;
+    state = {};
+    bool is_complete = true;
     session_statement statement;
     statement.verb = session_verb::set_value;
     for (const auto& [name, value] : message.session_values)
     {
         statement.name = name;
         statement.data = value;
-        state.apply(statement);
+        is_complete =
+            is_complete && state.apply(statement) == session_error::none;
     }
     if (message.prepared)
     {
@@ -39,13 +44,14 @@
         statement.name = message.statement.name;
         statement.item_or_shape = message.prepared->shape;
         statement.prepares_write = message.prepared->writes;
-        state.apply(statement);
+        is_complete =
+            is_complete && state.apply(statement) == session_error::none;
     }
     if (message.session_position)
         state.record_commit(*message.session_position);
     if (message.in_transaction)
         state.begin_transaction(message.is_read_only);
-    return state;
+    return is_complete;
 }
 
 } // namespace
@@ -219,6 +225,24 @@
                              forwarded_rollback_timeout);
 }
 
+// The bytes stay reserved until the transaction ends, since the session at the
+// target that it is bound to has a copy of the values.
+void statement_runner::refuse_large_session(run_state& run,
+                                            bool is_within_session_limits)
+{
+    auto& session = run.session;
+    if (!is_within_session_limits)
+        fail(run, session_error::malformed,
+             "the session holds more than this VM allows");
+    else if (!session.held_bytes.resize(held_bytes_,
+                                        session.caller_state.bytes_held()))
+        fail(run, session_error::busy,
+             "this VM holds too many values and prepared statements",
+             held_bytes_retry_after);
+    if (run.answered)
+        session.caller_state.fail_transaction();
+}
+
 asio::awaitable<forwarded_answer>
 statement_runner::run_forwarded(served_session& session,
                                 const forwarded_statement& message)
@@ -231,9 +255,12 @@
     run.matched_route = &message.matched_route;
     run.account = message.account;
     session.database = message.matched_route.database;
-    session.caller_state = make_caller_session(message);
+    const bool is_complete =
+        restore_caller_session(message, session.caller_state);
     if (stop_schedule_)
         refuse_while_stopping(run);
+    if (!run.answered)
+        refuse_large_session(run, is_complete);
     if (!run.answered)
     {
         if (message.statement.verb == session_verb::commit)
@@ -243,6 +270,8 @@
         else
             co_await run_outside_transaction(run);
     }
+    // Each statement brings them again.
+    session.caller_state.forget_names();
     if (run.outcome.failure != session_error::none)
         log_event(event_level::warning, statement_part, "failed for another VM",
                   {{"request", run.call.id},
--- a/src/process/serving/statement_run_state.hpp
+++ b/src/process/serving/statement_run_state.hpp
@@ -16,6 +16,10 @@
 /// closer or has passed.
 inline constexpr auto min_exchange_timeout = milliseconds(5);
 
+/// Retry time for callers whose values and prepared statements the VM has no
+/// room for.
+inline constexpr auto held_bytes_retry_after = milliseconds(1000);
+
 /// Returns the timeout of an exchange that should end by `deadline`.
 inline milliseconds exchange_timeout_until(time_point deadline)
 {
--- a/src/process/serving/statement_runner.cpp
+++ b/src/process/serving/statement_runner.cpp
@@ -35,6 +35,10 @@
 /// served by other VMs.
 constexpr auto stopping_retry_after = milliseconds(50);
 
+/// Maximum length of a key that no account has. A session over a route that
+/// needs no key keeps it.
+constexpr std::size_t max_unknown_key_bytes = 1024;
+
 /// Retry time for statements of a group that waits for the logs of replicas.
 constexpr auto awaited_retry_after = milliseconds(500);
 
@@ -89,9 +93,12 @@
     const auto* matched_route = table->find_route(opening.database);
     if (matched_route == nullptr)
         return session_error::unknown_database;
-    if (!matched_route->is_public &&
-        table->find_account_by_key(opening.account_key) == nullptr)
+    const bool has_account =
+        table->find_account_by_key(opening.account_key) != nullptr;
+    if (!has_account && !matched_route->is_public)
         return session_error::unauthorized;
+    if (!has_account && opening.account_key.size() > max_unknown_key_bytes)
+        return session_error::malformed;
     return session_error::none;
 }
 
@@ -326,7 +333,20 @@
         refuse_long_preparation(
             run, {run.call.prepares_write, run.call.item_or_shape}))
         return;
-    const auto failure = run.session.caller_state.apply(run.call);
+    auto& state = run.session.caller_state;
+    const auto bytes = state.bytes_held_after(run.call);
+    if (bytes > caller_session::max_bytes)
+        return fail(run, session_error::malformed,
+                    "the session would hold " + std::to_string(bytes) +
+                        " bytes, at most " +
+                        std::to_string(caller_session::max_bytes) +
+                        " are allowed");
+    if (!run.session.held_bytes.resize(held_bytes_, bytes))
+        return fail(run, session_error::busy,
+                    "this VM holds too many values and prepared statements",
+                    held_bytes_retry_after);
+    const auto failure = state.apply(run.call);
+    run.session.held_bytes.resize(held_bytes_, state.bytes_held());
     if (failure == session_error::none)
         return codec_.append_proxy_completion(run.reply);
     fail(run, failure, "the statement is not understood here");
--- a/src/process/vm_daemon.cpp
+++ b/src/process/vm_daemon.cpp
@@ -27,6 +27,7 @@
 {
 
 constexpr auto stop_poll_interval = milliseconds(50);
+constexpr std::size_t bytes_per_mib = 1024 * 1024;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
@@ -72,6 +73,7 @@
                       session_limits{.max_sessions = own.max_sessions}),
       signals_(context, SIGTERM, SIGINT, SIGHUP)
 {
+    statement_runner_.set_max_held_bytes(own.held_mib * bytes_per_mib);
     if (!own.http_address.empty())
         http_statement_server_ = std::make_unique<http_statement_server>(
             context, endpoint_of(own.http_address), *platform.codec,
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -2247,6 +2247,37 @@
     fleet.run(scenario_long_statements_are_sent_or_refused);
 }
 
+static asio::awaitable<void>
+scenario_values_of_other_builds_are_bounded(test_fleet& fleet)
+{
+    co_await fleet.wait_until_ready();
+    peer_link link(fleet.context.get_executor(),
+                   loopback_address(
+                       static_cast<unsigned short>(fleet.session_port(0) + 2)));
+    auto message = forwarded_write(fleet, 1, 1, "undone");
+    for (const char* name : {"a", "b", "c", "d", "e"})
+        message.session_values[name] =
+            std::string(max_session_message_bytes - 1024, 'x');
+    auto answer = co_await call_holder(link, message);
+    cr_assert(answer.accepted && answer.failure == session_error::malformed);
+    cr_assert(answer.transaction == transaction_state::failed);
+    cr_assert(count_in_log(fleet, "undone") == 0);
+    message.session_values.erase("e");
+    message.session_values.erase("d");
+    message.session.session = 2;
+    answer = co_await call_holder(link, message);
+    cr_assert(answer.failure == session_error::none, "%s",
+              answer.reason.c_str());
+}
+
+// Guards against a statement that runs without some of its session's values,
+// as an earlier build forwards more of them than a session may hold.
+Test(fleet, values_of_forwarded_statements_are_bounded)
+{
+    test_fleet fleet(42);
+    fleet.run(scenario_values_of_other_builds_are_bounded);
+}
+
 static asio::awaitable<void>
 scenario_a_large_statement_leaves_the_link_open(test_fleet& fleet)
 {
--- a/tests/test_serving_logic.cpp
+++ b/tests/test_serving_logic.cpp
@@ -4,6 +4,7 @@
 #include <oleandergrade/connection/caller_session.hpp>
 #include <oleandergrade/connection/fleet_message.hpp>
 #include <oleandergrade/connection/peer_message.hpp>
+#include <oleandergrade/connection/session_codec.hpp>
 #include <oleandergrade/process/configuration/watch_backoff.hpp>
 #include <oleandergrade/process/membership/member_list.hpp>
 #include <oleandergrade/process/serving/connection_share.hpp>
@@ -327,6 +328,57 @@
               session_error::none);
 }
 
+// Guards against a caller that fills the memory of a VM with its own session,
+// also by texts that are replaced by shorter ones.
+Test(serving_logic, a_session_holds_a_bounded_number_of_bytes)
+{
+    caller_session session;
+    const std::string text(max_session_message_bytes - 1024, 'x');
+    const auto apply = [&](session_verb verb, const char* name)
+    { return session.apply(statement_of(verb, name, text.c_str())); };
+    cr_assert(apply(session_verb::set_value, "a") == session_error::none);
+    cr_assert(apply(session_verb::set_value, "a") == session_error::none);
+    cr_assert(apply(session_verb::prepare, "a") == session_error::none);
+    cr_assert(apply(session_verb::prepare, "b") == session_error::none);
+    cr_assert(apply(session_verb::prepare, "c") == session_error::none);
+    cr_assert(apply(session_verb::prepare, "d") == session_error::malformed);
+    cr_assert(apply(session_verb::set_value, "b") == session_error::malformed);
+    cr_assert(session.bytes_held() <= caller_session::max_bytes);
+    cr_assert(session.values().size() == 1);
+    session.apply(statement_of(session_verb::set_value, "a", "short"));
+    cr_assert(session.values().at("a").capacity() < 100);
+    cr_assert(apply(session_verb::prepare, "d") == session_error::none);
+    for (const char* name : {"a", "b", "c", "d"})
+        session.apply(statement_of(session_verb::deallocate, name));
+    cr_assert(session.bytes_held() < 1000);
+}
+
+// Guards against a statement that cannot be forwarded with its session. The
+// bytes are those that the packed encoding makes the longest.
+Test(serving_logic, a_full_session_fits_into_a_frame)
+{
+    constexpr std::string_view pattern("xxxxxxxxxxxxxx\0\0", 16);
+    const auto fill = [&](std::size_t size)
+    {
+        std::string text;
+        while (text.size() < size)
+            text.append(pattern);
+        text.resize(size);
+        return text;
+    };
+    forwarded_statement message;
+    const auto text = fill(max_session_message_bytes);
+    message.statement.text = text;
+    message.statement.item_or_shape = text;
+    message.prepared = {true, text};
+    const auto count = caller_session::max_names;
+    for (std::size_t i = 0; i < count; ++i)
+        message.session_values[std::to_string(i)] =
+            fill((caller_session::max_bytes - text.size()) / count);
+    const auto frame = encode_peer_message({1, message});
+    cr_assert(frame.size() <= max_peer_frame_bytes, "%zu", frame.size());
+}
+
 Test(serving_logic, only_some_errors_promise_that_nothing_is_kept)
 {
     for (const auto code :
--- a/tests/test_statement_runner.cpp
+++ b/tests/test_statement_runner.cpp
@@ -83,6 +83,12 @@
     }
 
     statement_outcome run(const session_statement& statement)
+    {
+        return run(statement, session);
+    }
+
+    statement_outcome run(const session_statement& statement,
+                          served_session& session)
     {
         std::optional<statement_reply> reply;
         asio::co_spawn(
@@ -185,3 +191,29 @@
     const auto left = other.operations_left();
     cr_assert(left >= expected, "%d of %d", left, expected);
 }
+
+// Guards against callers that fill the memory of a VM with many sessions.
+Test(statement_runner, a_vm_holds_a_bounded_number_of_bytes)
+{
+    runner_fixture vm;
+    vm.put_record(1, true);
+    vm.runner.set_max_held_bytes(2000);
+    auto other = std::make_unique<served_session>();
+    other->database = vm.session.database;
+    other->key = vm.session.key;
+    auto statement = make_statement(session_verb::set_value);
+    statement.name = "v";
+    statement.data = std::string(1500, 'x');
+    cr_assert(vm.run(statement, *other).failure == session_error::none);
+    const auto outcome = vm.run(statement);
+    cr_assert(outcome.failure == session_error::busy);
+    cr_assert(outcome.retry_after.count() > 0);
+    cr_assert(vm.session.caller_state.values().empty());
+    statement.data = "short";
+    cr_assert(vm.run(statement).failure == session_error::none);
+    other.reset();
+    statement.data = std::string(1500, 'x');
+    cr_assert(vm.run(statement).failure == session_error::none);
+    cr_assert(vm.session.held_bytes.bytes() ==
+              vm.session.caller_state.bytes_held());
+}
