--- a/include/oleandergrade/connection/peer_link.hpp
+++ b/include/oleandergrade/connection/peer_link.hpp
@@ -47,8 +47,7 @@
     /// the connection has a limit of its own, the connect timeout. If
     /// `part_timeout` is not 0, the wait goes on, up to `max_reply_duration`,
     /// while something arrives at least this often. The request was not sent
-    /// if the error is of kind `unreachable`, or of kind `invalid`: it is larger
-    /// than the other VM reads.
+    /// if the error is of kind `unreachable` or `too_large`.
     boost::asio::awaitable<result<peer_body>>
     call(peer_body body, duration timeout, duration part_timeout = duration(0));
     /// Closes the connection. Calls that wait for a reply fail.
--- a/include/oleandergrade/error.hpp
+++ b/include/oleandergrade/error.hpp
@@ -26,7 +26,9 @@
     /// The input does not have the expected form.
     invalid,
     /// A compare-and-swap found another revision than expected.
-    conflict
+    conflict,
+    /// The message is larger than the peer reads; nothing was sent.
+    too_large
 };
 
 /// Describes one failure. Not changed after it was created.
--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -349,7 +349,7 @@
     const auto frame = encode_peer_message({id, std::move(body)});
     // The other VM would close the connection, which other calls use.
     if (frame.size() > max_peer_frame_bytes)
-        co_return error{error_kind::invalid, "call", state->address,
+        co_return error{error_kind::too_large, "call", state->address,
                         "the message has " + std::to_string(frame.size()) +
                             " bytes, at most " +
                             std::to_string(max_peer_frame_bytes) +
--- a/src/error.cpp
+++ b/src/error.cpp
@@ -19,6 +19,8 @@
         return "invalid";
     case error_kind::conflict:
         return "conflict";
+    case error_kind::too_large:
+        return "too-large";
     }
     return "unknown";
 }
--- a/src/process/forwarding/forwarding_policy.cpp
+++ b/src/process/forwarding/forwarding_policy.cpp
@@ -67,7 +67,7 @@
                                           : next_step_if_not_run(facts);
     const auto kind = error_of(outcome).kind;
     const bool was_sent =
-        kind != error_kind::unreachable && kind != error_kind::invalid;
+        kind != error_kind::unreachable && kind != error_kind::too_large;
     return was_sent ? next_step_if_unknown(kind, facts)
                     : next_step_if_not_run(facts);
 }
--- a/src/process/forwarding/statement_forwarder.cpp
+++ b/src/process/forwarding/statement_forwarder.cpp
@@ -175,7 +175,7 @@
     {
         const auto& failure = error_of(*pending->outcome);
         // Not the other VM's fault.
-        const bool is_too_large = failure.kind == error_kind::invalid;
+        const bool is_too_large = failure.kind == error_kind::too_large;
         const bool was_sent =
             failure.kind != error_kind::unreachable && !is_too_large;
         // A statement may take longer than its caller waits; whether the VM
--- a/tests/test_forwarding_policy.cpp
+++ b/tests/test_forwarding_policy.cpp
@@ -65,7 +65,8 @@
     for (const auto part : {transaction_part::none, transaction_part::first})
         for (const bool writes : {false, true})
             for (const auto& given :
-                 {answer(false), failure(error_kind::unreachable)})
+                 {answer(false), failure(error_kind::unreachable),
+                  failure(error_kind::too_large)})
             {
                 expect(given, facts(writes, part), step::try_standby);
                 expect(given, facts(writes, part, false), step::run_here);
@@ -80,7 +81,8 @@
     for (const auto part : {transaction_part::later, transaction_part::commit})
         for (const bool writes : {false, true})
             for (const auto& given :
-                 {answer(false), failure(error_kind::unreachable)})
+                 {answer(false), failure(error_kind::unreachable),
+                  failure(error_kind::too_large)})
                 expect(given, facts(writes, part), step::report_aborted);
 }
 
