--- a/tests/test_session_events.cpp
+++ b/tests/test_session_events.cpp
@@ -4,6 +4,7 @@
 /// Each scenario is a function outside its test, because GCC 12 cannot compile
 /// coroutines inside Criterion's test functions.
 #include "../platform/line_codec.hpp"
+#include "fakes/port_block.hpp"
 #include "platform_emulator.hpp"
 
 #include <oleandergrade/connection/async_event.hpp>
@@ -32,7 +33,7 @@
 {
 
 /// Criterion runs several tests at the same time, so each needs its own ports.
-constexpr unsigned short first_port = 23400;
+constexpr unsigned max_test_index = 9;
 constexpr unsigned short ports_per_test = 10;
 constexpr auto idle_timeout = milliseconds(20);
 const std::string group = "group-0";
@@ -45,7 +46,7 @@
     /// `test_index` is the test's number; each test of this file needs a
     /// different one.
     explicit session_fixture(unsigned test_index)
-        : port(static_cast<unsigned short>(first_port +
+        : port(static_cast<unsigned short>(fakes::first_port_of_tests() +
                                            test_index * ports_per_test)),
           emulator(context, make_settings(port)),
           pool(context.get_executor(), codec, view),
@@ -249,6 +250,11 @@
 
 } // namespace
 
+ReportHook(PRE_ALL)(criterion_test_set*)
+{
+    fakes::claim_ports_of_tests((max_test_index + 1) * ports_per_test);
+}
+
 // Guards against a session at a target that is freed, or given to another
 // caller, while its rollback is under way.
 Test(session_events, a_time_out_during_a_rollback_leaves_it_the_session)
