--- a/include/oleandergrade/version/route_table.hpp
+++ b/include/oleandergrade/version/route_table.hpp
@@ -95,7 +95,7 @@
     /// Returns the limits of a group, or null if there are none.
     const group_limits* find_group(const std::string& group) const;
     /// Returns the client account that a key belongs to, or null if the key is
-    /// unknown.
+    /// unknown or empty: callers without a key belong to none.
     const client_account* find_account_by_key(const std::string& key) const;
 
     bool operator==(const route_table&) const = default;
--- a/src/version/route_table.cpp
+++ b/src/version/route_table.cpp
@@ -30,6 +30,8 @@
 const client_account*
 route_table::find_account_by_key(const std::string& key) const
 {
+    if (key.empty())
+        return nullptr;
     const auto* name = find_or_null(account_by_key, key);
     return name == nullptr ? nullptr : find_or_null(accounts, *name);
 }
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -431,3 +431,23 @@
         "f.toml", "NodeName = \"Cartágo\" # plánta\n");
     cr_assert(error_of(quoted).message.find("non-ASCII") == std::string::npos);
 }
+
+// Guards against callers without a key who count as the account that has the
+// empty key, and against a key "-" that is in force and not accepted.
+Test(platform_codec, an_absent_key_is_no_key)
+{
+    const auto decoded = platform::decode_configuration(
+        R"({"Version":1,"Tenants":[{"Name":"empty","ApiKeys":[""]},)"
+        R"({"Name":"dash","ApiKeys":["-"]}]})");
+    cr_assert(succeeded(decoded));
+    const auto account_of = [&](const std::string& line)
+    {
+        const auto message = codec.parse_caller_message(line);
+        const auto& opening = std::get<session_opening>(value_of(message));
+        return value_of(decoded)->find_account_by_key(opening.account_key);
+    };
+    cr_assert(account_of("CONNECT db") == nullptr);
+    cr_assert(account_of("CONNECT db ") == nullptr);
+    cr_assert(account_of("CONNECT db -") != nullptr);
+    cr_assert(account_of("CONNECT db -")->name == "dash");
+}
