--- a/tests/fakes/random_statement_texts.cpp
+++ b/tests/fakes/random_statement_texts.cpp
@@ -11,8 +11,8 @@
 
 /// Words that mean something elsewhere in a line, and fields that only differ
 /// in blanks.
-constexpr std::array<std::string_view, 8> special_fields{
-    "AFTER", "READ", "-", "3.17", "a ", " a", "a  b", "BEGIN READ "};
+constexpr std::array<std::string_view, 9> special_fields{
+    "AFTER", "READ", "-", "3.17", "a ", " a", "a  b", "BEGIN READ ", "tail\r"};
 constexpr std::size_t max_short_size = 12;
 /// Longer than what a VM reads from a socket at once.
 constexpr std::size_t max_long_size = 9000;
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -2083,6 +2083,13 @@
         co_await sender.run(texts_per_vm);
         expected.insert(sender.expected().begin(), sender.expected().end());
     }
+    std::uint64_t forwarded = 0;
+    for (unsigned vm = 0; vm < fleet.daemons.size(); ++vm)
+    {
+        const auto state = co_await read_state(fleet, vm);
+        forwarded += unsigned_field(state, "forwarded");
+    }
+    cr_assert((forwarded > 0) == !fleet.proxies.empty());
     for (const auto& [id, text] : expected)
     {
         const auto received = fleet.emulator->received().find(id);
